Add the workspace, settings and a thin request path

Cause: the repository was empty; every other part needs a path from caller to backend server. Change: workspace of six packages, checked TOML settings with two examples, lookup, ingress, relay, owner and backend hop on node:http. Before: nothing ran.

--- /dev/null
+++ b/packages/common/src/errors/step.ts
@@ -0,0 +1,14 @@
+/** Names the step of a request or of a control exchange at which an error arose. */
+export enum Step {
+  Settings = 'settings',
+  Lookup = 'lookup',
+  Ingress = 'ingress',
+  Relay = 'relay',
+  Owner = 'owner',
+  Backend = 'backend',
+  Store = 'store',
+  Membership = 'membership',
+  Spread = 'spread',
+  Admin = 'admin',
+  Shutdown = 'shutdown',
+}
--- /dev/null
+++ b/packages/common/src/protocol/header_name.ts
@@ -0,0 +1,17 @@
+/** Names the HTTP headers of the contract with callers, backend servers and other instances. */
+export enum HeaderName {
+  Attempt = 'primrose-attempt',
+  DeadlineMs = 'primrose-deadline-ms',
+  Draining = 'primrose-draining',
+  FreeSlots = 'primrose-free',
+  Hops = 'primrose-hops',
+  IdempotencyKey = 'idempotency-key',
+  OriginalStatus = 'primrose-original-status',
+  Outcome = 'primrose-outcome',
+  Peer = 'primrose-peer',
+  RequestId = 'primrose-request-id',
+  SourceRegion = 'primrose-source-region',
+  SourceZone = 'primrose-source-zone',
+  Step = 'primrose-step',
+  TraceParent = 'traceparent',
+}
--- /dev/null
+++ b/packages/common/src/tasks/index.ts
@@ -0,0 +1,1 @@
+export {Mailbox, type MailboxOptions} from './mailbox.js';
--- /dev/null
+++ b/packages/common/src/telemetry/index.ts
@@ -0,0 +1,13 @@
+export {
+  createLogger,
+  type Logger,
+  type LoggerOptions,
+} from './create_logger.js';
+export {Invariant} from './invariant.js';
+export {InvariantMonitor} from './invariant_monitor.js';
+export {
+  createTracing,
+  TraceExporter,
+  type Tracing,
+  type TracingOptions,
+} from './create_tracing.js';
--- /dev/null
+++ b/packages/common/src/time/timer_service.ts
@@ -0,0 +1,38 @@
+/** Gives the time and calls subscribers; all parts take their time from here. */
+export interface TimerService {
+  /**
+   * Reads the monotonic clock.
+   * @returns Milliseconds since an arbitrary start.
+   */
+  now(): number;
+
+  /**
+   * Reads the wall clock.
+   * @returns Milliseconds since the Unix epoch.
+   */
+  wallNow(): number;
+
+  /**
+   * Calls a function periodically until the subscription is disposed.
+   * @param intervalMs - Time between calls in milliseconds.
+   * @param fn - The function to call; a rejected promise is the caller's to handle.
+   * @returns The subscription.
+   */
+  every(intervalMs: number, fn: () => void): AsyncDisposable & Disposable;
+
+  /**
+   * Calls a function once after a delay unless the subscription is disposed.
+   * @param delayMs - Delay in milliseconds.
+   * @param fn - The function to call.
+   * @returns The subscription.
+   */
+  after(delayMs: number, fn: () => void): AsyncDisposable & Disposable;
+
+  /**
+   * Waits for a delay.
+   * @param delayMs - Delay in milliseconds.
+   * @param signal - Ends the wait early; the promise then resolves at once.
+   * @returns A promise that resolves after the delay.
+   */
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void>;
+}
--- /dev/null
+++ b/packages/control/src/documents/index.ts
@@ -0,0 +1,3 @@
+export {DrainKind, type Drain} from './drain.js';
+export {type Preset, PRESET_SCHEMA} from './preset.js';
+export {type TeamDocument, TEAM_DOCUMENT_SCHEMA} from './team_document.js';
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,2 @@
+export * from './documents/index.js';
+export * from './settings/index.js';
--- /dev/null
+++ b/packages/control/src/settings/index.ts
@@ -0,0 +1,10 @@
+export {buildTopology} from './build_topology.js';
+export {loadSettings, type LoadedSettings} from './load_settings.js';
+export {formatSettingsIssue, type SettingsIssue} from './settings_issue.js';
+export {SettingsError} from './settings_error.js';
+export {
+  type InstanceSettings,
+  type SystemSettings,
+  INSTANCE_SETTINGS_SCHEMA,
+  SYSTEM_SETTINGS_SCHEMA,
+} from './settings_schema.js';
--- /dev/null
+++ b/packages/control/src/settings/settings_issue.ts
@@ -0,0 +1,21 @@
+/** Describes one fault of a settings file. */
+export interface SettingsIssue {
+  file: string;
+  /** Dotted path of the key. */
+  key: string;
+  /** Line of a syntax error, counted from 1. */
+  line?: number;
+  /** The value found, as JSON. */
+  value: string;
+  expected: string;
+}
+
+/**
+ * Formats a fault for a person.
+ * @param issue - The fault.
+ * @returns One line with file, key or line, value and what was expected.
+ */
+export function formatSettingsIssue(issue: SettingsIssue): string {
+  const position = issue.line === undefined ? '' : `:${issue.line}`;
+  return `${issue.file}${position}: ${issue.key}: found ${issue.value}, expected ${issue.expected}`;
+}
--- /dev/null
+++ b/packages/instance/src/index.ts
@@ -0,0 +1,2 @@
+export {main} from './cli/main.js';
+export {serve} from './serve.js';
--- /dev/null
+++ b/packages/instance/src/lookup/index.ts
@@ -0,0 +1,1 @@
+export {LookupTask, type LookupTaskOptions} from './lookup_task.js';
--- /dev/null
+++ b/packages/instance/src/owner/index.ts
@@ -0,0 +1,1 @@
+export {OwnerTask, type OwnerTaskOptions} from './owner_task.js';
--- /dev/null
+++ b/packages/instance/src/serve.ts
@@ -0,0 +1,121 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  createLogger,
+  InvariantMonitor,
+  RealTimerService,
+} from '@primrosestage/common';
+import {buildTopology, type LoadedSettings} from '@primrosestage/control';
+import {createHash64} from '@primrosestage/steering';
+import {Registry} from 'prom-client';
+import {listen, sendJson} from './http/index.js';
+import {IngressTask} from './ingress/index.js';
+import {LookupTask} from './lookup/index.js';
+import {OwnerTask} from './owner/index.js';
+
+/**
+ * Starts an instance.
+ * @param settings - Checked settings.
+ * @returns The running instance; disposal shuts it down gracefully.
+ */
+export async function serve(
+  settings: LoadedSettings,
+): Promise<AsyncDisposable> {
+  const stack = new AsyncDisposableStackShim();
+  const {system, instance} = settings;
+  const topology = buildTopology(system);
+  const self = topology.getInstanceOrThrow(instance.id);
+  const timers = new RealTimerService();
+  const logger = createLogger({
+    level: instance.log.level,
+    fields: {instance: self.id},
+  });
+  const registry = new Registry();
+  const monitor = new InvariantMonitor(logger, registry);
+  const hash = await createHash64();
+  const owner = stack.use(
+    new OwnerTask({
+      topology,
+      self,
+      hash,
+      timers,
+      progressTimeoutMs: system.timing.progressTimeoutMs,
+    }),
+  );
+  const ingress = stack.use(
+    new IngressTask({
+      parse: {
+        topology,
+        self,
+        timers,
+        defaultDeadlineMs: system.timing.defaultDeadlineMs,
+        maxRequestMs: system.timing.maxRequestMs,
+      },
+      topology,
+      self,
+      hash,
+      owner,
+      timers,
+      logger,
+      progressTimeoutMs: system.timing.progressTimeoutMs,
+    }),
+  );
+  const lookup = new LookupTask({
+    topology,
+    self,
+    incarnation: timers.wallNow(),
+    blocks: system.blocks,
+    trustedPeers: system.trustedPeers,
+    getTtlSeconds: () => 10,
+  });
+  const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
+    const url = req.url ?? '/';
+    if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
+    else if (url.startsWith('/v1/requests/')) void ingress.handle(req, res);
+    else if (url === '/healthz') sendJson(res, 200, {healthy: true});
+    else if (url === '/readyz') sendJson(res, 200, {ready: true});
+    else sendJson(res, 404, {message: `no resource ${url}`});
+  };
+  const handleAdmin = async (req: IncomingMessage, res: ServerResponse) => {
+    if (req.url !== '/metrics') {
+      sendJson(res, 404, {message: `no resource ${req.url}`});
+      return;
+    }
+    const text = await registry.metrics();
+    res.writeHead(200, {'content-type': registry.contentType}).end(text);
+  };
+  stack.use(await listen({address: self.publicAddress, handle: handlePublic}));
+  stack.use(
+    await listen({
+      address: self.internalAddress,
+      handle: (req, res) => void ingress.handle(req, res),
+    }),
+  );
+  stack.use(
+    await listen({
+      address: self.adminAddress,
+      handle: (req, res) => void handleAdmin(req, res),
+    }),
+  );
+  logger.info('instance started', {
+    zone: self.zone,
+    publicAddress: self.publicAddress,
+    violations: monitor.violationCount,
+  });
+  return stack;
+}
+
+/** Disposes resources in reverse order of their creation; Node.js 20 has no AsyncDisposableStack. */
+class AsyncDisposableStackShim implements AsyncDisposable {
+  private readonly resources: AsyncDisposable[] = [];
+
+  use<T extends AsyncDisposable>(resource: T): T {
+    this.resources.push(resource);
+    return resource;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const resource of this.resources.reverse()) {
+      await resource[Symbol.asyncDispose]();
+    }
+  }
+}
--- /dev/null
+++ b/packages/steering/src/index.ts
@@ -0,0 +1,2 @@
+export * from './ownership/index.js';
+export * from './topology/index.js';
--- /dev/null
+++ b/packages/steering/src/topology/index.ts
@@ -0,0 +1,6 @@
+export type {Endpoint} from './endpoint.js';
+export type {InstanceInfo} from './instance_info.js';
+export type {Link} from './link.js';
+export type {Service} from './service.js';
+export {Topology, type TopologyOptions} from './topology.js';
+export type {Zone} from './zone.js';
--- /dev/null
+++ b/packages/steering/src/topology/zone.ts
@@ -0,0 +1,5 @@
+/** Describes an availability zone. */
+export interface Zone {
+  name: string;
+  region: string;
+}
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,4 @@
+export {
+  startBackendServer,
+  type BackendServerOptions,
+} from './standins/backend_server.js';
