Open all outgoing connections through one injected function

Cause: failure tests need to refuse, drop and stall connections without tools of the operating system. Ruled out: patching node:net, which would also affect the listeners. Change: ConnectFunction and createAgent in common; a trpc skeleton for control calls on the internal listener.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 export * from './errors/index.js';
+export * from './net/index.js';
 export * from './protocol/index.js';
 export * from './tasks/index.js';
 export * from './telemetry/index.js';
--- /dev/null
+++ b/packages/common/src/net/create_agent.ts
@@ -0,0 +1,29 @@
+import http from 'node:http';
+import type {ConnectFunction} from './connect_function.js';
+
+/** Configures a pool of connections. */
+export interface CreateAgentOptions {
+  connect: ConnectFunction;
+  /** Most open connections per peer. */
+  maxSockets?: number;
+  /** Time after which an idle connection is closed, in milliseconds. */
+  idleTimeoutMs?: number;
+}
+
+/**
+ * Creates a keep-alive pool whose connections come from the given function.
+ * @param options - Connection function and bounds.
+ * @returns The pool; `destroy` closes its connections.
+ */
+export function createAgent(options: CreateAgentOptions): http.Agent {
+  const agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: options.maxSockets ?? Infinity,
+    timeout: options.idleTimeoutMs ?? 10_000,
+  });
+  agent.createConnection = target => {
+    const {host, port} = target as {host: string; port: number};
+    return options.connect({host, port: Number(port)});
+  };
+  return agent;
+}
--- a/packages/instance/src/ingress/ingress_task.ts
+++ b/packages/instance/src/ingress/ingress_task.ts
@@ -8,6 +8,8 @@
   Step,
   StepError,
   type TimerService,
+  type ConnectFunction,
+  createAgent,
 } from '@primrosestage/common';
 import {
   type Endpoint,
@@ -43,13 +45,16 @@
   timers: TimerService;
   logger: Logger;
   progressTimeoutMs: number;
+  connect: ConnectFunction;
 }
 
 /** Takes requests from callers and passes them to the owner of an endpoint. */
 export class IngressTask implements AsyncDisposable {
-  private readonly agent = new http.Agent({keepAlive: true, timeout: 10_000});
+  private readonly agent: http.Agent;
 
-  constructor(private readonly options: IngressTaskOptions) {}
+  constructor(private readonly options: IngressTaskOptions) {
+    this.agent = createAgent({connect: options.connect});
+  }
 
   /**
    * Answers a request in full or refuses it.
--- a/packages/instance/src/owner/owner_task.ts
+++ b/packages/instance/src/owner/owner_task.ts
@@ -1,9 +1,12 @@
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type http from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   HeaderName,
   Outcome,
   Step,
   type TimerService,
+  type ConnectFunction,
+  createAgent,
 } from '@primrosestage/common';
 import {
   type Endpoint,
@@ -23,14 +26,17 @@
   hash: Hash64;
   timers: TimerService;
   progressTimeoutMs: number;
+  connect: ConnectFunction;
 }
 
 /** Owns endpoints: admits requests to them by exact count and sends them on. */
 export class OwnerTask implements AsyncDisposable {
-  private readonly agent = new http.Agent({keepAlive: true, timeout: 10_000});
+  private readonly agent: http.Agent;
   private readonly inFlight = new Map<string, number>();
 
-  constructor(private readonly options: OwnerTaskOptions) {}
+  constructor(private readonly options: OwnerTaskOptions) {
+    this.agent = createAgent({connect: options.connect});
+  }
 
   /**
    * Sends a request to an owned endpoint or refuses it.
--- /dev/null
+++ b/packages/instance/src/rpc/create_peer_client.ts
@@ -0,0 +1,78 @@
+import http from 'node:http';
+import {Step, StepError} from '@primrosestage/common';
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import type {AnyRouter} from '@trpc/server';
+
+/** Configures control calls to one peer. */
+export interface PeerClientOptions {
+  /** `host:port` of the peer's internal listener. */
+  address: string;
+  agent: http.Agent;
+  /** Longest time of a call in milliseconds. */
+  timeoutMs: number;
+}
+
+/**
+ * Creates a client for control calls to one peer.
+ * @param options - Peer, pool and timeout.
+ * @returns The typed client; a call fails with the peer's address in its message.
+ */
+export function createPeerClient<R extends AnyRouter>(
+  options: PeerClientOptions,
+): TRPCClient<R> {
+  const link = httpLink({
+    url: `http://${options.address}/rpc`,
+    fetch: (url, init) => fetchOverAgent(String(url), init ?? {}, options),
+  });
+  return createTRPCClient<R>({links: [link as never]});
+}
+
+interface FetchInit {
+  method?: string;
+  headers?: unknown;
+  body?: unknown;
+  signal?: AbortSignal | null;
+}
+
+function fetchOverAgent(
+  url: string,
+  init: FetchInit,
+  options: PeerClientOptions,
+): Promise<Response> {
+  return new Promise((resolve, reject) => {
+    const fail = (cause: unknown) =>
+      reject(
+        new StepError(
+          {step: Step.Membership, peer: options.address, cause},
+          `control call to ${options.address} failed`,
+        ),
+      );
+    const req = http.request(
+      url,
+      {
+        method: init.method ?? 'GET',
+        headers: init.headers as http.OutgoingHttpHeaders,
+        agent: options.agent,
+        signal: AbortSignal.any([
+          AbortSignal.timeout(options.timeoutMs),
+          ...(init.signal ? [init.signal] : []),
+        ]),
+      },
+      res => {
+        const chunks: Buffer[] = [];
+        res.on('data', (chunk: Buffer) => chunks.push(chunk));
+        res.on('error', fail);
+        res.on('end', () =>
+          resolve(
+            new Response(Buffer.concat(chunks), {
+              status: res.statusCode ?? 500,
+              headers: {'content-type': 'application/json'},
+            }),
+          ),
+        );
+      },
+    );
+    req.on('error', fail);
+    req.end(init.body as string | undefined);
+  });
+}
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -1,5 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  type ConnectFunction,
+  connectTcp,
   createLogger,
   InvariantMonitor,
   RealTimerService,
@@ -11,19 +13,29 @@
 import {IngressTask} from './ingress/index.js';
 import {LookupTask} from './lookup/index.js';
 import {OwnerTask} from './owner/index.js';
+import {createRpcHandler, router, RPC_PATH} from './rpc/index.js';
+
+/** Replaces parts of an instance, for failure tests. */
+export interface ServeOptions {
+  /** Opens all outgoing connections. */
+  connect?: ConnectFunction;
+}
 
 /**
  * Starts an instance.
  * @param settings - Checked settings.
+ * @param options - Parts to replace.
  * @returns The running instance; disposal shuts it down gracefully.
  */
 export async function serve(
   settings: LoadedSettings,
+  options: ServeOptions = {},
 ): Promise<AsyncDisposable> {
   const stack = new AsyncDisposableStackShim();
   const {system, instance} = settings;
   const topology = buildTopology(system);
   const self = topology.getInstanceOrThrow(instance.id);
+  const connect = options.connect ?? connectTcp;
   const timers = new RealTimerService();
   const logger = createLogger({
     level: instance.log.level,
@@ -39,6 +51,7 @@
       hash,
       timers,
       progressTimeoutMs: system.timing.progressTimeoutMs,
+      connect,
     }),
   );
   const ingress = stack.use(
@@ -57,6 +70,7 @@
       timers,
       logger,
       progressTimeoutMs: system.timing.progressTimeoutMs,
+      connect,
     }),
   );
   const lookup = new LookupTask({
@@ -67,6 +81,7 @@
     trustedPeers: system.trustedPeers,
     getTtlSeconds: () => 10,
   });
+  const handleRpc = createRpcHandler(router({}));
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
@@ -87,7 +102,10 @@
   stack.use(
     await listen({
       address: self.internalAddress,
-      handle: (req, res) => void ingress.handle(req, res),
+      handle: (req, res) => {
+        if (req.url?.startsWith(RPC_PATH)) handleRpc(req, res);
+        else void ingress.handle(req, res);
+      },
     }),
   );
   stack.use(
