--- /dev/null
+++ b/packages/steering/src/choice/index.ts
@@ -0,0 +1,6 @@
+export type {
+  Target,
+  TargetRequest,
+  TargetResult,
+  TargetSelector,
+} from './target_selector.js';
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -1,2 +1,3 @@
+export * from './choice/index.js';
 export * from './ownership/index.js';
 export * from './topology/index.js';
