Add the store interface, the in-memory store and the HTTP store client

Ruled out: one error type without the kind of failure, because a committer could then not tell whether a write may still take effect. Change: interface Store, MemoryStore on a TimerService, HttpStore over node:http with bounded concurrency, a new pool after each failure, and StoreError with not-sent, refused or reply-lost. Server errors count as lost replies.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,2 +1,3 @@
 export * from './documents/index.js';
 export * from './settings/index.js';
+export * from './store/index.js';
--- /dev/null
+++ b/packages/control/src/store/http_store.ts
@@ -0,0 +1,270 @@
+import http from 'node:http';
+import {
+  type ConnectFunction,
+  createAgent,
+  getErrorMessage,
+  type TimerService,
+} from '@primrosestage/common';
+import PQueue from 'p-queue';
+import {z} from 'zod';
+import {
+  InstanceState,
+  type ListedInstance,
+  type Store,
+  type StoreEntry,
+  type WatchOptions,
+  type WatchResult,
+} from './store.js';
+import {StoreError, StoreFailure} from './store_error.js';
+
+/** Most calls in progress besides watches; one instance needs one or two at a time. */
+const MAX_CONCURRENT_CALLS = 4;
+/** Time beyond its timeout after which a watch counts as silent. */
+const WATCH_GRACE_MS = 1_000;
+
+const ENTRY_SCHEMA = z.object({value: z.unknown(), version: z.number()});
+const VERSION_SCHEMA = z.object({version: z.number()});
+const FENCE_SCHEMA = z.object({fence: z.number()});
+const WATCH_SCHEMA = z.object({
+  entries: z.array(
+    z.object({key: z.string(), value: z.unknown(), version: z.number()}),
+  ),
+  version: z.number(),
+});
+const INSTANCES_SCHEMA = z.object({
+  instances: z.array(
+    z.object({
+      id: z.string(),
+      zone: z.string(),
+      region: z.string(),
+      internal: z.string(),
+      public: z.string(),
+      state: z.enum(InstanceState),
+    }),
+  ),
+});
+
+/** Configures the store client. */
+export interface HttpStoreOptions {
+  /** `host:port` of the store. */
+  address: string;
+  /** Longest time of a call in milliseconds; a watch has its own. */
+  timeoutMs: number;
+  connect: ConnectFunction;
+  timers: TimerService;
+}
+
+interface CallOptions {
+  method: string;
+  path: string;
+  body?: unknown;
+  timeoutMs: number;
+  signal?: AbortSignal;
+  pool: 'calls' | 'watches';
+}
+
+interface Answer {
+  status: number;
+  text: string;
+}
+
+/** Calls the platform's store over HTTP. */
+export class HttpStore implements Store, AsyncDisposable {
+  private readonly queue = new PQueue({concurrency: MAX_CONCURRENT_CALLS});
+  private readonly agents: Record<CallOptions['pool'], http.Agent>;
+
+  constructor(private readonly options: HttpStoreOptions) {
+    const {connect} = options;
+    this.agents = {
+      calls: createAgent({connect, maxSockets: MAX_CONCURRENT_CALLS}),
+      watches: createAgent({connect}),
+    };
+  }
+
+  async get(key: string): Promise<StoreEntry | undefined> {
+    const answer = await this.callQueued('GET', `/kv/${encodeKey(key)}`);
+    if (answer.status === 404) return undefined;
+    const {value, version} = this.parse(answer, ENTRY_SCHEMA);
+    return {key, value, version};
+  }
+
+  async put(
+    key: string,
+    value: unknown,
+    expectedVersion: number,
+  ): Promise<number | undefined> {
+    const body = {value, expectedVersion};
+    const answer = await this.callQueued('PUT', `/kv/${encodeKey(key)}`, body);
+    if (answer.status === 409) return undefined;
+    return this.parse(answer, VERSION_SCHEMA).version;
+  }
+
+  async watch(options: WatchOptions): Promise<WatchResult> {
+    const {prefix, after, timeoutMs, signal} = options;
+    const query = new URLSearchParams({
+      prefix,
+      after: String(after),
+      timeoutMs: String(timeoutMs),
+    });
+    const answer = await this.call({
+      method: 'GET',
+      path: `/watch?${query.toString()}`,
+      timeoutMs: timeoutMs + WATCH_GRACE_MS,
+      signal,
+      pool: 'watches',
+    });
+    const {entries, version} = this.parse(answer, WATCH_SCHEMA);
+    return {
+      entries: entries.map(entry => ({...entry, value: entry.value ?? null})),
+      version,
+    };
+  }
+
+  async acquireLease(
+    name: string,
+    holder: string,
+    ttlMs: number,
+  ): Promise<number | undefined> {
+    const path = `/leases/${encodeKey(name)}`;
+    const answer = await this.callQueued('PUT', path, {holder, ttlMs});
+    if (answer.status === 409) return undefined;
+    return this.parse(answer, FENCE_SCHEMA).fence;
+  }
+
+  async listInstances(): Promise<ListedInstance[]> {
+    const answer = await this.callQueued('GET', '/instances');
+    return this.parse(answer, INSTANCES_SCHEMA).instances;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.agents.calls.destroy();
+    this.agents.watches.destroy();
+  }
+
+  private callQueued(
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<Answer> {
+    const {timeoutMs} = this.options;
+    return this.queue.add(() =>
+      this.call({method, path, body, timeoutMs, pool: 'calls'}),
+    );
+  }
+
+  private call(options: CallOptions): Promise<Answer> {
+    const {address, timers} = this.options;
+    const colon = address.lastIndexOf(':');
+    const text =
+      options.body === undefined ? undefined : JSON.stringify(options.body);
+    return new Promise((resolve, reject) => {
+      let isConnected = false;
+      const req = http.request({
+        host: address.slice(0, colon),
+        port: Number(address.slice(colon + 1)),
+        method: options.method,
+        path: options.path,
+        agent: this.agents[options.pool],
+        signal: options.signal,
+        headers:
+          text === undefined
+            ? {}
+            : {
+                'content-type': 'application/json',
+                'content-length': Buffer.byteLength(text),
+              },
+      });
+      const deadline = timers.after(options.timeoutMs, () =>
+        req.destroy(
+          this.createError(
+            StoreFailure.ReplyLost,
+            `no answer within ${options.timeoutMs} ms`,
+          ),
+        ),
+      );
+      const fail = (err: unknown) => {
+        deadline[Symbol.dispose]();
+        this.replaceAgent(options.pool);
+        const failure = isConnected
+          ? StoreFailure.ReplyLost
+          : StoreFailure.NotSent;
+        const {method, path} = options;
+        reject(
+          this.createError(
+            failure,
+            `${method} ${path}: ${getErrorMessage(err)}`,
+            err,
+          ),
+        );
+      };
+      req.on('socket', socket => {
+        if (!socket.connecting) isConnected = true;
+        else socket.once('connect', () => (isConnected = true));
+      });
+      req.on('error', fail);
+      req.on('response', res => {
+        const chunks: Buffer[] = [];
+        res.on('data', (chunk: Buffer) => chunks.push(chunk));
+        res.on('error', fail);
+        res.on('end', () => {
+          deadline[Symbol.dispose]();
+          resolve({
+            status: res.statusCode ?? 500,
+            text: Buffer.concat(chunks).toString('utf8'),
+          });
+        });
+      });
+      req.end(text);
+    });
+  }
+
+  /**
+   * Replaces the pool after a failure, because its idle connections may be silent too.
+   * Calls in progress on the old pool finish by their own timeouts.
+   */
+  private replaceAgent(pool: CallOptions['pool']): void {
+    const old = this.agents[pool];
+    this.agents[pool] = createAgent({
+      connect: this.options.connect,
+      maxSockets: old.maxSockets,
+    });
+    for (const sockets of Object.values(old.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  private parse<S extends z.ZodType>(answer: Answer, schema: S): z.infer<S> {
+    const {status, text} = answer;
+    if (status >= 400) {
+      // A server error may follow a write that took effect; only a client error excludes it.
+      throw this.createError(
+        status < 500 ? StoreFailure.Refused : StoreFailure.ReplyLost,
+        `status ${status}: ${text.slice(0, 200)}`,
+      );
+    }
+    try {
+      return schema.parse(JSON.parse(text));
+    } catch (err) {
+      throw this.createError(
+        StoreFailure.ReplyLost,
+        `unreadable answer: ${text.slice(0, 200)}`,
+        err,
+      );
+    }
+  }
+
+  private createError(
+    failure: StoreFailure,
+    message: string,
+    cause?: unknown,
+  ): StoreError {
+    return new StoreError(
+      {failure, peer: this.options.address, cause},
+      `store ${this.options.address}: ${message}`,
+    );
+  }
+}
+
+function encodeKey(key: string): string {
+  return key.split('/').map(encodeURIComponent).join('/');
+}
--- /dev/null
+++ b/packages/control/src/store/index.ts
@@ -0,0 +1,15 @@
+export {HttpStore, type HttpStoreOptions} from './http_store.js';
+export {MemoryStore, type MemoryStoreOptions} from './memory_store.js';
+export {
+  InstanceState,
+  type ListedInstance,
+  type Store,
+  type StoreEntry,
+  type WatchOptions,
+  type WatchResult,
+} from './store.js';
+export {
+  StoreError,
+  type StoreErrorOptions,
+  StoreFailure,
+} from './store_error.js';
