Apply, check, compare and commit changes to team documents

Cause: operators change presets and drains through a store that loses replies and delays writes; a change must be made once and reported truthfully. Ruled out: repeating a write on a lost reply (it may be made twice); reporting it as failed (it may be in force); deciding by revision alone, because any later version of the key already excludes the delayed write. Preset rules exist once, in findPresetIssues. Conclusion: documents change by compare-and-swap with idempotent identifiers.

--- /dev/null
+++ b/packages/control/src/documents/create_first_document.ts
@@ -0,0 +1,24 @@
+import type {Preset} from './preset.js';
+import type {TeamDocument} from './team_document.js';
+
+/** Holds the presets that a team starts with. */
+export interface InitialPresets {
+  presets: Record<string, Preset>;
+  /** Name of the preset in force. */
+  active: string;
+}
+
+/**
+ * Creates the document that is written where the store has none of the team.
+ * @param initial - Presets of the settings.
+ * @returns The document of revision 1.
+ */
+export function createFirstDocument(initial: InitialPresets): TeamDocument {
+  return {
+    revision: 1,
+    active: initial.active,
+    presets: initial.presets,
+    drains: [],
+    changes: [],
+  };
+}
--- a/packages/control/src/settings/find_system_issues.ts
+++ b/packages/control/src/settings/find_system_issues.ts
@@ -1,4 +1,8 @@
+import type {Topology} from '@primrosestage/steering';
 import ipaddr from 'ipaddr.js';
+import {findPresetIssues} from '../documents/index.js';
+import type {ValueIssue} from '../validation/index.js';
+import {buildTopology} from './build_topology.js';
 import type {SettingsIssue} from './settings_issue.js';
 import type {SystemSettings} from './settings_schema.js';
 
@@ -18,6 +22,7 @@
   const issues: SettingsIssue[] = [];
   const report = (key: string, value: unknown, expected: string) =>
     issues.push({file, key, value: JSON.stringify(value), expected});
+  const topology = buildTopology(system);
   const regions = new Set(system.regions);
   const zones = new Set(system.zones.map(({name}) => name));
 
@@ -50,8 +55,11 @@
     }
   });
   system.teams.forEach((team, i) =>
-    checkTeam(system, team, `teams.${i}`, checkRegion, checkZone, report),
+    checkTeam(topology, team, `teams.${i}`, checkZone, report, issue =>
+      issues.push({file, ...issue}),
+    ),
   );
+  checkEndpoints(topology, report);
   checkTiming(system, report);
   return issues;
 }
@@ -103,77 +111,46 @@
 }
 
 function checkTeam(
-  system: SystemSettings,
+  topology: Topology,
   team: SystemSettings['teams'][number],
   key: string,
-  checkRegion: (key: string, region: string) => void,
   checkZone: (key: string, zone: string) => void,
   report: Report,
+  addIssue: (issue: ValueIssue) => void,
 ): void {
   team.services.forEach((service, i) =>
     service.endpoints.forEach((group, j) =>
       checkZone(`${key}.services.${i}.endpoints.${j}.zone`, group.zone),
     ),
   );
-  if (!(team.active in team.presets)) {
+  if (!Object.hasOwn(team.presets, team.active)) {
     report(`${key}.active`, team.active, 'a name listed in presets');
   }
-  const services = new Set(team.services.map(({name}) => name));
-  for (const [presetName, preset] of Object.entries(team.presets)) {
-    const presetKey = `${key}.presets.${presetName}`;
-    for (const [service, sources] of Object.entries(preset.shares)) {
-      if (!services.has(service)) {
-        report(
-          `${presetKey}.shares.${service}`,
-          service,
-          'a service of the team',
-        );
-      }
-      for (const [source, targets] of Object.entries(sources)) {
-        checkRegion(`${presetKey}.shares.${service}.${source}`, source);
-        for (const target of Object.keys(targets)) {
-          checkRegion(
-            `${presetKey}.shares.${service}.${source}.${target}`,
-            target,
-          );
-        }
-        if (!Object.values(targets).some(weight => weight > 0)) {
-          report(
-            `${presetKey}.shares.${service}.${source}`,
-            targets,
-            'at least one weight above 0',
-          );
-        }
-      }
+  for (const [name, preset] of Object.entries(team.presets)) {
+    for (const issue of findPresetIssues(preset, team.name, topology)) {
+      addIssue({...issue, key: `${key}.presets.${name}.${issue.key}`});
     }
-    checkLinkCaps(system, preset.linkCaps, `${presetKey}.linkCaps`, report);
   }
 }
 
-function checkLinkCaps(
-  system: SystemSettings,
-  caps: Record<string, number>,
-  key: string,
-  report: Report,
-): void {
-  for (const [direction, capMbit] of Object.entries(caps)) {
-    const [from = '', to = ''] = direction.split('>');
-    const link = system.links.find(
-      ({regions}) => regions.includes(from) && regions.includes(to),
-    );
-    if (!link) {
-      report(
-        `${key}.${direction}`,
-        direction,
-        'a direction as from>to of a link',
-      );
-    } else if (capMbit > link.capacityMbit) {
+function checkEndpoints(topology: Topology, report: Report): void {
+  const ids = new Map<string, string>();
+  const addresses = new Set<string>();
+  for (const {id, team, service, address} of topology.endpoints) {
+    const key = `teams.${team}.services.${service}.endpoints`;
+    const other = ids.get(id);
+    if (other !== undefined) {
       report(
-        `${key}.${direction}`,
-        capMbit,
-        `at most the link's ${link.capacityMbit} Mbit/s`,
+        key,
+        id,
+        `an endpoint id that occurs once, not at ${other} and ${address}; list a zone once per service and name the services of all teams differently`,
       );
     }
+    ids.set(id, address);
+    if (addresses.has(address)) {
+      report(key, address, 'an address that occurs once');
+    }
+    addresses.add(address);
   }
 }
 
--- a/packages/control/src/settings/load_settings.ts
+++ b/packages/control/src/settings/load_settings.ts
@@ -3,6 +3,7 @@
 import {getErrorMessage} from '@primrosestage/common';
 import {parse, TomlError} from 'smol-toml';
 import type {z} from 'zod';
+import {convertSchemaIssues} from '../validation/index.js';
 import {findSystemIssues} from './find_system_issues.js';
 import {SettingsError} from './settings_error.js';
 import type {SettingsIssue} from './settings_issue.js';
@@ -48,12 +49,7 @@
   if (result.success) return result.data;
   throw new SettingsError(
     file,
-    result.error.issues.map(issue => ({
-      file,
-      key: issue.path.map(String).join('.') || '(top level)',
-      value: describeValue(data, issue.path),
-      expected: issue.message,
-    })),
+    convertSchemaIssues(data, result.error).map(issue => ({file, ...issue})),
   );
 }
 
@@ -71,13 +67,3 @@
     throw new SettingsError(file, [issue]);
   }
 }
-
-function describeValue(data: unknown, keys: readonly PropertyKey[]): string {
-  let value = data;
-  for (const key of keys) {
-    value = (value as Record<PropertyKey, unknown> | undefined)?.[key];
-  }
-  if (value === undefined) return 'nothing';
-  const text = JSON.stringify(value);
-  return text.length > 120 ? `${text.slice(0, 117)}...` : text;
-}
--- a/packages/control/src/settings/settings_issue.ts
+++ b/packages/control/src/settings/settings_issue.ts
@@ -1,13 +1,10 @@
+import type {ValueIssue} from '../validation/index.js';
+
 /** Describes one fault of a settings file. */
-export interface SettingsIssue {
+export interface SettingsIssue extends ValueIssue {
   file: string;
-  /** Dotted path of the key. */
-  key: string;
   /** Line of a syntax error, counted from 1. */
   line?: number;
-  /** The value found, as JSON. */
-  value: string;
-  expected: string;
 }
 
 /**
--- /dev/null
+++ b/packages/control/src/validation/index.ts
@@ -0,0 +1,3 @@
+export {convertSchemaIssues} from './convert_schema_issues.js';
+export {describeValue} from './describe_value.js';
+export type {ValueIssue} from './value_issue.js';
--- /dev/null
+++ b/packages/control/test/documents/apply_change.test.ts
@@ -0,0 +1,132 @@
+import {
+  applyChange,
+  type ChangeAction,
+  ChangeKind,
+  ChangeStatus,
+  diffPresets,
+  DrainKind,
+  MAX_CHANGES,
+  parseTeamDocument,
+  PRESET_SCHEMA,
+  resolveDrains,
+} from '@primrosestage/control';
+import {describe, expect, it} from 'vitest';
+import {
+  createDocument,
+  createDrainChange,
+  TEAM,
+  TOPOLOGY,
+} from '../support/fixtures.js';
+
+const CONTEXT = {team: TEAM, topology: TOPOLOGY};
+
+describe('applyChange', () => {
+  it('answers a repeat with its first result (guards against a change made twice)', () => {
+    const first = applyChange(
+      createDocument(),
+      createDrainChange('c1', 1),
+      CONTEXT,
+    );
+    expect(first).toMatchObject({status: ChangeStatus.Applied, revision: 2});
+    const second = applyChange(
+      first.document,
+      createDrainChange('c2', 2),
+      CONTEXT,
+    );
+    const repeat = applyChange(
+      second.document,
+      createDrainChange('c1', 1),
+      CONTEXT,
+    );
+    expect(repeat).toMatchObject({status: ChangeStatus.Repeated, revision: 2});
+    expect(repeat.document).toBe(second.document);
+  });
+
+  it('refuses a change on another revision (guards against lost updates)', () => {
+    const {document} = applyChange(
+      createDocument(),
+      createDrainChange('c1', 1),
+      CONTEXT,
+    );
+    const result = applyChange(document, createDrainChange('c2', 1), CONTEXT);
+    expect(result).toMatchObject({status: ChangeStatus.Conflict, revision: 2});
+  });
+
+  it('keeps a bounded number of change identifiers (guards against growth beyond the value limit)', () => {
+    let document = createDocument();
+    for (let i = 0; i < MAX_CHANGES + 10; i++) {
+      const change = createDrainChange(`c${i}`, document.revision);
+      document = applyChange(document, change, CONTEXT).document;
+    }
+    expect(document.changes).toHaveLength(MAX_CHANGES);
+    expect(document.drains).toHaveLength(1);
+    expect(document.changes.at(-1)?.revision).toBe(document.revision);
+  });
+
+  const invalid: Array<[string, ChangeAction]> = [
+    ['a preset of no name', {kind: ChangeKind.Activate, name: 'constructor'}],
+    [
+      'an endpoint of no team',
+      {kind: ChangeKind.Drain, drain: {kind: DrainKind.Endpoint, target: 'x'}},
+    ],
+    [
+      'a drain that is not in force',
+      {
+        kind: ChangeKind.Undrain,
+        drain: {kind: DrainKind.Zone, target: 'addis-a'},
+      },
+    ],
+    [
+      'a cap above its link',
+      {
+        kind: ChangeKind.PutPreset,
+        name: 'day',
+        preset: PRESET_SCHEMA.parse({linkCaps: {'addis>hawassa': 4_001}}),
+      },
+    ],
+  ];
+  it.each(invalid)(
+    'refuses %s (guards against unusable documents)',
+    (_, action) => {
+      const change = {changeId: 'c', basedOn: 1, action};
+      const result = applyChange(createDocument(), change, CONTEXT);
+      expect(result.status).toBe(ChangeStatus.Invalid);
+      expect(result.issues).toHaveLength(1);
+    },
+  );
+});
+
+describe('diffPresets', () => {
+  it('names each differing key (guards against edits that go unseen)', () => {
+    const from = PRESET_SCHEMA.parse({shiftCap: 0.1});
+    const shares = {orders: {addis: {addis: 0.5, hawassa: 0.5}}};
+    const to = PRESET_SCHEMA.parse({shiftCap: 0.2, shares});
+    expect(diffPresets(from, to)).toEqual([
+      {key: 'shares.orders.addis.addis', to: 0.5},
+      {key: 'shares.orders.addis.hawassa', to: 0.5},
+      {key: 'shiftCap', from: 0.1, to: 0.2},
+    ]);
+    expect(diffPresets(to, to)).toEqual([]);
+  });
+});
+
+describe('resolveDrains', () => {
+  it('expands a region to its zones, instances and endpoints (guards against parts left in service)', () => {
+    const parts = resolveDrains(
+      [{kind: DrainKind.Region, target: 'addis'}],
+      TOPOLOGY,
+    );
+    expect([...parts.zones]).toEqual(['addis-a', 'addis-b']);
+    expect([...parts.instances]).toHaveLength(3);
+    expect([...parts.endpoints]).toHaveLength(14);
+  });
+});
+
+describe('parseTeamDocument', () => {
+  it('refuses a document whose active preset is missing (guards against a team without a preset)', () => {
+    expect(parseTeamDocument(createDocument())).toBeDefined();
+    expect(
+      parseTeamDocument({...createDocument(), active: 'none'}),
+    ).toBeUndefined();
+  });
+});
--- a/packages/control/test/settings/load_settings.test.ts
+++ b/packages/control/test/settings/load_settings.test.ts
@@ -49,6 +49,30 @@
       '[teams.presets.day]\nlinkCaps = {"lombardia>piemonte" = 5000}',
       '4000 Mbit/s',
     ],
+    [
+      'a duration with a unit',
+      '[teams.presets.day]\nshiftCap = 0.1\nshiftIntervalMs = 10000',
+      '[teams.presets.day]\nshiftIntervalMs = "10s"',
+      'shiftIntervalMs: found "10s", expected a whole number of milliseconds',
+    ],
+    [
+      'a duration in fractions',
+      '[store]',
+      '[store]\ntimeoutMs = 0.5',
+      'store.timeoutMs: found 0.5, expected a whole number of milliseconds',
+    ],
+    [
+      'a duplicate endpoint id',
+      /name = "dispatch"([^]*?)zone = "lombardia-b"/,
+      'name = "dispatch"$1zone = "lombardia-a"',
+      'an endpoint id that occurs once',
+    ],
+    [
+      'a preset for a service of nobody',
+      '[teams.presets.day]',
+      '[teams.presets.day.shares.archive.veneto]\nveneto = 1\n[teams.presets.day]',
+      'presets.day.shares.archive: found "archive", expected a service',
+    ],
     ['a syntax error', 'regions = [', 'regions = = [', ':3'],
   ])('reports %s with its place', (_, from, to, expected) => {
     expect(findIssues(from, to).join('\n')).toContain(expected);
