--- /dev/null
+++ b/packages/steering/src/configuration/reduce_configuration.ts
@@ -0,0 +1,56 @@
+/** Names where a document came from. */
+export enum ConfigurationSource {
+  Store = 'store',
+  /** Pushed through the dissemination tree. */
+  Push = 'push',
+  /** Pulled from a peer after a digest difference. */
+  Pull = 'pull',
+  /** Written by an operator through this instance. */
+  Change = 'change',
+}
+
+/** Holds what the reducer needs of a document. */
+export interface RevisedDocument {
+  revision: number;
+}
+
+/** Holds the document of a team that is in force. */
+export interface AppliedDocument<D extends RevisedDocument> {
+  document: D;
+  source: ConfigurationSource;
+  /** When it came into force on the monotonic clock, in milliseconds. */
+  appliedAt: number;
+}
+
+/** Holds the last good document of each team. */
+export type ConfigurationState<D extends RevisedDocument> = ReadonlyMap<
+  string,
+  AppliedDocument<D>
+>;
+
+/** Reports a document that arrived. */
+export interface DocumentReceived<D extends RevisedDocument> {
+  team: string;
+  /** The document, or undefined where it was unusable. */
+  document: D | undefined;
+  source: ConfigurationSource;
+}
+
+/**
+ * Applies a received document if its revision is higher than the one in force.
+ * @param state - The documents in force.
+ * @param event - The document that arrived.
+ * @param nowMs - Monotonic clock in milliseconds.
+ * @returns The new state, or the same object where nothing changed.
+ */
+export function reduceConfiguration<D extends RevisedDocument>(
+  state: ConfigurationState<D>,
+  event: DocumentReceived<D>,
+  nowMs: number,
+): ConfigurationState<D> {
+  const {team, document, source} = event;
+  const current = state.get(team);
+  if (!document) return state;
+  if (current && document.revision <= current.document.revision) return state;
+  return new Map(state).set(team, {document, source, appliedAt: nowMs});
+}
