Select targets by rate-limited shares and reported free slots

Cause: the ingress sent every request to the first candidate of the nearest endpoint, whatever its load, and no traffic could move between regions. Change: share vectors with the shift limiter, link budgets, choice by free slots, and RoutingTask, which implements TargetSelector and serves shares and measurements to peers. A direction of a link is divided between requests of one region and responses to the other, because both travel on it.

--- /dev/null
+++ b/packages/instance/src/routing/fetch_routing_report.ts
@@ -0,0 +1,34 @@
+import type http from 'node:http';
+import type {InstanceInfo} from '@primrosestage/steering';
+import {createPeerClient} from '../rpc/index.js';
+import type {RoutingRouter} from './create_routing_router.js';
+import {ROUTING_REPORT_SCHEMA, type RoutingReport} from './routing_report.js';
+
+/** Longest time of a call between regions, in milliseconds. */
+const CALL_TIMEOUT_MS = 1_000;
+
+interface AppClient {
+  routing: {getReport: {query(): Promise<unknown>}};
+}
+
+/**
+ * Asks an instance for its routing report.
+ * @param instance - The instance.
+ * @param agent - Pool of connections.
+ * @returns The report, or undefined where the instance does not answer with a valid one.
+ */
+export async function fetchRoutingReport(
+  instance: InstanceInfo,
+  agent: http.Agent,
+): Promise<RoutingReport | undefined> {
+  const client = createPeerClient<RoutingRouter>({
+    address: instance.internalAddress,
+    agent,
+    timeoutMs: CALL_TIMEOUT_MS,
+  }) as unknown as AppClient;
+  try {
+    return ROUTING_REPORT_SCHEMA.parse(await client.routing.getReport.query());
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/instance/src/routing/owner_directory.ts
@@ -0,0 +1,113 @@
+import {
+  type EndpointOwnership,
+  getServiceKey,
+  type InstanceInfo,
+  Liveness,
+  Locality,
+  type OwnerCandidate,
+  type Service,
+  type Topology,
+} from '@primrosestage/steering';
+import type {DrainView} from './drain_view.js';
+
+/**
+ * Time for which a list of owners is used, in milliseconds. It bounds the cost per request and
+ * adds little to the seconds in which drains and suspicions spread.
+ */
+const LIST_VALID_MS = 100;
+
+/** Describes an owner of endpoints of a service in one region. */
+export interface DirectoryEntry extends OwnerCandidate {
+  owner: InstanceInfo;
+  /** Zone of the first of its endpoints. */
+  endpointZone: string;
+}
+
+interface DirectoryList {
+  entries: readonly DirectoryEntry[];
+  builtAtMs: number;
+}
+
+/** Configures the directory. */
+export interface OwnerDirectoryOptions {
+  topology: Topology;
+  self: InstanceInfo;
+  ownership: EndpointOwnership;
+  drains: DrainView;
+  getLiveness(instanceId: string): Liveness;
+}
+
+/** Lists the owners that requests may be sent to, by service and region. */
+export class OwnerDirectory {
+  private readonly lists = new Map<string, DirectoryList>();
+
+  constructor(private readonly options: OwnerDirectoryOptions) {}
+
+  /**
+   * Gets the owners of a service's open endpoints in a region that are not suspected or drained.
+   * @param service - The service.
+   * @param region - The region of the endpoints.
+   * @param nowMs - Present time in milliseconds.
+   * @returns The owners; empty where the service has failed in the region.
+   */
+  getOwners(
+    service: Service,
+    region: string,
+    nowMs: number,
+  ): readonly DirectoryEntry[] {
+    const key = `${getServiceKey(service)}/${region}`;
+    const list = this.lists.get(key);
+    if (list && nowMs - list.builtAtMs < LIST_VALID_MS) return list.entries;
+    const entries = this.buildEntries(service, region);
+    this.lists.set(key, {entries, builtAtMs: nowMs});
+    return entries;
+  }
+
+  private buildEntries(service: Service, region: string): DirectoryEntry[] {
+    const {topology, ownership, drains} = this.options;
+    const entries = new Map<string, DirectoryEntry>();
+    for (const endpoint of topology.getEndpoints(service.team, service.name)) {
+      if (endpoint.region !== region) continue;
+      if (drains.isEndpointClosed(endpoint)) continue;
+      const owner = ownership.getOwner(endpoint.id);
+      if (!owner || !this.isUsable(owner)) continue;
+      const entry = entries.get(owner.id);
+      if (entry) entry.slots += endpoint.slots;
+      else {
+        entries.set(owner.id, {
+          id: owner.id,
+          loadKey: getLoadKey(owner.id, service),
+          slots: endpoint.slots,
+          locality: this.getLocality(owner),
+          owner,
+          endpointZone: endpoint.zone,
+        });
+      }
+    }
+    return [...entries.values()];
+  }
+
+  private isUsable(owner: InstanceInfo): boolean {
+    const {self, drains, getLiveness} = this.options;
+    if (drains.isOwnerClosed(owner)) return false;
+    if (owner.id === self.id) return true;
+    const liveness = getLiveness(owner.id);
+    return liveness === Liveness.Live || liveness === Liveness.Leaving;
+  }
+
+  private getLocality(owner: InstanceInfo): Locality {
+    const {self} = this.options;
+    if (owner.id === self.id) return Locality.Self;
+    return owner.zone === self.zone ? Locality.Zone : Locality.Region;
+  }
+}
+
+/**
+ * Gets the key of an owner and a service in `OwnerLoads`.
+ * @param ownerId - Id of the owner.
+ * @param service - The service.
+ * @returns The key.
+ */
+export function getLoadKey(ownerId: string, service: Service): string {
+  return `${ownerId}/${getServiceKey(service)}`;
+}
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -2,17 +2,24 @@
 import {
   type ConnectFunction,
   connectTcp,
+  createAgent,
   createLogger,
   InvariantMonitor,
   RealTimerService,
 } from '@primrosestage/common';
 import {buildTopology, type LoadedSettings} from '@primrosestage/control';
-import {createHash64} from '@primrosestage/steering';
+import {createHash64, getCandidates, Liveness} from '@primrosestage/steering';
 import {Registry} from 'prom-client';
 import {listen, sendJson} from './http/index.js';
 import {IngressTask} from './ingress/index.js';
 import {LookupTask} from './lookup/index.js';
 import {OwnerTask} from './owner/index.js';
+import {
+  createRoutingRouter,
+  fetchRoutingReport,
+  registerRoutingMetrics,
+  RoutingTask,
+} from './routing/index.js';
 import {createRpcHandler, router, RPC_PATH} from './rpc/index.js';
 
 /** Replaces parts of an instance, for failure tests. */
@@ -54,6 +61,38 @@
       connect,
     }),
   );
+  const controlAgent = createAgent({connect});
+  stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
+  const routing = stack.use(
+    new RoutingTask({
+      topology,
+      self,
+      ownership: {
+        getOwner: id => {
+          const endpoint = topology.getEndpoint(id);
+          if (!endpoint) return undefined;
+          return getCandidates(endpoint, topology.instances, hash)[0];
+        },
+        getLimit: id => topology.getEndpoint(id)?.slots ?? 0,
+      },
+      configuration: {
+        getPreset: name => {
+          const team = system.teams.find(t => t.name === name);
+          return team?.presets[team.active];
+        },
+        getDrains: () => [],
+      },
+      timers,
+      monitor,
+      random: Math.random,
+      getLiveness: () => Liveness.Live,
+      getReportedFree: () => undefined,
+      getMemberCount: region => topology.getInstancesOfRegion(region).length,
+      fetchReport: peer => fetchRoutingReport(peer, controlAgent),
+    }),
+  );
+  registerRoutingMetrics(routing, registry);
+  await routing.loadPeerShares();
   const ingress = stack.use(
     new IngressTask({
       parse: {
@@ -81,7 +120,9 @@
     trustedPeers: system.trustedPeers,
     getTtlSeconds: () => 10,
   });
-  const handleRpc = createRpcHandler(router({}));
+  const handleRpc = createRpcHandler(
+    router({routing: createRoutingRouter(routing)}),
+  );
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
--- /dev/null
+++ b/packages/steering/src/choice/choose_owner.ts
@@ -0,0 +1,67 @@
+import type {OwnerLoads} from './owner_loads.js';
+
+/** Orders owners by the way that a request takes to them. */
+export enum Locality {
+  Self = 0,
+  Zone = 1,
+  Region = 2,
+}
+
+/** Describes an owner that a request may be sent to. */
+export interface OwnerCandidate {
+  /** Id of the instance. */
+  id: string;
+  /** Key of the instance and the service in `OwnerLoads`. */
+  loadKey: string;
+  /** Slots of the service's endpoints that it owns and that are not drained. */
+  slots: number;
+  locality: Locality;
+}
+
+/** Configures a choice. */
+export interface ChooseOwnerOptions {
+  loads: OwnerLoads;
+  /** Instances that were tried before. */
+  tried: ReadonlySet<string>;
+  /** Gives a number of at least 0 and below 1. */
+  random(): number;
+  nowMs: number;
+}
+
+/**
+ * Chooses the owner of a request: the nearest one with a free slot, at equal distance the one with
+ * the most; where none is free, the one with the shortest queue for its slots.
+ * @param candidates - Owners that may be used.
+ * @param options - Loads, instances tried and time.
+ * @returns The owner, or undefined where all were tried or have no slots.
+ */
+export function chooseOwner(
+  candidates: readonly OwnerCandidate[],
+  options: ChooseOwnerOptions,
+): OwnerCandidate | undefined {
+  const {loads, tried, nowMs} = options;
+  let best: OwnerCandidate | undefined;
+  let bestScore = -Infinity;
+  let ties = 0;
+  for (const candidate of candidates) {
+    if (tried.has(candidate.id) || candidate.slots <= 0) continue;
+    const free = loads.estimateFree(candidate.loadKey, candidate.slots, nowMs);
+    const score = getScore(candidate, free);
+    if (score > bestScore) {
+      best = candidate;
+      bestScore = score;
+      ties = 1;
+    } else if (score === bestScore) {
+      ties++;
+      // Equal candidates are taken evenly, so that several instances do not agree on one of them.
+      if (options.random() * ties < 1) best = candidate;
+    }
+  }
+  return best;
+}
+
+function getScore({slots, locality}: OwnerCandidate, free: number): number {
+  if (free < 1) return (free - 1) / slots;
+  const preference = Locality.Region - locality;
+  return 1 + 2 * preference + free / slots;
+}
--- /dev/null
+++ b/packages/steering/src/choice/owner_loads.ts
@@ -0,0 +1,128 @@
+import {Outcome} from '@primrosestage/common';
+
+/**
+ * Time after which a report of free slots counts half, in milliseconds. Slots are taken and freed
+ * within the time of one request, so that an older report says little.
+ */
+const REPORT_HALF_LIFE_MS = 250;
+
+interface OwnerLoad {
+  inFlight: number;
+  /** Free slots that were reported last. */
+  reportedFree: number;
+  /** Time of the report in milliseconds; -Infinity where there is none. */
+  reportedAtMs: number;
+  /** Requests in flight from here at the time of the report. */
+  inFlightAtReport: number;
+}
+
+/** Keeps, by owner and service, the requests in flight from here and the free slots reported. */
+export class OwnerLoads {
+  private readonly loads = new Map<string, OwnerLoad>();
+
+  /**
+   * Counts a request that is sent to an owner.
+   * @param key - Owner and service.
+   */
+  begin(key: string): void {
+    this.getLoad(key).inFlight++;
+  }
+
+  /**
+   * Counts the end of a request and takes the free slots that came with the answer.
+   * @param key - Owner and service.
+   * @param outcome - Outcome of the request.
+   * @param freeSlots - Reported free slots, where known.
+   * @param nowMs - Present time in milliseconds.
+   */
+  end(
+    key: string,
+    outcome: Outcome,
+    freeSlots: number | undefined,
+    nowMs: number,
+  ): void {
+    const load = this.getLoad(key);
+    load.inFlight = Math.max(0, load.inFlight - 1);
+    const reported = outcome === Outcome.NotRun ? (freeSlots ?? 0) : freeSlots;
+    if (reported !== undefined) this.report(key, reported, 0, nowMs);
+  }
+
+  /**
+   * Takes a report of free slots unless a newer one is known.
+   * @param key - Owner and service.
+   * @param freeSlots - Free slots at the time of the report.
+   * @param ageMs - Age of the report in milliseconds.
+   * @param nowMs - Present time in milliseconds.
+   */
+  report(key: string, freeSlots: number, ageMs: number, nowMs: number): void {
+    const load = this.getLoad(key);
+    if (nowMs - ageMs < load.reportedAtMs) return;
+    load.reportedFree = freeSlots;
+    load.reportedAtMs = nowMs - ageMs;
+    load.inFlightAtReport = load.inFlight;
+  }
+
+  /** Gets the requests in flight from here to an owner. */
+  getInFlight(key: string): number {
+    return this.loads.get(key)?.inFlight ?? 0;
+  }
+
+  /**
+   * Gets the age of the last report.
+   * @param key - Owner and service.
+   * @param nowMs - Present time in milliseconds.
+   * @returns The age in milliseconds; Infinity where there is none.
+   */
+  getReportAgeMs(key: string, nowMs: number): number {
+    return nowMs - (this.loads.get(key)?.reportedAtMs ?? -Infinity);
+  }
+
+  /** Gets the free slots that an owner reported last; 0 where it did not. */
+  getReportedFree(key: string): number {
+    return this.loads.get(key)?.reportedFree ?? 0;
+  }
+
+  /**
+   * Estimates the free slots of an owner: the last report, corrected by what was sent from here
+   * since; with the report's age the estimate moves to the capacity less the requests in flight.
+   * @param key - Owner and service.
+   * @param capacity - Slots that the owner has.
+   * @param nowMs - Present time in milliseconds.
+   * @returns The estimate; below 0 where requests must be queued.
+   */
+  estimateFree(key: string, capacity: number, nowMs: number): number {
+    const load = this.loads.get(key);
+    if (!load) return capacity;
+    const prior = capacity - load.inFlight;
+    const ageMs = nowMs - load.reportedAtMs;
+    if (ageMs === Infinity) return prior;
+    const weight = 2 ** (-ageMs / REPORT_HALF_LIFE_MS);
+    const sentSince = load.inFlight - load.inFlightAtReport;
+    const reported = Math.min(load.reportedFree - sentSince, prior);
+    return weight * reported + (1 - weight) * prior;
+  }
+
+  /**
+   * Forgets owners without requests in flight that are not listed.
+   * @param keys - The keys to keep.
+   */
+  retain(keys: ReadonlySet<string>): void {
+    for (const [key, load] of this.loads) {
+      if (load.inFlight === 0 && !keys.has(key)) this.loads.delete(key);
+    }
+  }
+
+  private getLoad(key: string): OwnerLoad {
+    let load = this.loads.get(key);
+    if (!load) {
+      load = {
+        inFlight: 0,
+        reportedFree: 0,
+        reportedAtMs: -Infinity,
+        inFlightAtReport: 0,
+      };
+      this.loads.set(key, load);
+    }
+    return load;
+  }
+}
--- /dev/null
+++ b/packages/steering/src/links/index.ts
@@ -0,0 +1,2 @@
+export {LinkBudget, type LinkBudgetOptions, LinkUse} from './link_budget.js';
+export {TokenBucket, type TokenBucketOptions} from './token_bucket.js';
--- /dev/null
+++ b/packages/steering/src/links/link_budget.ts
@@ -0,0 +1,125 @@
+import {Priority} from '@primrosestage/common';
+import {TokenBucket, type TokenBucketOptions} from './token_bucket.js';
+
+/** Names what travels on a link, seen from the instance in the source region. */
+export enum LinkUse {
+  /** Request bodies, from the source region to the region of the endpoints. */
+  Request = 'request',
+  /** Response bodies, from the region of the endpoints to the source region. */
+  Response = 'response',
+}
+
+/**
+ * Parts of a direction's cap. Requests of one region's instances and responses to the other
+ * region's instances share a direction, so that each gets a fixed part; the rest is for headers
+ * and control traffic, which are not metered.
+ */
+const PART_BY_USE: Record<LinkUse, number> = {
+  [LinkUse.Request]: 0.25,
+  [LinkUse.Response]: 0.7,
+};
+
+/** Time whose traffic may pass as one burst, in milliseconds. */
+const BURST_MS = 100;
+
+/** Smallest burst in bits, one chunk of a stream of 64 KB. */
+const MIN_BURST_BITS = 64 * 1024 * 8;
+
+/** Fraction of the bucket that bulk requests leave to the others. */
+const BULK_RESERVE = 0.3;
+
+/** Describes one instance's part of a direction of a link. */
+export interface LinkBudgetOptions {
+  /** Cap of the direction in Mbit/s. */
+  capMbit: number;
+  /** Number of instances in the source region. */
+  members: number;
+  use: LinkUse;
+}
+
+/** Meters what one instance puts on one direction of a link. */
+export class LinkBudget {
+  private readonly bucket: TokenBucket;
+  private grantedBits = 0;
+
+  /**
+   * Creates the budget with a full bucket.
+   * @param options - Cap, members and use.
+   * @param nowMs - Present time in milliseconds.
+   */
+  constructor(options: LinkBudgetOptions, nowMs: number) {
+    this.bucket = new TokenBucket(getBucketOptions(options), nowMs);
+  }
+
+  /** The bits granted so far. */
+  get totalBits(): number {
+    return this.grantedBits;
+  }
+
+  /**
+   * Changes the cap or the number of members.
+   * @param options - Cap, members and use.
+   * @param nowMs - Present time in milliseconds.
+   */
+  configure(options: LinkBudgetOptions, nowMs: number): void {
+    this.bucket.configure(getBucketOptions(options), nowMs);
+  }
+
+  /**
+   * Takes up to a number of bits; bulk takes only what is above its reserve.
+   * @param bits - Bits to send.
+   * @param priority - Priority of the service.
+   * @param nowMs - Present time in milliseconds.
+   * @returns The bits that may be sent now.
+   */
+  takeBits(bits: number, priority: Priority, nowMs: number): number {
+    const granted = this.bucket.takeUpTo(
+      bits,
+      this.getReserve(priority),
+      nowMs,
+    );
+    this.grantedBits += granted;
+    return granted;
+  }
+
+  /**
+   * Gets the time after which bits may be taken.
+   * @param bits - Bits to send.
+   * @param priority - Priority of the service.
+   * @param nowMs - Present time in milliseconds.
+   * @returns The time in milliseconds; 0 where they may be taken now.
+   */
+  getWaitMs(bits: number, priority: Priority, nowMs: number): number {
+    return this.bucket.getWaitMs(bits + this.getReserve(priority), nowMs);
+  }
+
+  /**
+   * Says whether new requests may use the link.
+   * @param priority - Priority of the service.
+   * @param nowMs - Present time in milliseconds.
+   * @returns False where a chunk of a stream would have to wait.
+   */
+  isOpen(priority: Priority, nowMs: number): boolean {
+    return this.bucket.getTokens(nowMs) > this.getReserve(priority);
+  }
+
+  /**
+   * Gets the part of the bucket that is used.
+   * @param nowMs - Present time in milliseconds.
+   * @returns A fraction between 0 and 1.
+   */
+  getUse(nowMs: number): number {
+    return 1 - this.bucket.getTokens(nowMs) / this.bucket.size;
+  }
+
+  private getReserve(priority: Priority): number {
+    return priority === Priority.Bulk ? this.bucket.size * BULK_RESERVE : 0;
+  }
+}
+
+function getBucketOptions(options: LinkBudgetOptions): TokenBucketOptions {
+  const part = PART_BY_USE[options.use] / Math.max(1, options.members);
+  const ratePerSecond = options.capMbit * 1e6 * part;
+  const burstBits = (ratePerSecond * BURST_MS) / 1000;
+  return {ratePerSecond, size: Math.max(burstBits, MIN_BURST_BITS)};
+}
--- /dev/null
+++ b/packages/steering/src/shares/compute_target.ts
@@ -0,0 +1,83 @@
+import type {RegionMeasurement} from './region_measurement.js';
+import {normalizeShares, type ShareVector} from './share_vector.js';
+
+/**
+ * Part of a region's spare slots that one step of the target may fill. Several source regions
+ * see the same spare slots, so that taking all of them would overshoot.
+ */
+const SPARE_GAIN = 0.5;
+
+/** Lists what a target depends on. */
+export interface ComputeTargetOptions {
+  /** The vector in force. */
+  current: ShareVector;
+  /** Weights of the preset in force, with the sum 1. */
+  baseline: ShareVector;
+  /** Measurements by region index. */
+  measurements: readonly RegionMeasurement[];
+  /** Fraction of a region's slots that is kept free. */
+  headroom: number;
+  /** Mean number of slots that the traffic of the source region keeps busy. */
+  demandSlots: number;
+  /** Highest age of a measurement that counts, in milliseconds. */
+  freshForMs: number;
+}
+
+/**
+ * Computes where a share vector should move: the baseline less drained and failed regions, with
+ * traffic above a region's headroom moved to the regions with spare slots.
+ * @param options - Present vector, baseline, measurements and demand.
+ * @returns The target; the present vector where no region can be used.
+ */
+export function computeTarget(options: ComputeTargetOptions): ShareVector {
+  const {current, measurements} = options;
+  const wanted = getUsableBaseline(options);
+  if (!wanted) return current;
+  const limits = measurements.map((measurement, i) =>
+    getWeightLimit(measurement, current[i] ?? 0, options),
+  );
+  const target = wanted.map((weight, i) => Math.min(weight, limits[i] ?? 0));
+  const excess = 1 - target.reduce((sum, weight) => sum + weight, 0);
+  if (excess <= 1e-12) return target;
+  const room = target.map((weight, i) => {
+    const limit = limits[i] ?? 0;
+    return Math.max(0, Math.min(limit, 1) - weight);
+  });
+  const totalRoom = room.reduce((sum, weight) => sum + weight, 0);
+  const moved = Math.min(excess, totalRoom);
+  return target.map((weight, i) => {
+    const share = totalRoom > 0 ? (moved * (room[i] ?? 0)) / totalRoom : 0;
+    return weight + share + (excess - moved) * (wanted[i] ?? 0);
+  });
+}
+
+function getUsableBaseline(
+  options: ComputeTargetOptions,
+): ShareVector | undefined {
+  const {baseline, measurements} = options;
+  const isUsable = (i: number) => {
+    const measurement = measurements[i];
+    return !!measurement && !measurement.isDrained && !measurement.isFailed;
+  };
+  return (
+    normalizeShares(baseline.map((w, i) => (isUsable(i) ? w : 0))) ??
+    normalizeShares(measurements.map((m, i) => (isUsable(i) ? m.slots : 0)))
+  );
+}
+
+function getWeightLimit(
+  measurement: RegionMeasurement,
+  weight: number,
+  options: ComputeTargetOptions,
+): number {
+  const {headroom, demandSlots, freshForMs} = options;
+  const {slots, freeSlots, ageMs, isDrained, isFailed} = measurement;
+  if (isDrained || isFailed) return 0;
+  if (ageMs > freshForMs) return 1;
+  const spare = freeSlots - headroom * slots;
+  if (spare >= 0) {
+    return demandSlots > 0 ? weight + (SPARE_GAIN * spare) / demandSlots : 1;
+  }
+  const used = Math.max(slots - freeSlots, 1e-9);
+  return weight * Math.max(0, 1 + spare / used);
+}
--- /dev/null
+++ b/packages/steering/src/shares/share_vector.ts
@@ -0,0 +1,79 @@
+/** Holds the traffic weights over the regions, in the order of the topology; the sum is 1. */
+export type ShareVector = readonly number[];
+
+/** Weights below this come from rounding and count as 0. */
+const ROUNDING = 1e-12;
+
+/**
+ * Scales weights to the sum 1.
+ * @param weights - Weights of at least 0.
+ * @returns The vector, or undefined where all weights are 0.
+ */
+export function normalizeShares(
+  weights: readonly number[],
+): ShareVector | undefined {
+  const sum = weights.reduce((total, weight) => total + weight, 0);
+  if (!(sum > 0)) return undefined;
+  return weights.map(weight => weight / sum);
+}
+
+/**
+ * Gets the fraction of traffic that moves between two vectors.
+ * @param from - A vector.
+ * @param to - A vector over the same regions.
+ * @returns The total variation, half the L1 distance.
+ */
+export function getTotalVariation(from: ShareVector, to: ShareVector): number {
+  let distance = 0;
+  for (let i = 0; i < from.length; i++) {
+    distance += Math.abs((from[i] ?? 0) - (to[i] ?? 0));
+  }
+  return distance / 2;
+}
+
+/**
+ * Moves a vector in a straight line towards a target.
+ * @param from - The present vector.
+ * @param target - Where to move.
+ * @param budget - Largest movement, as total variation.
+ * @returns The moved vector; the target itself where the budget reaches it.
+ */
+export function moveTowards(
+  from: ShareVector,
+  target: ShareVector,
+  budget: number,
+): ShareVector {
+  const distance = getTotalVariation(from, target);
+  if (distance <= budget) return target;
+  const step = Math.max(0, budget) / distance;
+  return from.map((weight, i) => weight + step * ((target[i] ?? 0) - weight));
+}
+
+/**
+ * Changes a target so that it raises only the regions that may rise.
+ * @param from - The present vector.
+ * @param target - The wanted vector.
+ * @param mayRise - Says by region index whether its weight may rise.
+ * @returns The target whose falls are scaled down to the rises that remain.
+ */
+export function restrictRises(
+  from: ShareVector,
+  target: ShareVector,
+  mayRise: (region: number) => boolean,
+): ShareVector {
+  let rises = 0;
+  let falls = 0;
+  const changes = from.map((weight, i) => {
+    const change = (target[i] ?? 0) - weight;
+    if (change > 0 && !mayRise(i)) return 0;
+    if (change > 0) rises += change;
+    else falls -= change;
+    return change;
+  });
+  const scale = falls > 0 ? Math.min(1, rises / falls) : 0;
+  return from.map((weight, i) => {
+    const change = changes[i] ?? 0;
+    const next = weight + (change < 0 ? change * scale : change);
+    return next < ROUNDING ? 0 : next;
+  });
+}
--- /dev/null
+++ b/packages/steering/src/shares/shift_window.ts
@@ -0,0 +1,56 @@
+import {getTotalVariation, type ShareVector} from './share_vector.js';
+
+interface Entry {
+  vector: ShareVector;
+  /** Time at which the vector came into force, in milliseconds. */
+  fromMs: number;
+}
+
+/** Remembers the vectors of one window and measures how far traffic moved, independently of the limiter. */
+export class ShiftWindow {
+  private entries: Entry[] = [];
+
+  constructor(vector: ShareVector, nowMs: number) {
+    this.entries.push({vector, fromMs: nowMs});
+  }
+
+  /**
+   * Records a vector that comes into force.
+   * @param vector - The vector.
+   * @param nowMs - Present time in milliseconds.
+   */
+  record(vector: ShareVector, nowMs: number): void {
+    this.entries.push({vector, fromMs: nowMs});
+  }
+
+  /**
+   * Forgets all vectors but the present one, because another cap came into force.
+   * @param nowMs - Present time in milliseconds.
+   */
+  restart(nowMs: number): void {
+    const vector = this.entries.at(-1)?.vector ?? [];
+    this.entries = [{vector, fromMs: nowMs}];
+  }
+
+  /**
+   * Gets the largest distance of the present vector from one that was in force in the window.
+   * @param windowMs - Length of the window in milliseconds.
+   * @param nowMs - Present time in milliseconds.
+   * @returns The distance as total variation.
+   */
+  getLargestShift(windowMs: number, nowMs: number): number {
+    const beginMs = nowMs - windowMs;
+    while (
+      this.entries.length > 1 &&
+      (this.entries[1]?.fromMs ?? Infinity) <= beginMs
+    ) {
+      this.entries.shift();
+    }
+    const present = this.entries.at(-1)?.vector ?? [];
+    return this.entries.reduce(
+      (largest, {vector}) =>
+        Math.max(largest, getTotalVariation(vector, present)),
+      0,
+    );
+  }
+}
--- /dev/null
+++ b/packages/steering/src/shares/sliding_count.ts
@@ -0,0 +1,53 @@
+/** Parts that a window is divided into; the count covers the window and at most one part more. */
+const PARTS = 20;
+
+/** Counts events in a sliding window of time. */
+export class SlidingCount {
+  private readonly counts = new Array<number>(PARTS + 1).fill(0);
+  private partIndex = 0;
+  private sum = 0;
+
+  constructor(private windowMs: number) {}
+
+  /**
+   * Changes the length of the window; the count starts anew where it differs.
+   * @param windowMs - Length in milliseconds.
+   */
+  setWindow(windowMs: number): void {
+    if (windowMs === this.windowMs) return;
+    this.windowMs = windowMs;
+    this.counts.fill(0);
+    this.sum = 0;
+    this.partIndex = 0;
+  }
+
+  /**
+   * Adds events.
+   * @param nowMs - Present time in milliseconds.
+   * @param amount - Number of events.
+   */
+  add(nowMs: number, amount = 1): void {
+    this.expire(nowMs);
+    const slot = this.partIndex % this.counts.length;
+    this.counts[slot] = (this.counts[slot] ?? 0) + amount;
+    this.sum += amount;
+  }
+
+  /** Gets the number of events in the window that ends at the given time. */
+  get(nowMs: number): number {
+    this.expire(nowMs);
+    return this.sum;
+  }
+
+  private expire(nowMs: number): void {
+    const index = Math.floor((nowMs / this.windowMs) * PARTS);
+    if (index <= this.partIndex) return;
+    const steps = Math.min(index - this.partIndex, this.counts.length);
+    for (let step = 0; step < steps; step++) {
+      const slot = (index - step) % this.counts.length;
+      this.sum -= this.counts[slot] ?? 0;
+      this.counts[slot] = 0;
+    }
+    this.partIndex = index;
+  }
+}
--- a/packages/steering/src/topology/index.ts
+++ b/packages/steering/src/topology/index.ts
@@ -1,4 +1,5 @@
 export type {Endpoint} from './endpoint.js';
+export {getServiceKey} from './get_service_key.js';
 export type {InstanceInfo} from './instance_info.js';
 export type {Link} from './link.js';
 export type {Service} from './service.js';
