Test restarts in a row against the shift cap

Cause: a limiter that began with a full bucket passed the tests, because random targets rarely move one way after several restarts. Before and after: with a full first bucket no test failed before, one fails now; npx vitest run packages/steering passes.

--- a/packages/steering/test/shares/share_state.test.ts
+++ b/packages/steering/test/shares/share_state.test.ts
@@ -186,13 +186,20 @@
         VECTOR,
         fc.array(STEP, {maxLength: 40}),
         (cap, begin, steps) => {
+          const open = {slots: 9, freeSlots: 9, ageMs: 0};
+          const usable = {...open, isDrained: false, isFailed: false};
+          const away = {
+            baseline: [0, 0, 1],
+            measurements: [usable, usable, usable],
+          };
           let nowMs = 0;
           let state = new ShareState(begin, cap, nowMs);
           const samples = [{atMs: 0, vector: begin}];
           for (const step of steps) {
-            nowMs += step.elapsedMs;
-            if (step.restarts) state = new ShareState(state.vector, cap, nowMs);
-            state.update({...step, headroom: 0.2, cap}, nowMs);
+            nowMs += step.elapsedMs / 10;
+            if (step.requests > 30)
+              state = new ShareState(state.vector, cap, nowMs);
+            state.update({...step, ...away, headroom: 0.2, cap}, nowMs);
             samples.push({atMs: nowMs, vector: state.vector});
             for (const {atMs, vector} of samples) {
               if (atMs < nowMs - cap.shiftIntervalMs) continue;
