Compute the limit of an instance for an endpoint from contact states

Cause: the owner took the first candidate of the settings, live or not, with all slots. Ruled out: orders computed from the platform's list, because lists that lag differently give two instances different orders and then two first candidates; additions come last instead. Change: candidate orders with bounded loads, contact states, joining, active and released phases, and the limit as a function of state and monotonic time, evaluated at each call. Conclusion: not used by the instance yet.

--- /dev/null
+++ b/packages/steering/src/ownership/get_candidate_orders.ts
@@ -0,0 +1,65 @@
+import type {Endpoint, InstanceInfo} from '../topology/index.js';
+import type {Hash64} from './create_hash64.js';
+import {getCandidates} from './get_candidates.js';
+
+/** Bounds the endpoints that one instance owns, as a factor of the mean of its zone. */
+const LOAD_FACTOR = 1.25;
+
+/** Lists what the candidate orders are computed from. */
+export interface CandidateOrderOptions {
+  endpoints: readonly Endpoint[];
+  /** Instances of the settings, live or not. */
+  members: readonly InstanceInfo[];
+  /**
+   * Instances that only the platform's list or a message named. They come last, because an
+   * order that a list may change differs between instances whose lists lag differently.
+   */
+  additions?: readonly InstanceInfo[];
+  hash: Hash64;
+}
+
+/**
+ * Computes the candidate order of every endpoint by rendezvous hashing with bounded loads.
+ * @param options - Endpoints, members, additions and the hash of the scores.
+ * @returns Instance ids in order of preference, by endpoint id.
+ */
+export function getCandidateOrders(
+  options: CandidateOrderOptions,
+): Map<string, readonly string[]> {
+  const {endpoints, members, additions = [], hash} = options;
+  const orders = new Map<string, readonly string[]>();
+  const owned = new Map<string, number>();
+  const bounds = getZoneBounds(endpoints, members);
+  const sorted = [...endpoints].sort((a, b) => (a.id < b.id ? -1 : 1));
+  for (const endpoint of sorted) {
+    const order = getCandidates(endpoint, members, hash);
+    const bound = bounds.get(endpoint.zone) ?? Infinity;
+    const first = order.findIndex(
+      ({id, zone}) => zone === endpoint.zone && (owned.get(id) ?? 0) < bound,
+    );
+    if (first > 0) order.unshift(...order.splice(first, 1));
+    const [owner] = order;
+    if (owner?.zone === endpoint.zone) {
+      owned.set(owner.id, (owned.get(owner.id) ?? 0) + 1);
+    }
+    const ids = [...order, ...getCandidates(endpoint, additions, hash)];
+    orders.set(
+      endpoint.id,
+      ids.map(({id}) => id),
+    );
+  }
+  return orders;
+}
+
+function getZoneBounds(
+  endpoints: readonly Endpoint[],
+  members: readonly InstanceInfo[],
+): Map<string, number> {
+  const bounds = new Map<string, number>();
+  for (const zone of new Set(endpoints.map(e => e.zone))) {
+    const endpointCount = endpoints.filter(e => e.zone === zone).length;
+    const memberCount = members.filter(m => m.zone === zone).length;
+    bounds.set(zone, Math.ceil((LOAD_FACTOR * endpointCount) / memberCount));
+  }
+  return bounds;
+}
--- /dev/null
+++ b/packages/steering/src/ownership/get_endpoint_limit.ts
@@ -0,0 +1,172 @@
+import {getStanding, Standing} from './get_standing.js';
+import type {OwnershipConfig, OwnershipState} from './ownership_state.js';
+import {Phase} from './phase.js';
+
+/** Describes the endpoint whose limit is asked for. */
+export interface EndpointLimitOptions {
+  endpointId: string;
+  slots: number;
+  /** Candidate ids in order of preference. */
+  order: readonly string[];
+}
+
+/** Splits the other candidates of an endpoint. */
+export interface SplitOrder {
+  ahead: readonly string[];
+  behind: readonly string[];
+}
+
+/**
+ * Gets this instance's limit for an endpoint, less the requests that earlier owners report.
+ *
+ * Of the active candidates only the first two in the order can have a limit above 0: any
+ * other has two ahead of it that it cannot know to be gone. The second has at most
+ * floor(slots / 2) while it does not hear the first, and the first has more than
+ * ceil(slots / 2) only while the second acknowledges that it hears the first.
+ * @param state - The ownership state.
+ * @param options - The endpoint and its candidate order.
+ * @param now - Monotonic time in milliseconds; the fence depends on it at each call.
+ * @param config - The instance and its times.
+ * @returns Most requests in flight from this instance; 0 where it may not act.
+ */
+export function getEndpointLimit(
+  state: OwnershipState,
+  options: EndpointLimitOptions,
+  now: number,
+  config: OwnershipConfig,
+): number {
+  const limit = getBaseLimit(state, options, now, config);
+  if (limit === 0) return 0;
+  let excess = 0;
+  for (const contact of state.contacts.values()) {
+    if (now >= contact.heardAt + config.timing.maxRequestMs) continue;
+    excess += contact.excess[options.endpointId] ?? 0;
+  }
+  return Math.max(0, limit - excess);
+}
+
+/**
+ * Splits a candidate order at this instance.
+ * @param state - The ownership state.
+ * @param order - Candidate ids in order of preference.
+ * @param config - The instance and its times.
+ * @returns The candidates ahead of and behind this instance; undefined where it is none.
+ */
+export function splitOrder(
+  state: OwnershipState,
+  order: readonly string[],
+  config: OwnershipConfig,
+): SplitOrder | undefined {
+  const index = order.indexOf(config.selfId);
+  if (index < 0) return undefined;
+  const ahead = order.slice(0, index);
+  const behind = order.slice(index + 1);
+  if (!hasOtherDigest(state, config)) return {ahead, behind};
+  // Instances with other settings compute other orders; between two such, the older is ahead.
+  const isAhead = (id: string, byOrder: boolean) => {
+    const contact = state.contacts.get(id);
+    if (!contact || contact.digest === config.digest) return byOrder;
+    return contact.incarnation === config.incarnation
+      ? id < config.selfId
+      : contact.incarnation < config.incarnation;
+  };
+  const others = [...ahead, ...behind];
+  return {
+    ahead: others.filter((id, i) => isAhead(id, i < index)),
+    behind: others.filter((id, i) => !isAhead(id, i < index)),
+  };
+}
+
+function hasOtherDigest(
+  state: OwnershipState,
+  config: OwnershipConfig,
+): boolean {
+  for (const contact of state.contacts.values()) {
+    if (!contact.isGone && contact.digest !== config.digest) return true;
+  }
+  return false;
+}
+
+function getBaseLimit(
+  state: OwnershipState,
+  options: EndpointLimitOptions,
+  now: number,
+  config: OwnershipConfig,
+): number {
+  if (state.phase !== Phase.Active) return 0;
+  const split = splitOrder(state, options.order, config);
+  if (!split) return 0;
+  const lowerHalf = Math.floor(options.slots / 2);
+  let doubtful: string | undefined;
+  for (const id of split.ahead) {
+    const standing = getStanding(state, id, now, config);
+    if (standing === Standing.Clear) continue;
+    if (standing === Standing.Present || doubtful !== undefined) return 0;
+    doubtful = id;
+  }
+  if (doubtful !== undefined) {
+    return mayPassOver(state, doubtful, now, config) ? lowerHalf : 0;
+  }
+  const limit = isWatched(state, split.behind, now, config)
+    ? options.slots
+    : Math.ceil(options.slots / 2);
+  return mayEarlierRequestsRun(state, split.ahead, now, config)
+    ? Math.min(limit, Math.max(1, lowerHalf))
+    : limit;
+}
+
+/**
+ * Says whether the owner ahead counts this instance among the candidates that may take over:
+ * it acknowledged that this instance is active, or its knowledge that this instance is not
+ * has expired.
+ */
+function mayPassOver(
+  state: OwnershipState,
+  id: string,
+  now: number,
+  config: OwnershipConfig,
+): boolean {
+  if (state.contacts.get(id)?.knowsActive) return true;
+  const isOldEnough = now - state.startedAt >= config.timing.joinAfterMs;
+  return config.isInSettings && isOldEnough;
+}
+
+/** Says whether the next candidate that may take over acknowledges that it hears this one. */
+function isWatched(
+  state: OwnershipState,
+  behind: readonly string[],
+  now: number,
+  config: OwnershipConfig,
+): boolean {
+  for (const id of behind) {
+    if (getStanding(state, id, now, config) === Standing.Clear) continue;
+    const contact = state.contacts.get(id);
+    if (!contact || contact.isGone) return false;
+    const isJoining =
+      contact.phase === Phase.Joining && now < contact.joiningUntil;
+    if (isJoining) continue;
+    return (
+      contact.phase === Phase.Active &&
+      now < contact.ackedAt + config.timing.fenceAfterMs
+    );
+  }
+  return true;
+}
+
+/**
+ * Says whether requests of an earlier owner may still run: of an instance ahead that ended,
+ * or of an earlier process of this instance.
+ */
+export function mayEarlierRequestsRun(
+  state: OwnershipState,
+  ahead: readonly string[],
+  now: number,
+  config: OwnershipConfig,
+): boolean {
+  if (now < state.predecessorUntil) return true;
+  const unknownUntil = state.startedAt + config.timing.maxRequestMs;
+  return ahead.some(id => {
+    const contact = state.contacts.get(id);
+    return now < (contact ? contact.uncleanUntil : unknownUntil);
+  });
+}
--- /dev/null
+++ b/packages/steering/src/ownership/get_standing.ts
@@ -0,0 +1,56 @@
+import type {OwnershipConfig, OwnershipState} from './ownership_state.js';
+import {CLOCK_MARGIN_MS} from './ownership_timing.js';
+import {Phase} from './phase.js';
+
+/** Says what a candidate may be doing now, as far as this instance knows. */
+export enum Standing {
+  /** It was heard within `takeoverAfterMs` and acts. */
+  Present = 'present',
+  /** It may be alive and may act. */
+  Doubtful = 'doubtful',
+  /** No process of its id acts now. */
+  Clear = 'clear',
+}
+
+/**
+ * Gets the standing of another candidate.
+ * @param state - The ownership state.
+ * @param id - Id of the candidate.
+ * @param now - Monotonic time in milliseconds.
+ * @param config - The instance and its times.
+ * @returns The standing.
+ */
+export function getStanding(
+  state: OwnershipState,
+  id: string,
+  now: number,
+  config: OwnershipConfig,
+): Standing {
+  const {takeoverAfterMs} = config.timing;
+  const contact = state.contacts.get(id);
+  if (contact && now < contact.clearUntil) return Standing.Clear;
+  if (contact && !contact.isGone) {
+    const isHeard =
+      contact.phase === Phase.Active && now < contact.heardAt + takeoverAfterMs;
+    return isHeard ? Standing.Present : Standing.Doubtful;
+  }
+  return isAbsentFromList(state, id, now, config)
+    ? Standing.Clear
+    : Standing.Doubtful;
+}
+
+/**
+ * A process that a list does not show yet started less than `listLagMs` before the list was
+ * asked for and acts no earlier than `joinAfterMs` after its start.
+ */
+function isAbsentFromList(
+  state: OwnershipState,
+  id: string,
+  now: number,
+  config: OwnershipConfig,
+): boolean {
+  const {joinAfterMs, listLagMs} = config.timing;
+  if (!state.list || state.list.ids.has(id)) return false;
+  const validMs = joinAfterMs - listLagMs - CLOCK_MARGIN_MS;
+  return now < state.list.requestedAt + validMs;
+}
--- /dev/null
+++ b/packages/steering/src/ownership/hear_peer.ts
@@ -0,0 +1,111 @@
+import type {Contact, PeerStatement} from './contact.js';
+import type {OwnershipConfig, OwnershipState} from './ownership_state.js';
+import {CLOCK_MARGIN_MS} from './ownership_timing.js';
+import {Phase} from './phase.js';
+
+const PHASE_ORDER = [Phase.Joining, Phase.Active, Phase.Released];
+
+/**
+ * Says whether a message comes from a process that is known to have ended.
+ * @param contact - What is known of the sender.
+ * @param incarnation - The incarnation of the message.
+ * @returns Whether the message must be ignored.
+ */
+export function isFromEnded(contact: Contact, incarnation: number): boolean {
+  if (incarnation === contact.incarnation) return contact.isGone;
+  return incarnation < contact.incarnation;
+}
+
+/**
+ * Applies a direct message of a peer.
+ * @param state - The state before.
+ * @param peer - What the message says of its sender.
+ * @param aliveAt - Time at which the sender was alive for certain, or -Infinity.
+ * @param now - Monotonic time in milliseconds.
+ * @param config - The instance and its times.
+ * @returns The state after.
+ */
+export function hearPeer(
+  state: OwnershipState,
+  peer: PeerStatement,
+  aliveAt: number,
+  now: number,
+  config: OwnershipConfig,
+): OwnershipState {
+  const known = state.contacts.get(peer.id);
+  if (known && isFromEnded(known, peer.incarnation)) return state;
+  const {joinAfterMs, maxRequestMs} = config.timing;
+  const old = known?.incarnation === peer.incarnation ? known : undefined;
+  const phase = getLaterPhase(old?.phase ?? Phase.Joining, peer.phase);
+  const lastAliveAt = Math.max(old?.aliveAt ?? -Infinity, aliveAt);
+  const isNewest = peer.ageMs >= (old?.ageMs ?? 0);
+  const contact: Contact = {
+    incarnation: peer.incarnation,
+    phase,
+    digest: peer.digest,
+    isGone: false,
+    firstHeardAt: old?.firstHeardAt ?? now,
+    heardAt: now,
+    aliveAt: lastAliveAt,
+    ackedAt: old?.ackedAt ?? -Infinity,
+    knowsSelf: old?.knowsSelf ?? false,
+    knowsActive: old?.knowsActive ?? false,
+    joiningUntil: Math.max(
+      old?.joiningUntil ?? -Infinity,
+      aliveAt + joinAfterMs - peer.ageMs - CLOCK_MARGIN_MS,
+    ),
+    clearUntil:
+      phase === Phase.Released
+        ? lastAliveAt + joinAfterMs - CLOCK_MARGIN_MS
+        : -Infinity,
+    uncleanUntil:
+      known && !old && !known.isGone
+        ? getEndOfRequests(known, now, maxRequestMs)
+        : (known?.uncleanUntil ?? -Infinity),
+    excess: isNewest ? peer.excess : (old?.excess ?? {}),
+    ageMs: Math.max(peer.ageMs, old?.ageMs ?? 0),
+  };
+  return {
+    ...state,
+    peers: addPeers(state.peers, [peer.id, ...peer.additions], config.selfId),
+    contacts: new Map(state.contacts).set(peer.id, contact),
+  };
+}
+
+/**
+ * Gets the time until which requests of a process that ended may run.
+ * @param contact - What is known of the process.
+ * @param now - Time at which the evidence of its end arrived, in milliseconds.
+ * @param maxRequestMs - Longest time that a request may run.
+ * @returns The time; the present bound where it had released and reported no excess.
+ */
+export function getEndOfRequests(
+  contact: Contact,
+  now: number,
+  maxRequestMs: number,
+): number {
+  const hasFinished =
+    contact.phase !== Phase.Active && Object.keys(contact.excess).length === 0;
+  return hasFinished ? contact.uncleanUntil : now + maxRequestMs;
+}
+
+/**
+ * Adds ids to a set of peers.
+ * @param peers - The set, which is not changed.
+ * @param ids - Ids to add.
+ * @param selfId - Id of this instance, which is no peer.
+ * @returns The set with the ids; the same set where it has them all.
+ */
+export function addPeers(
+  peers: ReadonlySet<string>,
+  ids: Iterable<string>,
+  selfId: string,
+): ReadonlySet<string> {
+  const added = [...ids].filter(id => id !== selfId && !peers.has(id));
+  return added.length === 0 ? peers : new Set([...peers, ...added]);
+}
+
+/** Messages may arrive out of order, a phase never goes back. */
+function getLaterPhase(a: Phase, b: Phase): Phase {
+  return PHASE_ORDER.indexOf(a) > PHASE_ORDER.indexOf(b) ? a : b;
+}
