--- a/packages/common/src/protocol/header_name.ts
+++ b/packages/common/src/protocol/header_name.ts
@@ -9,6 +9,8 @@
   OriginalStatus = 'primrose-original-status',
   Outcome = 'primrose-outcome',
   Peer = 'primrose-peer',
+  /** Between instances: what the receiver is asked to do, as an owner or as a key's home. */
+  Role = 'primrose-role',
   RequestId = 'primrose-request-id',
   SourceRegion = 'primrose-source-region',
   SourceZone = 'primrose-source-zone',
--- /dev/null
+++ b/packages/instance/src/exchange/exchange.ts
@@ -0,0 +1,282 @@
+import type http from 'node:http';
+import {once} from 'node:events';
+import {
+  getErrorMessage,
+  HeaderName,
+  type Step,
+  StepError,
+  type TimerService,
+} from '@primrosestage/common';
+import {getHeader} from '../http/index.js';
+import type {PeerRequest} from './peer_pool.js';
+
+/** Names why an exchange gave no answer or broke off. */
+export enum FailureKind {
+  /** No connection could be opened; nothing was written. */
+  Connect = 'connect',
+  /** The peer made no progress. */
+  Silent = 'silent',
+  Deadline = 'deadline',
+  /** The caller gave up. */
+  Cancelled = 'cancelled',
+  /** The body of the request could not be read. */
+  Body = 'body',
+  /** The connection broke. */
+  Broken = 'broken',
+  /** The answer is not valid HTTP or its end cannot be told. */
+  Malformed = 'malformed',
+}
+
+/** Carries why an exchange failed and whether the peer may have run the request. */
+export class ExchangeError extends StepError {
+  constructor(
+    options: {step: Step; peer: string; cause?: unknown},
+    readonly kind: FailureKind,
+    /** False where no byte reached a connected peer. */
+    readonly mayHaveRun: boolean,
+    /** Whether the connection had carried an earlier request. */
+    readonly isReused: boolean,
+    message: string,
+  ) {
+    super(options, message);
+  }
+}
+
+/** Holds the answer of an exchange, or why there is none. */
+export type ExchangeResult =
+  | {
+      readonly res: http.IncomingMessage;
+      /** Reads the body; fails with an ExchangeError where it does not arrive whole. */
+      readonly chunks: AsyncIterable<Buffer>;
+      cancel(): void;
+      readonly err?: undefined;
+    }
+  | {readonly res?: undefined; readonly err: ExchangeError};
+
+/** Configures one exchange. */
+export interface ExchangeOptions {
+  step: Step;
+  peer: string;
+  timers: TimerService;
+  progressTimeoutMs: number;
+  connectTimeoutMs: number;
+}
+
+/** Runs one request and its answer over a connection of a pool. */
+export class Exchange {
+  /** Resolves when the exchange has ended and its connection is free or closed. */
+  readonly ended: Promise<void>;
+  private isConnected = false;
+  /** Whether this side waits for more of the request's body. */
+  private isSourceDue = false;
+  /** Whether this side does not read the answer at the moment. */
+  private isReaderDue = false;
+  private lastProgressAt: number;
+  private failure?: ExchangeError;
+  private readonly deadline: AsyncDisposable;
+
+  constructor(
+    private readonly req: http.ClientRequest,
+    private readonly request: PeerRequest,
+    private readonly options: ExchangeOptions,
+  ) {
+    const {timers} = options;
+    this.lastProgressAt = timers.now();
+    this.deadline = timers.after(
+      Math.max(0, request.deadlineAt - timers.now()),
+      () => this.fail(FailureKind.Deadline, 'the deadline passed'),
+    );
+    const onAbort = () => this.fail(FailureKind.Cancelled, 'cancelled');
+    request.signal.addEventListener('abort', onAbort, {once: true});
+    this.ended = once(req, 'close').then(
+      () => this.finish(onAbort),
+      () => this.finish(onAbort),
+    );
+    if (request.signal.aborted) onAbort();
+  }
+
+  /** Sends the request and waits for the head of the answer. */
+  async run(): Promise<ExchangeResult> {
+    const {req} = this;
+    req.on('socket', socket => {
+      this.touch();
+      if (socket.connecting) {
+        socket.once('connect', () => {
+          this.isConnected = true;
+          this.touch();
+        });
+      } else this.isConnected = true;
+    });
+    req.on('information', () => this.touch());
+    const head = new Promise<ExchangeResult>(resolve => {
+      req.on('error', err => resolve({err: this.classify(err)}));
+      req.on('close', () => resolve({err: this.classify('connection closed')}));
+      req.on('response', res => {
+        this.touch();
+        resolve(this.accept(res));
+      });
+    });
+    void this.writeBody();
+    return head;
+  }
+
+  /**
+   * Says whether the peer has made no progress for too long.
+   * @param now - Monotonic time in milliseconds.
+   */
+  isSilent(now: number): boolean {
+    if (this.isSourceDue || this.isReaderDue || this.failure) return false;
+    const limitMs = this.isConnected
+      ? this.options.progressTimeoutMs
+      : Math.min(this.options.connectTimeoutMs, this.options.progressTimeoutMs);
+    return now - this.lastProgressAt >= limitMs;
+  }
+
+  /** Ends the exchange because the peer is silent. */
+  endSilent(): void {
+    if (!this.isConnected) {
+      this.fail(FailureKind.Connect, 'the connection was not opened in time');
+      return;
+    }
+    this.fail(
+      FailureKind.Silent,
+      `no progress for ${this.options.progressTimeoutMs} ms`,
+    );
+  }
+
+  private accept(res: http.IncomingMessage): ExchangeResult {
+    const fault = this.findFault(res);
+    // The reader sees failures; without a listener, one before the first read would be uncaught.
+    res.on('error', () => {});
+    if (fault !== undefined) {
+      this.fail(FailureKind.Malformed, fault);
+      return {err: this.classify(fault)};
+    }
+    this.isReaderDue = true;
+    return {
+      res,
+      chunks: this.readAnswer(res),
+      cancel: () => this.fail(FailureKind.Cancelled, 'cancelled'),
+    };
+  }
+
+  /** Finds why the end of an answer could not be told, or why it is not the request's. */
+  private findFault(res: http.IncomingMessage): string | undefined {
+    const id = getHeader(res.headers, HeaderName.RequestId);
+    const expected = this.request.requestId;
+    if (id !== undefined && expected !== undefined && id !== expected) {
+      return `the answer names request ${id}`;
+    }
+    const status = res.statusCode ?? 0;
+    const hasBody =
+      this.request.method !== 'HEAD' && status !== 204 && status !== 304;
+    const isChunked = /(^|,)\s*chunked\s*$/i.test(
+      res.headers['transfer-encoding'] ?? '',
+    );
+    if (hasBody && !isChunked && res.headers['content-length'] === undefined) {
+      return 'the answer has neither content-length nor chunked encoding';
+    }
+    return undefined;
+  }
+
+  private async *readAnswer(res: http.IncomingMessage): AsyncGenerator<Buffer> {
+    const chunks = res[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    let isWhole = false;
+    try {
+      for (;;) {
+        this.touch();
+        this.isReaderDue = false;
+        const {value, done} = await chunks.next();
+        this.isReaderDue = true;
+        if (done) break;
+        yield value;
+      }
+      isWhole = res.complete;
+      if (!isWhole) throw this.classify('truncated');
+    } catch (err) {
+      throw this.failure ?? this.classify(err);
+    } finally {
+      // A request that was answered before its body was sent leaves the connection unusable.
+      if (!isWhole || !this.req.writableFinished) this.req.destroy();
+    }
+  }
+
+  private async writeBody(): Promise<void> {
+    const {req} = this;
+    try {
+      const {bytes} = this.request.body;
+      if (bytes) {
+        req.end(bytes, () => this.touch());
+        return;
+      }
+      this.isSourceDue = true;
+      for await (const chunk of this.request.body.read()) {
+        this.touch();
+        this.isSourceDue = false;
+        if (!req.write(chunk, () => this.touch())) await onceDrained(req);
+        if (req.destroyed) return;
+        this.isSourceDue = true;
+      }
+      this.isSourceDue = false;
+      this.touch();
+      req.end(() => this.touch());
+    } catch (err) {
+      this.fail(FailureKind.Body, getErrorMessage(err), err);
+    }
+  }
+
+  private touch(): void {
+    this.lastProgressAt = this.options.timers.now();
+  }
+
+  private fail(kind: FailureKind, message: string, cause?: unknown): void {
+    if (this.failure || this.req.destroyed) return;
+    this.failure = this.createError(kind, message, cause);
+    this.req.destroy(this.failure);
+  }
+
+  private classify(err: unknown): ExchangeError {
+    if (this.failure) return this.failure;
+    const code = (err as NodeJS.ErrnoException).code ?? '';
+    const kind = !this.isConnected
+      ? FailureKind.Connect
+      : code.startsWith('HPE_')
+        ? FailureKind.Malformed
+        : FailureKind.Broken;
+    this.failure = this.createError(kind, getErrorMessage(err), err);
+    return this.failure;
+  }
+
+  private createError(
+    kind: FailureKind,
+    message: string,
+    cause?: unknown,
+  ): ExchangeError {
+    const {step, peer} = this.options;
+    return new ExchangeError(
+      {step, peer, cause},
+      kind,
+      this.isConnected,
+      this.req.reusedSocket,
+      `${kind}: ${peer}: ${message}`,
+    );
+  }
+
+  private finish(onAbort: () => void): void {
+    this.request.signal.removeEventListener('abort', onAbort);
+    void this.deadline[Symbol.asyncDispose]();
+  }
+}
+
+/** Waits until a request takes more bytes or is closed. */
+async function onceDrained(req: http.ClientRequest): Promise<void> {
+  await new Promise<void>(resolve => {
+    const finish = () => {
+      req.off('drain', finish);
+      req.off('close', finish);
+      resolve();
+    };
+    req.on('drain', finish);
+    req.on('close', finish);
+  });
+}
--- /dev/null
+++ b/packages/instance/src/exchange/index.ts
@@ -0,0 +1,9 @@
+export type {Answer, AttemptResult, Refusal} from './attempt_result.js';
+export {ExchangeError, type ExchangeResult, FailureKind} from './exchange.js';
+export {PeerPool, type PeerPoolOptions, type PeerRequest} from './peer_pool.js';
+export {
+  sendAnswer,
+  type SendAnswerFailure,
+  type SendAnswerOptions,
+} from './send_answer.js';
+export {toRefusal} from './to_refusal.js';
--- /dev/null
+++ b/packages/instance/src/exchange/peer_pool.ts
@@ -0,0 +1,174 @@
+import http from 'node:http';
+import type {Duplex} from 'node:stream';
+import {
+  type ConnectFunction,
+  createAgent,
+  type Step,
+  type TimerService,
+} from '@primrosestage/common';
+import {parseAddress, type RequestBody} from '../http/index.js';
+import {Exchange, type ExchangeResult} from './exchange.js';
+
+/**
+ * Idle time after which a connection is not used for a request that must not run twice.
+ * Servers close idle connections after seconds; the close can cross the request on the way,
+ * and its outcome is then unknown.
+ */
+const RECENT_USE_MS = 500;
+const IDLE_TIMEOUT_MS = 4_000;
+/** Longest time to open a connection; leaves room for one retransmission after 1 s. */
+const CONNECT_TIMEOUT_MS = 1_500;
+const MAX_RESPONSE_HEADER_BYTES = 16 * 1024;
+/** Methods whose requests carry no content-length where the body is empty. */
+const BODILESS_METHODS = new Set(['GET', 'HEAD']);
+
+/** Configures the connections to one peer. */
+export interface PeerPoolOptions {
+  step: Step;
+  /** Name of the peer in errors. */
+  peer: string;
+  /** `host:port` of the peer. */
+  address: string;
+  connect: ConnectFunction;
+  timers: TimerService;
+  maxSockets: number;
+  /** Longest time without progress while the peer has to act, in milliseconds. */
+  progressTimeoutMs: number;
+}
+
+/** Describes a request to a peer; times are monotonic milliseconds. */
+export interface PeerRequest {
+  method: string;
+  path: string;
+  headers: http.OutgoingHttpHeaders;
+  /** Id that the answer may name; undefined for probes. */
+  requestId?: string;
+  body: RequestBody;
+  deadlineAt: number;
+  /** Whether the request must not be sent over a connection that may be stale. */
+  needsFreshConnection: boolean;
+  signal: AbortSignal;
+}
+
+/** Owns the connections to one peer. */
+export class PeerPool implements AsyncDisposable {
+  private agent: http.Agent;
+  private readonly active = new Set<Exchange>();
+  private readonly freedAt = new WeakMap<object, number>();
+  private readonly watch: AsyncDisposable;
+
+  constructor(private readonly options: PeerPoolOptions) {
+    this.agent = this.createPool();
+    const intervalMs = Math.max(5, options.progressTimeoutMs / 10);
+    this.watch = options.timers.every(intervalMs, () => this.checkProgress());
+  }
+
+  /** Number of exchanges that have not ended. */
+  get activeCount(): number {
+    return this.active.size;
+  }
+
+  /**
+   * Sends a request and waits for the head of the answer.
+   * @param request - The request.
+   * @returns The answer, whose body is still to be read, or the failure.
+   */
+  async send(request: PeerRequest): Promise<ExchangeResult> {
+    const {timers} = this.options;
+    if (request.needsFreshConnection) {
+      this.closeIdle(timers.now() - RECENT_USE_MS);
+    }
+    const {host, port} = parseAddress(this.options.address);
+    const headers = {...request.headers};
+    const length = request.body.contentLength;
+    delete headers['content-length'];
+    if (length === undefined) {
+      // Node.js sends no framing on its own for methods that rarely have a body.
+      headers['transfer-encoding'] = 'chunked';
+    } else if (length > 0 || !BODILESS_METHODS.has(request.method)) {
+      headers['content-length'] = String(length);
+    }
+    const req = http.request({
+      host,
+      port,
+      method: request.method,
+      path: request.path,
+      headers,
+      agent: this.agent,
+      maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
+    });
+    const exchange = new Exchange(req, request, {
+      ...this.options,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    });
+    this.active.add(exchange);
+    void exchange.ended.then(() => this.active.delete(exchange));
+    return exchange.run();
+  }
+
+  /**
+   * Closes idle connections.
+   * @param freedBefore - Closes those that became idle before this monotonic time.
+   */
+  closeIdle(freedBefore = Infinity): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) {
+      for (const socket of sockets ?? []) {
+        if ((this.freedAt.get(socket) ?? -Infinity) < freedBefore) {
+          socket.destroy();
+        }
+      }
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.watch[Symbol.asyncDispose]();
+    this.agent.destroy();
+  }
+
+  private createPool(): http.Agent {
+    const agent = createAgent({
+      connect: this.options.connect,
+      maxSockets: this.options.maxSockets,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+    });
+    // The types say void; Node.js returns whether the connection may be kept.
+    const keepSocketAlive = agent.keepSocketAlive.bind(agent) as (
+      socket: Duplex,
+    ) => boolean;
+    const reuseSocket = agent.reuseSocket.bind(agent);
+    agent.keepSocketAlive = (socket: Duplex) => {
+      this.freedAt.set(socket, this.options.timers.now());
+      // Bytes that arrive while no request is open belong to no request; the next request
+      // on this connection would take them for its answer.
+      socket.on('data', destroyOnData);
+      socket.resume();
+      return keepSocketAlive(socket) && socket.readableLength === 0;
+    };
+    agent.reuseSocket = (socket: Duplex, req: http.ClientRequest) => {
+      socket.off('data', destroyOnData);
+      reuseSocket(socket, req);
+    };
+    return agent;
+  }
+
+  /**
+   * Ends exchanges with a silent peer. Its other connections have most likely gone silent as
+   * well: idle ones are closed, and those in use are not used again.
+   */
+  private checkProgress(): void {
+    const now = this.options.timers.now();
+    const silent = [...this.active].filter(exchange => exchange.isSilent(now));
+    if (silent.length === 0) return;
+    const stalePool = this.agent;
+    this.agent = this.createPool();
+    for (const sockets of Object.values(stalePool.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+    stalePool.keepSocketAlive = () => false;
+    for (const exchange of silent) exchange.endSilent();
+  }
+}
+
+function destroyOnData(this: Duplex): void {
+  this.destroy();
+}
--- /dev/null
+++ b/packages/instance/src/http/headers.ts
@@ -0,0 +1,56 @@
+import type http from 'node:http';
+import {HeaderName} from '@primrosestage/common';
+
+const HOP_BY_HOP_HEADERS = new Set([
+  'connection',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Headers that each instance sets itself; values from a caller or backend server are dropped. */
+const CONTRACT_HEADERS = new Set<string>(
+  Object.values(HeaderName).filter(name => name !== HeaderName.IdempotencyKey),
+);
+
+/**
+ * Copies the headers that belong to the message and not to one connection or hop.
+ * @param headers - Headers as received.
+ * @returns Headers to pass on, without those of the contract.
+ */
+export function copyEndToEndHeaders(
+  headers: http.IncomingHttpHeaders,
+): http.OutgoingHttpHeaders {
+  const named = new Set(
+    (headers.connection ?? '').split(',').map(name => name.trim()),
+  );
+  return Object.fromEntries(
+    Object.entries(headers).filter(
+      ([name]) =>
+        !HOP_BY_HOP_HEADERS.has(name) &&
+        !CONTRACT_HEADERS.has(name) &&
+        !named.has(name),
+    ),
+  );
+}
+
+/**
+ * Gets one header.
+ * @param headers - Headers as received.
+ * @param name - Its name.
+ * @returns The first value, or undefined.
+ */
+export function getHeader(
+  headers: http.IncomingHttpHeaders,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- a/packages/instance/src/http/index.ts
+++ b/packages/instance/src/http/index.ts
@@ -1,5 +1,13 @@
+export {copyEndToEndHeaders, getHeader} from './headers.js';
 export {listen, type Listener, type ListenOptions} from './listen.js';
 export {parseAddress, type HostPort} from './parse_address.js';
-export {sendHop, type HopOptions, type HopResult} from './send_hop.js';
+export {
+  BodyError,
+  createKeptBody,
+  MAX_BODY_BYTES,
+  MAX_BUFFERED_BODY_BYTES,
+  readBody,
+  type RequestBody,
+} from './request_body.js';
 export {sendJson} from './send_json.js';
 export {sendRefusal, type RefusalOptions} from './send_refusal.js';
--- /dev/null
+++ b/packages/instance/src/http/request_body.ts
@@ -0,0 +1,156 @@
+import type {IncomingMessage} from 'node:http';
+import {Step, StepError, type TimerService} from '@primrosestage/common';
+
+/** Longest body that is kept so that it can be sent a second time. */
+export const MAX_BUFFERED_BODY_BYTES = 64 * 1024;
+/** Longest body that is accepted. */
+export const MAX_BODY_BYTES = 256 * 1024 * 1024;
+
+/** Holds the body of a request: all bytes, or a stream that can be read once. */
+export interface RequestBody {
+  /** The whole body where it is short enough to keep. */
+  readonly bytes?: Buffer;
+  /** Content length, where it is known. */
+  readonly contentLength?: number;
+  /** Says whether the body can still be sent in full. */
+  canSend(): boolean;
+  /**
+   * Reads the body; a body that is not kept can be read once.
+   * @throws StepError when the caller stops sending or sends more than is accepted.
+   */
+  read(): AsyncIterable<Buffer>;
+}
+
+/** Names why a body was not accepted. */
+export class BodyError extends StepError {
+  constructor(
+    peer: string,
+    /** HTTP status of the refusal. */
+    readonly status: number,
+    message: string,
+  ) {
+    super({step: Step.Ingress, peer}, message);
+  }
+}
+
+/** Configures the reading of a body. */
+export interface ReadBodyOptions {
+  timers: TimerService;
+  /** Longest time without a byte from the caller, in milliseconds. */
+  progressTimeoutMs: number;
+}
+
+/**
+ * Reads a body up to the size that is kept.
+ * @param req - The request.
+ * @param options - Clock and timeout.
+ * @returns The body; one that is longer is streamed on reading.
+ * @throws BodyError when the body is too long or stops.
+ */
+export async function readBody(
+  req: IncomingMessage,
+  options: ReadBodyOptions,
+): Promise<RequestBody> {
+  const peer = req.socket.remoteAddress ?? 'caller';
+  const length = req.headers['content-length'];
+  const contentLength = length === undefined ? undefined : Number(length);
+  if ((contentLength ?? 0) > MAX_BODY_BYTES) {
+    throw new BodyError(
+      peer,
+      413,
+      `body of ${contentLength} bytes, expected at most ${MAX_BODY_BYTES}`,
+    );
+  }
+  const chunks = readChunks(req, peer, options);
+  if ((contentLength ?? 0) > MAX_BUFFERED_BODY_BYTES) {
+    return createStreamedBody([], chunks, contentLength);
+  }
+  const head: Buffer[] = [];
+  let headBytes = 0;
+  for (;;) {
+    const {value, done} = await chunks.next();
+    if (done) return createKeptBody(Buffer.concat(head));
+    head.push(value);
+    headBytes += value.length;
+    if (headBytes > MAX_BUFFERED_BODY_BYTES) {
+      return createStreamedBody(head, chunks, contentLength);
+    }
+  }
+}
+
+/** Creates a body whose bytes are at hand. */
+export function createKeptBody(bytes: Buffer): RequestBody {
+  return {
+    bytes,
+    contentLength: bytes.length,
+    canSend: () => true,
+    async *read() {
+      if (bytes.length > 0) yield bytes;
+    },
+  };
+}
+
+function createStreamedBody(
+  head: Buffer[],
+  rest: AsyncIterable<Buffer>,
+  contentLength: number | undefined,
+): RequestBody {
+  let isRead = false;
+  return {
+    contentLength,
+    canSend: () => !isRead,
+    async *read() {
+      isRead = true;
+      yield* head;
+      yield* rest;
+    },
+  };
+}
+
+/** Reads chunks and fails where the caller sends nothing for too long. */
+async function* readChunks(
+  req: IncomingMessage,
+  peer: string,
+  options: ReadBodyOptions,
+): AsyncGenerator<Buffer, undefined> {
+  const chunks = req[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+  let totalBytes = 0;
+  for (;;) {
+    const {value, done} = await readInTime(chunks, peer, options);
+    if (done) return undefined;
+    totalBytes += value.length;
+    if (totalBytes > MAX_BODY_BYTES) {
+      throw new BodyError(
+        peer,
+        413,
+        `body longer than ${MAX_BODY_BYTES} bytes`,
+      );
+    }
+    yield value;
+  }
+}
+
+async function readInTime(
+  chunks: AsyncIterator<Buffer>,
+  peer: string,
+  options: ReadBodyOptions,
+): Promise<IteratorResult<Buffer, undefined>> {
+  const {timers, progressTimeoutMs} = options;
+  let timeout: AsyncDisposable | undefined;
+  const expired = new Promise<never>((_, reject) => {
+    timeout = timers.after(progressTimeoutMs, () =>
+      reject(
+        new BodyError(
+          peer,
+          408,
+          `no byte of the body for ${progressTimeoutMs} ms`,
+        ),
+      ),
+    );
+  });
+  try {
+    return await Promise.race([chunks.next(), expired]);
+  } finally {
+    await timeout?.[Symbol.asyncDispose]();
+  }
+}
--- a/packages/instance/src/http/send_refusal.ts
+++ b/packages/instance/src/http/send_refusal.ts
@@ -1,15 +1,18 @@
 import type {ServerResponse} from 'node:http';
 import {HeaderName, Outcome, type Step} from '@primrosestage/common';
 
+/** Seconds after which a repeat of a refused request makes sense. */
+const RETRY_AFTER_SECONDS = 1;
+
 /** Describes an answer that no backend server gave. */
 export interface RefusalOptions {
   status: number;
-  outcome: Outcome;
+  outcome: Outcome.NotRun | Outcome.Unknown;
   step: Step;
   peer: string;
   message: string;
-  /** Seconds after which a repeat makes sense. */
-  retryAfterSeconds?: number;
+  requestId?: string;
+  freeSlots?: number;
 }
 
 /**
@@ -25,21 +28,21 @@
     res.destroy();
     return;
   }
-  const text = JSON.stringify({
-    outcome: options.outcome,
-    step: options.step,
-    peer: options.peer,
-    message: options.message,
-  });
-  res.writeHead(options.status, {
+  const {status, outcome, step, peer, message, requestId, freeSlots} = options;
+  const text = JSON.stringify({outcome, step, peer, message, requestId});
+  res.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
-    [HeaderName.Outcome]: options.outcome,
-    [HeaderName.Step]: options.step,
-    [HeaderName.Peer]: options.peer,
-    ...(options.retryAfterSeconds === undefined
+    [HeaderName.Outcome]: outcome,
+    [HeaderName.Step]: step,
+    [HeaderName.Peer]: peer,
+    ...(requestId === undefined ? {} : {[HeaderName.RequestId]: requestId}),
+    ...(freeSlots === undefined
       ? {}
-      : {'retry-after': String(options.retryAfterSeconds)}),
+      : {[HeaderName.FreeSlots]: String(freeSlots)}),
+    ...(outcome === Outcome.NotRun && status === 503
+      ? {'retry-after': String(RETRY_AFTER_SECONDS)}
+      : {}),
   });
   res.end(text);
 }
--- /dev/null
+++ b/packages/instance/src/idempotency/home_router.ts
@@ -0,0 +1,319 @@
+import type http from 'node:http';
+import {
+  type ConnectFunction,
+  createAgent,
+  getErrorMessage,
+  type InvariantMonitor,
+  type Logger,
+  Outcome,
+  Step,
+  type TimerService,
+} from '@primrosestage/common';
+import {
+  formatKeyPrefix,
+  getSuccessors,
+  type Hash64,
+  type IdempotencyKey,
+  type InstanceInfo,
+  KeyTable,
+  parseIdempotencyKey,
+  type Topology,
+} from '@primrosestage/steering';
+import type {AttemptResult} from '../exchange/index.js';
+import type {RequestBody} from '../http/index.js';
+import {type Dispatcher, InstanceRole, type RelayTask} from '../relay/index.js';
+import type {RequestContext} from '../request_context.js';
+import {createPeerClient, procedure, router} from '../rpc/index.js';
+import {createHandover, decodeRecord} from './handover.js';
+import {HANDOVER_SCHEMA, type HandoverMessage} from './handover_schema.js';
+import {HomeTask} from './home_task.js';
+
+/** Bounds of one table; a full one refuses new keys. */
+const MAX_RECORDS = 50_000;
+const MAX_BYTES = 128 * 1024 * 1024;
+/** Successors that are asked for records; the second one serves where the first failed. */
+const MAX_SUCCESSORS = 2;
+const HANDOVER_TIMEOUT_MS = 5_000;
+/** Status of an instance that does not keep the key's records: Misdirected Request. */
+const NO_RECORDS_STATUS = 421;
+
+/** Configures the routing of requests to the homes of their keys. */
+export interface HomeRouterOptions {
+  topology: Topology;
+  self: InstanceInfo;
+  /** Start time of this instance in milliseconds since the Unix epoch. */
+  incarnation: number;
+  hash: Hash64;
+  dispatcher: Dispatcher;
+  relay: RelayTask;
+  timers: TimerService;
+  logger: Logger;
+  monitor: InvariantMonitor;
+  connect: ConnectFunction;
+  /** Gets the instances that may keep records of others. */
+  getLiveInstances(): readonly InstanceInfo[];
+}
+
+/** Sends requests to the homes of their keys, and is the home of its own keys. */
+export class HomeRouter implements AsyncDisposable {
+  private readonly tables = new Map<string, KeyTable>();
+  private readonly staged = new Map<string, KeyTable>();
+  private readonly task: HomeTask;
+  private readonly agent: http.Agent;
+  private readonly ownTable: KeyTable;
+  private handover?: Promise<void>;
+
+  constructor(private readonly options: HomeRouterOptions) {
+    const {self, incarnation, timers} = options;
+    this.task = new HomeTask({...options, selfId: self.id});
+    this.agent = createAgent({connect: options.connect});
+    this.ownTable = this.createTable({
+      home: self.id,
+      incarnation,
+      startedAt: timers.now(),
+    });
+    this.tables.set(getTableId(this.ownTable.options), this.ownTable);
+  }
+
+  /** Gets the current epoch of this instance's keys. */
+  getEpoch(): number {
+    return this.ownTable.getEpoch(this.options.timers.now());
+  }
+
+  /** Gets the prefix of the keys whose home is this instance. */
+  getKeyPrefix(): string {
+    const {self, incarnation} = this.options;
+    return formatKeyPrefix(self.id, incarnation, this.getEpoch());
+  }
+
+  /** Creates the router of the control calls of handovers. */
+  createRouter() {
+    return router({
+      adoptKeys: procedure
+        .input(HANDOVER_SCHEMA)
+        .mutation(({input}) => this.adopt(input)),
+    });
+  }
+
+  /**
+   * Sends a caller's request to the home of its key.
+   * @param ctx - The request's context, with a key.
+   * @param body - Its body.
+   * @param signal - Cancels the request.
+   */
+  async route(
+    ctx: RequestContext,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const {topology, relay, self} = this.options;
+    const key = parseIdempotencyKey(ctx.idempotencyKey ?? '');
+    if (!key) return this.refuseMalformed();
+    await this.handover;
+    const table = this.tables.get(getTableId(key));
+    if (table) return this.task.execute(table, key, ctx, body, signal);
+    const home = topology.getInstance(key.home);
+    if (!home) return this.refuseLost(ctx, `no instance ${key.home}`);
+    if (home.id === self.id) {
+      return this.askSuccessors(home, ctx, body, signal, 'restarted');
+    }
+    const result = await relay.send(home, InstanceRole.Home, ctx, body, signal);
+    const {refusal} = result;
+    // `not-run` by the relay itself means that no byte reached the home.
+    const isUnreachable =
+      refusal?.step === Step.Relay && refusal.outcome === Outcome.NotRun;
+    return isUnreachable && !signal.aborted
+      ? this.askSuccessors(home, ctx, body, signal, refusal.message)
+      : result;
+  }
+
+  /**
+   * Runs a request that another instance sent here as the home of its key.
+   * @param ctx - The request's context, with a key.
+   * @param body - Its body.
+   * @param signal - Cancels the request.
+   */
+  async executeAsHome(
+    ctx: RequestContext,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const {self} = this.options;
+    const key = parseIdempotencyKey(ctx.idempotencyKey ?? '');
+    if (!key) return this.refuseMalformed();
+    await this.handover;
+    const table = this.tables.get(getTableId(key));
+    if (table) return this.task.execute(table, key, ctx, body, signal);
+    return key.home === self.id
+      ? this.askSuccessors(self, ctx, body, signal, 'restarted')
+      : this.refuseLost(ctx, `no records of ${key.home}`, NO_RECORDS_STATUS);
+  }
+
+  /**
+   * Hands all records to a successor after the last request under a key has ended. Requests
+   * that arrive meanwhile wait and are then sent on.
+   */
+  handOver(): Promise<void> {
+    this.handover ??= this.runHandover();
+    return this.handover;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.task[Symbol.asyncDispose]();
+    this.agent.destroy();
+  }
+
+  private async runHandover(): Promise<void> {
+    await this.task.waitUntilIdle();
+    for (const [id, table] of this.tables) {
+      const isDone = await this.handOverTable(table);
+      if (isDone) this.tables.delete(id);
+    }
+  }
+
+  private async handOverTable(table: KeyTable): Promise<boolean> {
+    const {hash, getLiveInstances, timers, logger, self} = this.options;
+    const home = {id: table.options.home, region: self.region};
+    const successors = getSuccessors(home, getLiveInstances(), hash)
+      .filter(({id}) => id !== self.id)
+      .slice(0, MAX_SUCCESSORS);
+    for (const successor of successors) {
+      try {
+        for (const message of createHandover(table, timers.now())) {
+          await this.sendPart(successor, message);
+        }
+        logger.info('key records handed over', {
+          step: Step.Shutdown,
+          peer: successor.id,
+          home: home.id,
+          records: table.size,
+        });
+        return true;
+      } catch (err) {
+        logger.warn('handover of key records failed', {
+          step: Step.Shutdown,
+          peer: successor.id,
+          home: home.id,
+          message: getErrorMessage(err),
+        });
+      }
+    }
+    return false;
+  }
+
+  private async sendPart(
+    successor: InstanceInfo,
+    message: HandoverMessage,
+  ): Promise<void> {
+    const client = createPeerClient<AppRouter>({
+      address: successor.internalAddress,
+      agent: this.agent,
+      timeoutMs: HANDOVER_TIMEOUT_MS,
+    });
+    await client.keys.adoptKeys.mutate(message);
+  }
+
+  private adopt(message: HandoverMessage): {isAdopted: true} {
+    const id = getTableId(message);
+    if (message.part === 0) {
+      const {home, incarnation, lastEpoch} = message;
+      const startedAt = this.options.timers.now() - message.ageMs;
+      this.staged.set(
+        id,
+        this.createTable({home, incarnation, lastEpoch, startedAt}),
+      );
+    }
+    const table = this.staged.get(id);
+    for (const record of message.records) {
+      table?.adopt(record.id, decodeRecord(record));
+    }
+    if (message.isLast && table) {
+      this.staged.delete(id);
+      this.tables.set(id, table);
+    }
+    return {isAdopted: true};
+  }
+
+  private async askSuccessors(
+    home: InstanceInfo,
+    ctx: RequestContext,
+    body: RequestBody,
+    signal: AbortSignal,
+    reason: string,
+  ): Promise<AttemptResult> {
+    const {hash, getLiveInstances, relay, self} = this.options;
+    const successors = getSuccessors(home, getLiveInstances(), hash)
+      .slice(0, MAX_SUCCESSORS)
+      .filter(({id}) => id !== self.id);
+    for (const successor of successors) {
+      if (!body.canSend() || signal.aborted) break;
+      const result = await relay.send(
+        successor,
+        InstanceRole.Home,
+        ctx,
+        body,
+        signal,
+      );
+      const {refusal} = result;
+      const hasNone =
+        refusal !== undefined &&
+        (refusal.status === NO_RECORDS_STATUS ||
+          (refusal.step === Step.Relay && refusal.outcome === Outcome.NotRun));
+      if (!hasNone) return result;
+    }
+    return this.refuseLost(ctx, `records of ${home.id} are lost: ${reason}`);
+  }
+
+  private createTable(
+    options: Pick<
+      KeyTable['options'],
+      'home' | 'incarnation' | 'startedAt' | 'lastEpoch'
+    >,
+  ): KeyTable {
+    return new KeyTable({
+      ...options,
+      maxRecords: MAX_RECORDS,
+      maxBytes: MAX_BYTES,
+    });
+  }
+
+  private refuseMalformed(): AttemptResult {
+    return {
+      refusal: {
+        status: 400,
+        outcome: Outcome.NotRun,
+        step: Step.Ingress,
+        peer: this.options.self.id,
+        message:
+          'malformed idempotency-key, expected keyPrefix of a lookup answer, a dot and a unique part',
+      },
+    };
+  }
+
+  /** Refuses a request whose key's records are not at hand; a repeat may have run before. */
+  private refuseLost(
+    ctx: RequestContext,
+    message: string,
+    status?: number,
+  ): AttemptResult {
+    const outcome = ctx.isFirstAttempt ? Outcome.NotRun : Outcome.Unknown;
+    return {
+      refusal: {
+        status: status ?? (ctx.isFirstAttempt ? 503 : 502),
+        outcome,
+        step: Step.Ingress,
+        peer: this.options.self.id,
+        message,
+      },
+    };
+  }
+}
+
+/** The part of the instances' router that handovers call. */
+type AppRouter = ReturnType<
+  typeof router<{keys: ReturnType<HomeRouter['createRouter']>}>
+>;
+
+function getTableId(table: Pick<IdempotencyKey, 'home' | 'incarnation'>) {
+  return `${table.home}.${table.incarnation}`;
+}
--- /dev/null
+++ b/packages/instance/src/idempotency/index.ts
@@ -0,0 +1,1 @@
+export {HomeRouter, type HomeRouterOptions} from './home_router.js';
--- a/packages/instance/src/ingress/ingress_task.ts
+++ b/packages/instance/src/ingress/ingress_task.ts
@@ -1,174 +1,214 @@
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Tracer} from '@opentelemetry/api';
 import {
   getErrorMessage,
   HeaderName,
+  type InvariantMonitor,
   type Logger,
   Outcome,
   Step,
   StepError,
   type TimerService,
-  type ConnectFunction,
-  createAgent,
 } from '@primrosestage/common';
 import {
-  type Endpoint,
-  getCandidates,
-  type Hash64,
-  type InstanceInfo,
-  type Topology,
-} from '@primrosestage/steering';
-import {sendHop, sendJson, sendRefusal} from '../http/index.js';
+  type AttemptResult,
+  sendAnswer,
+  type SendAnswerFailure,
+} from '../exchange/index.js';
+import {
+  BodyError,
+  getHeader,
+  readBody,
+  type RequestBody,
+  sendRefusal,
+} from '../http/index.js';
+import type {HomeRouter} from '../idempotency/index.js';
 import type {OwnerTask} from '../owner/index.js';
+import {type Dispatcher, InstanceRole} from '../relay/index.js';
 import type {RequestContext} from '../request_context.js';
+import {type RequestMetrics, startHopSpan} from '../telemetry/index.js';
 import {parseRequest, type ParseRequestOptions} from './parse_request.js';
-
-const HOP_BY_HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'host',
-]);
+import {RequestError} from './request_error.js';
+import type {RequestTracker} from './request_tracker.js';
 
 /** Configures the ingress. */
 export interface IngressTaskOptions {
   parse: ParseRequestOptions;
-  topology: Topology;
-  self: InstanceInfo;
-  hash: Hash64;
   owner: OwnerTask;
+  dispatcher: Dispatcher;
+  homes: HomeRouter;
+  tracker: RequestTracker;
   timers: TimerService;
   logger: Logger;
+  monitor: InvariantMonitor;
+  tracer: Tracer;
+  metrics: RequestMetrics;
   progressTimeoutMs: number;
-  connect: ConnectFunction;
 }
 
-/** Takes requests from callers and passes them to the owner of an endpoint. */
-export class IngressTask implements AsyncDisposable {
-  private readonly agent: http.Agent;
-
-  constructor(private readonly options: IngressTaskOptions) {
-    this.agent = createAgent({connect: options.connect});
-  }
+/** Takes requests from callers and other instances and answers them in full or refuses them. */
+export class IngressTask {
+  constructor(private readonly options: IngressTaskOptions) {}
 
   /**
-   * Answers a request in full or refuses it.
-   * @param req - The caller's or another instance's request.
+   * Answers a request.
+   * @param req - The request.
    * @param res - Its response.
+   * @param isInternal - Whether it came from another instance.
    */
-  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+    isInternal: boolean,
+  ): Promise<void> {
+    this.options.tracker.add(res);
+    // Writes after the peer has gone fail; the close of the response is what counts.
+    res.on('error', () => {});
     let ctx: RequestContext;
     try {
-      ctx = parseRequest(req, this.options.parse);
+      ctx = parseRequest(req, isInternal, this.options.parse);
     } catch (err) {
-      const stepErr = err as StepError;
-      sendJson(res, stepErr.step === Step.Lookup ? 404 : 400, {
-        step: stepErr.step,
-        peer: stepErr.peer,
-        message: getErrorMessage(err),
-      });
+      this.refuseInvalid(err, res);
       return;
     }
-    const owner = this.chooseOwner(ctx);
-    if (!owner || owner.id === this.options.self.id || ctx.hops > 0) {
-      await this.options.owner.handle(ctx, req, res);
-      return;
+    const abort = new AbortController();
+    res.once('close', () => {
+      if (!res.writableFinished) abort.abort();
+    });
+    const span = startHopSpan({
+      tracer: this.options.tracer,
+      step: isInternal ? Step.Owner : Step.Ingress,
+      peer: req.socket.remoteAddress ?? '',
+      requestId: ctx.requestId,
+      traceParent: ctx.traceParent,
+    });
+    const startedAt = this.options.timers.now();
+    const pulse = this.startPulse(res, isInternal);
+    try {
+      const body = await readBody(req, this.options);
+      const result = await this.execute(
+        {...ctx, traceParent: span.traceParent},
+        body,
+        abort.signal,
+        isInternal,
+      );
+      const failure = await this.respond(ctx, result, res);
+      span.end(result.refusal?.outcome ?? Outcome.Answered, failure?.message);
+      if (!isInternal) this.count(ctx, result, failure, startedAt);
+    } catch (err) {
+      span.end(Outcome.NotRun, getErrorMessage(err));
+      this.refuseInvalid(err, res, ctx);
+    } finally {
+      pulse[Symbol.dispose]();
     }
-    await this.relay(ctx, owner, req, res);
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    this.agent.destroy();
-  }
-
-  private chooseOwner(ctx: RequestContext): InstanceInfo | undefined {
-    const {topology, hash, self} = this.options;
-    const endpoints = topology.getEndpoints(ctx.service.team, ctx.service.name);
-    const rank = (endpoint: Endpoint) =>
-      endpoint.zone === self.zone ? 0 : endpoint.region === self.region ? 1 : 2;
-    const [nearest] = [...endpoints].sort((a, b) => rank(a) - rank(b));
-    if (!nearest) return undefined;
-    return getCandidates(nearest, topology.instances, hash)[0];
+  private execute(
+    ctx: RequestContext,
+    body: RequestBody,
+    signal: AbortSignal,
+    isInternal: boolean,
+  ): Promise<AttemptResult> {
+    const {owner, dispatcher, homes} = this.options;
+    if (isInternal) {
+      return getHeader(ctx.headers, HeaderName.Role) === InstanceRole.Home
+        ? homes.executeAsHome(ctx, body, signal)
+        : owner.execute(ctx, body, signal);
+    }
+    return ctx.idempotencyKey === undefined
+      ? dispatcher.dispatch(ctx, body, signal)
+      : homes.route(ctx, body, signal);
   }
 
-  private async relay(
+  /** Sends the answer or refusal; returns why the caller has not received all of it. */
+  private async respond(
     ctx: RequestContext,
-    owner: InstanceInfo,
-    req: IncomingMessage,
+    result: AttemptResult,
     res: ServerResponse,
-  ): Promise<void> {
-    const abort = new AbortController();
-    res.once('close', () => abort.abort());
-    const result = await sendHop({
-      step: Step.Relay,
-      peer: owner.id,
-      address: owner.internalAddress,
-      method: req.method ?? 'GET',
-      path: req.url ?? '/',
-      headers: {
-        ...filterHeaders(req.headers),
-        [HeaderName.RequestId]: ctx.requestId,
-        [HeaderName.Hops]: String(ctx.hops + 1),
-        [HeaderName.DeadlineMs]: String(this.getRemainingMs(ctx)),
-        [HeaderName.SourceRegion]: ctx.sourceRegion,
-        [HeaderName.SourceZone]: ctx.sourceZone,
-      },
-      body: req,
-      agent: this.agent,
-      timers: this.options.timers,
-      deadlineMs: this.getRemainingMs(ctx),
-      progressTimeoutMs: this.options.progressTimeoutMs,
-      signal: abort.signal,
+  ): Promise<SendAnswerFailure | undefined> {
+    const {requestId} = ctx;
+    if (result.refusal) {
+      const {refusal} = result;
+      this.options.logger.log(
+        refusal.outcome === Outcome.Unknown ? 'warn' : 'debug',
+        'request refused',
+        {requestId, ...refusal},
+      );
+      const isByCaller = res.destroyed;
+      sendRefusal(res, {...refusal, requestId});
+      return {message: refusal.message, isByCaller};
+    }
+    if (res.destroyed) {
+      result.answer.cancel();
+      return {message: 'the caller closed the connection', isByCaller: true};
+    }
+    const failure = await sendAnswer(result.answer, res, {
+      ...this.options,
+      requestId,
+      isHead: ctx.method === 'HEAD',
     });
-    if (result.res) {
-      await passOn(result.res, res);
-      return;
+    if (failure !== undefined) {
+      this.options.logger.info('answer cut', {
+        requestId,
+        step: Step.Ingress,
+        peer: res.req.socket.remoteAddress,
+        message: failure.message,
+      });
     }
+    return failure;
+  }
+
+  private refuseInvalid(
+    err: unknown,
+    res: ServerResponse,
+    ctx?: RequestContext,
+  ): void {
+    const {logger, parse} = this.options;
+    const isExpected = err instanceof RequestError || err instanceof BodyError;
+    const stepErr = err instanceof StepError ? err : undefined;
+    const refusal = {
+      requestId: ctx?.requestId,
+      step: stepErr?.step ?? Step.Ingress,
+      peer: stepErr?.peer ?? parse.self.id,
+      message: getErrorMessage(err),
+    };
+    if (res.destroyed) return;
+    if (!isExpected) logger.error('request failed', refusal);
+    // After an error of the body the rest of it may still arrive on the connection.
+    if (!res.headersSent) res.setHeader('connection', 'close');
     sendRefusal(res, {
-      status: result.mayHaveRun ? 502 : 503,
-      outcome: result.mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
-      step: result.err.step,
-      peer: result.err.peer,
-      message: result.err.message,
+      ...refusal,
+      status: isExpected ? err.status : 500,
+      outcome: isExpected ? Outcome.NotRun : Outcome.Unknown,
     });
   }
 
-  private getRemainingMs(ctx: RequestContext): number {
-    return Math.max(0, Math.floor(ctx.deadlineAt - this.options.timers.now()));
+  /** Shows the sending instance that this one is alive while a backend server works. */
+  private startPulse(res: ServerResponse, isInternal: boolean): Disposable {
+    const {timers, progressTimeoutMs} = this.options;
+    if (!isInternal) return {[Symbol.dispose]: () => {}};
+    const pulse = timers.every(progressTimeoutMs / 4, () => {
+      if (!res.headersSent && !res.destroyed) res.writeProcessing();
+    });
+    return {[Symbol.dispose]: () => void pulse[Symbol.asyncDispose]()};
   }
-}
-
-/**
- * Removes the headers that hold for one connection only.
- * @param headers - Headers as received.
- * @returns Headers to pass on.
- */
-export function filterHeaders(
-  headers: http.IncomingHttpHeaders,
-): http.OutgoingHttpHeaders {
-  return Object.fromEntries(
-    Object.entries(headers).filter(([name]) => !HOP_BY_HOP_HEADERS.has(name)),
-  );
-}
 
-/**
- * Streams an answer to the caller; a truncated one destroys the caller's connection.
- * @param from - The answer received.
- * @param res - The answer sent.
- */
-export async function passOn(
-  from: IncomingMessage,
-  res: ServerResponse,
-): Promise<void> {
-  res.writeHead(from.statusCode ?? 502, filterHeaders(from.headers));
-  try {
-    await pipeline(from, res);
-  } catch {
-    res.destroy();
+  private count(
+    ctx: RequestContext,
+    result: AttemptResult,
+    failure: SendAnswerFailure | undefined,
+    startedAt: number,
+  ): void {
+    const {metrics, timers} = this.options;
+    const labels = {team: ctx.service.team, service: ctx.service.name};
+    if (failure?.isByCaller) {
+      metrics.cancelled.inc(labels);
+      return;
+    }
+    metrics.requestSeconds.observe(labels, (timers.now() - startedAt) / 1e3);
+    const outcome =
+      result.refusal?.outcome ??
+      (failure === undefined ? Outcome.Answered : Outcome.Unknown);
+    metrics.countOutcome(labels, outcome, result.refusal?.step ?? Step.Backend);
   }
 }
--- a/packages/instance/src/ingress/parse_request.ts
+++ b/packages/instance/src/ingress/parse_request.ts
@@ -3,18 +3,20 @@
 import {
   HeaderName,
   RequestClass,
-  Step,
-  StepError,
   type TimerService,
 } from '@primrosestage/common';
 import type {InstanceInfo, Topology} from '@primrosestage/steering';
+import {getHeader} from '../http/index.js';
 import type {RequestContext} from '../request_context.js';
+import {RequestError} from './request_error.js';
 
 /** Most instances that may pass a request on. */
 export const HOP_LIMIT = 3;
 
 const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+const NON_IDEMPOTENT_METHODS = new Set(['POST', 'PATCH']);
 const REQUEST_PATH = /^\/v1\/requests\/([a-z0-9-]+)\/([a-z0-9-]+)(\/.*|\?.*)?$/;
+const REQUEST_ID = /^[\x21-\x7e]{1,128}$/;
 
 /** Configures the parsing of requests. */
 export interface ParseRequestOptions {
@@ -28,64 +30,75 @@
 /**
  * Reads what a request asks for from its line and headers.
  * @param req - The request.
+ * @param isInternal - Whether another instance sent it, whose source headers are trusted.
  * @param options - Topology, this instance and time limits.
  * @returns The context that goes with the request.
- * @throws StepError when the path, service, deadline or hop count is not valid.
+ * @throws RequestError when the method, path, service, a header or the hop count is not valid.
  */
 export function parseRequest(
   req: IncomingMessage,
+  isInternal: boolean,
   options: ParseRequestOptions,
 ): RequestContext {
-  const match = REQUEST_PATH.exec(req.url ?? '');
-  const peer = options.self.id;
+  const {self, topology, timers} = options;
+  const {headers, method = '', url = ''} = req;
+  const fail = (status: number, message: string) =>
+    new RequestError(self.id, status, message);
+  if (req.httpVersionMajor !== 1 || req.httpVersionMinor < 1) {
+    // Without chunked encoding a truncated body cannot be told from a whole one.
+    throw fail(505, `HTTP/${req.httpVersion}, expected HTTP/1.1`);
+  }
+  const isIdempotent = IDEMPOTENT_METHODS.has(method);
+  if (!isIdempotent && !NON_IDEMPOTENT_METHODS.has(method)) {
+    throw fail(405, `method ${method} is not supported`);
+  }
+  const match = REQUEST_PATH.exec(url);
   if (!match) {
-    throw new StepError(
-      {step: Step.Ingress, peer},
-      'expected a path /v1/requests/{team}/{service}/{path}',
-    );
+    throw fail(400, 'expected a path /v1/requests/{team}/{service}/{path}');
   }
   const [, team = '', serviceName = '', rest = '/'] = match;
-  const service = options.topology.getServiceOrThrow(team, serviceName);
-  const hops = readCount(req, HeaderName.Hops, 0, peer);
-  if (hops >= HOP_LIMIT) {
-    throw new StepError({step: Step.Ingress, peer}, `hop limit ${HOP_LIMIT}`);
+  const service = topology.getService(team, serviceName);
+  if (!service) throw fail(404, `team ${team} has no service ${serviceName}`);
+  const readCount = (name: HeaderName, fallback: number) => {
+    const text = getHeader(headers, name);
+    if (text === undefined) return fallback;
+    if (/^\d{1,9}$/.test(text)) return Number(text);
+    const found = JSON.stringify(text);
+    throw fail(400, `header ${name}: found ${found}, expected a whole number`);
+  };
+  const hops = readCount(HeaderName.Hops, 0);
+  if (hops > HOP_LIMIT) throw fail(508, `more than ${HOP_LIMIT} hops`);
+  const requestId = getHeader(headers, HeaderName.RequestId);
+  if (requestId !== undefined && !REQUEST_ID.test(requestId)) {
+    throw fail(
+      400,
+      `header ${HeaderName.RequestId}: expected at most 128 visible characters`,
+    );
   }
   const deadlineMs = Math.min(
-    readCount(req, HeaderName.DeadlineMs, options.defaultDeadlineMs, peer),
+    readCount(HeaderName.DeadlineMs, options.defaultDeadlineMs),
     options.maxRequestMs,
   );
+  const getSource = (name: HeaderName) =>
+    isInternal ? getHeader(headers, name) : undefined;
   return {
-    requestId: getHeader(req, HeaderName.RequestId) ?? randomUUID(),
+    requestId: requestId ?? randomUUID(),
     service,
-    requestClass: IDEMPOTENT_METHODS.has(req.method ?? '')
+    requestClass: isIdempotent
       ? RequestClass.Idempotent
       : RequestClass.NonIdempotent,
+    method,
+    url,
     path: rest.startsWith('/') ? rest : `/${rest}`,
-    deadlineAt: options.timers.now() + deadlineMs,
+    headers,
+    deadlineAt: timers.now() + deadlineMs,
     hops,
-    sourceRegion:
-      getHeader(req, HeaderName.SourceRegion) ?? options.self.region,
-    sourceZone: getHeader(req, HeaderName.SourceZone) ?? options.self.zone,
-    traceParent: getHeader(req, HeaderName.TraceParent),
+    sourceRegion: getSource(HeaderName.SourceRegion) ?? self.region,
+    sourceZone: getSource(HeaderName.SourceZone) ?? self.zone,
+    traceParent: getHeader(headers, HeaderName.TraceParent),
+    idempotencyKey: isIdempotent
+      ? undefined
+      : getHeader(headers, HeaderName.IdempotencyKey),
+    isFirstAttempt: getHeader(headers, HeaderName.Attempt) === '1',
   };
 }
-
-function getHeader(req: IncomingMessage, name: HeaderName): string | undefined {
-  const value = req.headers[name];
-  return Array.isArray(value) ? value[0] : value;
-}
-
-function readCount(
-  req: IncomingMessage,
-  name: HeaderName,
-  fallback: number,
-  peer: string,
-): number {
-  const text = getHeader(req, name);
-  if (text === undefined) return fallback;
-  if (/^\d{1,9}$/.test(text)) return Number(text);
-  throw new StepError(
-    {step: Step.Ingress, peer},
-    `header ${name}: found ${JSON.stringify(text)}, expected a whole number`,
-  );
-}
--- a/packages/instance/src/owner/index.ts
+++ b/packages/instance/src/owner/index.ts
@@ -1,1 +1,3 @@
+export {isEndpointDrained} from './is_endpoint_drained.js';
 export {OwnerTask, type OwnerTaskOptions} from './owner_task.js';
+export type {LoadReport} from './probe_endpoint.js';
--- a/packages/instance/src/owner/owner_task.ts
+++ b/packages/instance/src/owner/owner_task.ts
@@ -1,142 +1,408 @@
-import type http from 'node:http';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Tracer} from '@opentelemetry/api';
 import {
-  HeaderName,
+  type ConnectFunction,
+  Invariant,
+  type InvariantMonitor,
+  type Logger,
   Outcome,
+  RequestClass,
   Step,
   type TimerService,
-  type ConnectFunction,
-  createAgent,
 } from '@primrosestage/common';
+import type {ConfigurationView} from '@primrosestage/control';
 import {
+  type AdmissionRules,
   type Endpoint,
-  getCandidates,
-  type Hash64,
+  type EndpointOwnership,
+  getDrainingSince,
+  type HealthEvent,
   type InstanceInfo,
+  RefusalReason,
+  RequestOrigin,
   type Topology,
 } from '@primrosestage/steering';
-import {sendHop, sendRefusal} from '../http/index.js';
-import {filterHeaders, passOn} from '../ingress/ingress_task.js';
-import type {RequestContext} from '../request_context.js';
+import type {AttemptResult, Refusal} from '../exchange/index.js';
+import type {RequestBody} from '../http/index.js';
+import {getServiceKey, type RequestContext} from '../request_context.js';
+import type {RetryGate} from '../relay/index.js';
+import {
+  type RequestMetrics,
+  type ServiceTimes,
+  startHopSpan,
+} from '../telemetry/index.js';
+import {Backend, type BackendResult} from './backend.js';
+import {isEndpointDrained} from './is_endpoint_drained.js';
+import type {LoadReport} from './probe_endpoint.js';
+import {Prober} from './prober.js';
+import {ServiceQueue} from './service_queue.js';
+
+/** Values that hold until a team's document is known. */
+const DEFAULT_HEADROOM = 0.2;
+const DEFAULT_MAX_QUEUE_MS = 50;
 
 /** Configures the owner. */
 export interface OwnerTaskOptions {
   topology: Topology;
   self: InstanceInfo;
-  hash: Hash64;
+  ownership: EndpointOwnership;
+  configuration: ConfigurationView;
   timers: TimerService;
-  progressTimeoutMs: number;
+  logger: Logger;
+  monitor: InvariantMonitor;
+  tracer: Tracer;
+  metrics: RequestMetrics;
+  times: ServiceTimes;
+  retries: RetryGate;
   connect: ConnectFunction;
+  progressTimeoutMs: number;
+  slowStartMs: number;
+  probeIntervalMs: number;
 }
 
-/** Owns endpoints: admits requests to them by exact count and sends them on. */
+/** Admits requests to the endpoints that this instance owns and sends them there. */
 export class OwnerTask implements AsyncDisposable {
-  private readonly agent: http.Agent;
-  private readonly inFlight = new Map<string, number>();
+  private readonly queues = new Map<string, ServiceQueue>();
+  private readonly backends = new Map<string, Backend>();
+  private readonly prober: Prober;
+  private attemptCount = 0;
 
   constructor(private readonly options: OwnerTaskOptions) {
-    this.agent = createAgent({connect: options.connect});
+    this.prober = new Prober({
+      connect: options.connect,
+      timers: options.timers,
+      logger: options.logger,
+      intervalMs: options.probeIntervalMs,
+      getEndpoints: () => this.getOwnedEndpoints(),
+      onHealthEvent: (endpoint, event) => this.observe(endpoint, event),
+    });
   }
 
   /**
-   * Sends a request to an owned endpoint or refuses it.
+   * Runs a request at an owned endpoint or refuses it.
    * @param ctx - The request's context.
-   * @param req - The request.
-   * @param res - Its response.
+   * @param body - Its body.
+   * @param signal - Cancels the request.
+   * @returns The answer, whose body is still to be read, or the refusal.
    */
-  async handle(
+  async execute(
     ctx: RequestContext,
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const endpoint = this.chooseEndpoint(ctx);
-    if (!endpoint) {
-      sendRefusal(res, {
-        status: 503,
-        outcome: Outcome.NotRun,
-        step: Step.Owner,
-        peer: this.options.self.id,
-        message: `no free slot for ${ctx.service.name}`,
-        retryAfterSeconds: 1,
-      });
-      return;
-    }
-    this.addInFlight(endpoint, 1);
-    try {
-      await this.exchange(ctx, endpoint, req, res);
-    } finally {
-      this.addInFlight(endpoint, -1);
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const queue = this.getQueue(ctx.service);
+    const excluded = new Set<string>();
+    let mayHaveRun = false;
+    for (let attempts = 1; ; attempts++) {
+      const decision = await queue.admit(
+        this.createAdmissionRequest(ctx, excluded),
+        signal,
+      );
+      if (decision?.endpointId === undefined) {
+        return {
+          refusal: this.refuse(ctx, queue, decision?.reason, mayHaveRun),
+        };
+      }
+      this.options.metrics.queueWaitSeconds.observe(
+        getLabels(ctx),
+        decision.waitedMs / 1e3,
+      );
+      const endpoint = this.options.topology.getEndpoint(decision.endpointId)!;
+      this.options.monitor.check(
+        Invariant.AtMostOnce,
+        !(mayHaveRun && ctx.requestClass === RequestClass.NonIdempotent),
+        {requestId: ctx.requestId, peer: endpoint.id},
+      );
+      const result = await this.runAt(endpoint, ctx, body, signal);
+      if (result.answer) return result;
+      mayHaveRun ||= result.mayHaveRun;
+      excluded.add(endpoint.id);
+      const isAgain =
+        this.getOwnedEndpoints(ctx.service).some(({id}) => !excluded.has(id)) &&
+        !signal.aborted &&
+        this.options.retries.takeRetry(ctx, Step.Owner, {
+          mayHaveRun,
+          canResend: body.canSend(),
+          attempts,
+        });
+      if (isAgain) continue;
+      const freeSlots = queue.freeSlots;
+      return {
+        refusal: mayHaveRun
+          ? {...result.refusal, ...getUnknown(result.refusal), freeSlots}
+          : {...result.refusal, freeSlots},
+      };
     }
   }
 
+  /**
+   * Gets the free slots of a service at this instance.
+   * @param service - The service.
+   */
+  getFreeSlots(service: {team: string; name: string}): number {
+    return this.getQueue(service).freeSlots;
+  }
+
+  /**
+   * Gets the requests that this instance has in flight at an endpoint.
+   * @param endpoint - The endpoint.
+   */
+  getInFlight(endpoint: Endpoint): number {
+    const service = {team: endpoint.team, name: endpoint.service};
+    return this.getQueue(service).getInFlight(endpoint.id);
+  }
+
+  /**
+   * Gets the last load report of an owned endpoint.
+   * @param endpointId - Id of the endpoint.
+   */
+  getLoadReport(endpointId: string): LoadReport | undefined {
+    return this.prober.getLoadReport(endpointId);
+  }
+
+  /** Decides again on the waiting requests, after limits have changed. */
+  refresh(): void {
+    for (const queue of this.queues.values()) queue.refresh();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
-    this.agent.destroy();
-  }
-
-  private chooseEndpoint(ctx: RequestContext): Endpoint | undefined {
-    const {topology, hash, self} = this.options;
-    const getInFlight = (endpoint: Endpoint) =>
-      this.inFlight.get(endpoint.id) ?? 0;
-    return topology
-      .getEndpoints(ctx.service.team, ctx.service.name)
-      .filter(
-        endpoint =>
-          getCandidates(endpoint, topology.instances, hash)[0]?.id === self.id,
-      )
-      .filter(endpoint => getInFlight(endpoint) < endpoint.slots)
-      .sort((a, b) => getInFlight(a) - getInFlight(b))[0];
-  }
-
-  private addInFlight(endpoint: Endpoint, delta: number): void {
-    this.inFlight.set(
-      endpoint.id,
-      (this.inFlight.get(endpoint.id) ?? 0) + delta,
-    );
+    await this.prober[Symbol.asyncDispose]();
+    for (const queue of this.queues.values()) {
+      await queue[Symbol.asyncDispose]();
+    }
+    for (const backend of this.backends.values()) {
+      await backend[Symbol.asyncDispose]();
+    }
   }
 
-  private async exchange(
-    ctx: RequestContext,
+  private async runAt(
     endpoint: Endpoint,
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const abort = new AbortController();
-    res.once('close', () => abort.abort());
-    const remainingMs = Math.max(
-      0,
-      Math.floor(ctx.deadlineAt - this.options.timers.now()),
-    );
-    const result = await sendHop({
+    ctx: RequestContext,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<BackendResult> {
+    const {timers, tracer, monitor, metrics} = this.options;
+    const queue = this.getQueue(ctx.service);
+    const startedAt = timers.now();
+    const gaugeLabels = {...getLabels(ctx), endpoint: endpoint.id};
+    const inFlight = queue.getInFlight(endpoint.id);
+    metrics.inFlight.set(gaugeLabels, inFlight);
+    monitor.check(Invariant.EndpointWithinSlots, inFlight <= endpoint.slots, {
+      peer: endpoint.id,
+      inFlight,
+      slots: endpoint.slots,
+    });
+    const span = startHopSpan({
+      tracer,
       step: Step.Backend,
       peer: endpoint.id,
-      address: endpoint.address,
-      method: req.method ?? 'GET',
-      path: ctx.path,
-      headers: {
-        ...filterHeaders(req.headers),
-        [HeaderName.RequestId]: ctx.requestId,
-        [HeaderName.DeadlineMs]: String(remainingMs),
-      },
-      body: req,
-      agent: this.agent,
-      timers: this.options.timers,
-      deadlineMs: remainingMs,
-      progressTimeoutMs: this.options.progressTimeoutMs,
-      signal: abort.signal,
+      requestId: ctx.requestId,
+      traceParent: ctx.traceParent,
+    });
+    const release = once(() => {
+      queue.release(endpoint.id);
+      metrics.inFlight.set(gaugeLabels, queue.getInFlight(endpoint.id));
     });
-    if (result.res) {
-      if (!result.res.headers[HeaderName.Outcome]) {
-        result.res.headers[HeaderName.Outcome] = Outcome.Answered;
+    const result = await this.getBackend(endpoint).send(
+      ctx,
+      body,
+      span.traceParent,
+      signal,
+    );
+    if (!result.answer) {
+      span.end(result.refusal.outcome, result.refusal.message);
+      this.options.logger.warn('request failed at endpoint', {
+        requestId: ctx.requestId,
+        step: Step.Backend,
+        peer: endpoint.id,
+        outcome: result.refusal.outcome,
+        message: result.refusal.message,
+      });
+      if (result.mayRunForMs > 0) timers.after(result.mayRunForMs, release);
+      else release();
+      return result;
+    }
+    const end = once((message?: string) => {
+      if (message === undefined) {
+        this.options.times.record(
+          getServiceKey(ctx.service),
+          timers.now() - startedAt,
+        );
       }
-      await passOn(result.res, res);
-      return;
+      span.end(Outcome.Answered, message);
+      release();
+    });
+    const {answer} = result;
+    return {
+      answer: {
+        ...answer,
+        freeSlots: queue.freeSlots,
+        chunks: endAfter(answer.chunks, end),
+        cancel: () => {
+          answer.cancel();
+          end('cancelled');
+        },
+      },
+    };
+  }
+
+  private createAdmissionRequest(
+    ctx: RequestContext,
+    excluded: ReadonlySet<string>,
+  ) {
+    const {self, timers} = this.options;
+    return {
+      id: `${ctx.requestId}/${++this.attemptCount}`,
+      arrivedAt: timers.now(),
+      deadlineAt: ctx.deadlineAt,
+      priority: ctx.service.priority,
+      origin:
+        ctx.sourceRegion !== self.region
+          ? RequestOrigin.OtherRegion
+          : ctx.sourceZone !== self.zone
+            ? RequestOrigin.SameRegion
+            : RequestOrigin.SameZone,
+      excluded,
+    };
+  }
+
+  private refuse(
+    ctx: RequestContext,
+    queue: ServiceQueue,
+    reason: RefusalReason | undefined,
+    mayHaveRun: boolean,
+  ): Refusal {
+    if (reason) {
+      this.options.metrics.refusals.inc({...getLabels(ctx), reason});
+    }
+    return {
+      outcome: mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
+      status: mayHaveRun ? 502 : 503,
+      step: Step.Owner,
+      peer: this.options.self.id,
+      message: `no slot for ${ctx.service.name}: ${reason ?? 'cancelled'}`,
+      freeSlots: queue.freeSlots,
+    };
+  }
+
+  private getOwnedEndpoints(service?: {
+    team: string;
+    name: string;
+  }): readonly Endpoint[] {
+    const {topology, ownership} = this.options;
+    const endpoints = service
+      ? topology.getEndpoints(service.team, service.name)
+      : topology.endpoints;
+    return endpoints.filter(
+      ({id, region}) =>
+        region === this.options.self.region && ownership.getLimit(id) > 0,
+    );
+  }
+
+  private getQueue(service: {team: string; name: string}): ServiceQueue {
+    const key = getServiceKey(service);
+    let queue = this.queues.get(key);
+    if (!queue) {
+      const {topology, self, timers} = this.options;
+      queue = new ServiceQueue({
+        endpointIds: topology
+          .getEndpoints(service.team, service.name)
+          .filter(({region}) => region === self.region)
+          .map(({id}) => id),
+        timers,
+        getRules: () => this.getRules(service),
+      });
+      this.queues.set(key, queue);
+    }
+    return queue;
+  }
+
+  private getRules(service: {team: string; name: string}): AdmissionRules {
+    const {configuration, ownership, topology, times, slowStartMs} =
+      this.options;
+    const preset = configuration.getPreset(service.team);
+    const drains = configuration.getDrains();
+    return {
+      getLimit: id => {
+        const endpoint = topology.getEndpoint(id);
+        return !endpoint || isEndpointDrained(endpoint, drains)
+          ? 0
+          : Math.min(endpoint.slots, ownership.getLimit(id));
+      },
+      headroom: preset?.headroom ?? DEFAULT_HEADROOM,
+      maxQueueMs: preset?.maxQueueMs ?? DEFAULT_MAX_QUEUE_MS,
+      slowStartMs,
+      medianMs: times.getPercentiles(getServiceKey(service)).medianMs,
+    };
+  }
+
+  private getBackend(endpoint: Endpoint): Backend {
+    let backend = this.backends.get(endpoint.id);
+    if (!backend) {
+      backend = new Backend({
+        ...this.options,
+        endpoint,
+        onHealthEvent: event => this.observe(endpoint, event),
+      });
+      this.backends.set(endpoint.id, backend);
     }
-    sendRefusal(res, {
-      status: result.mayHaveRun ? 502 : 503,
-      outcome: result.mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
-      step: result.err.step,
-      peer: result.err.peer,
-      message: result.err.message,
+    return backend;
+  }
+
+  private observe(endpoint: Endpoint, event: HealthEvent): void {
+    const queue = this.getQueue({team: endpoint.team, name: endpoint.service});
+    const before = queue.getHealth(endpoint.id);
+    const health = queue.observe(endpoint.id, event);
+    const drainingSince = getDrainingSince(health);
+    this.backends.get(endpoint.id)?.setLeaving(drainingSince);
+    const hasChanged =
+      before.failingSince !== health.failingSince ||
+      getDrainingSince(before) !== drainingSince;
+    if (!hasChanged) return;
+    this.options.logger.info('endpoint health changed', {
+      step: Step.Backend,
+      peer: endpoint.id,
+      event: event.kind,
+      isFailing: health.failingSince !== undefined,
+      isDraining: drainingSince !== undefined,
     });
   }
 }
+
+function getLabels(ctx: RequestContext): {team: string; service: string} {
+  return {team: ctx.service.team, service: ctx.service.name};
+}
+
+function getUnknown({outcome, status}: Refusal) {
+  return {
+    outcome: Outcome.Unknown as const,
+    status: outcome === Outcome.Unknown ? status : 502,
+  };
+}
+
+/** Wraps a function so that only its first call counts. */
+function once<T extends unknown[]>(
+  fn: (...args: T) => void,
+): (...args: T) => void {
+  let isCalled = false;
+  return (...args) => {
+    if (isCalled) return;
+    isCalled = true;
+    fn(...args);
+  };
+}
+
+async function* endAfter(
+  chunks: AsyncIterable<Buffer>,
+  end: (message?: string) => void,
+): AsyncGenerator<Buffer> {
+  let message: string | undefined = 'cancelled';
+  try {
+    yield* chunks;
+    message = undefined;
+  } catch (err) {
+    message = err instanceof Error ? err.message : String(err);
+    throw err;
+  } finally {
+    end(message);
+  }
+}
--- /dev/null
+++ b/packages/instance/src/owner/probe_endpoint.ts
@@ -0,0 +1,110 @@
+import {HeaderName, type TimerService} from '@primrosestage/common';
+import type {PeerPool} from '../exchange/index.js';
+import {createKeptBody} from '../http/index.js';
+
+const MAX_REPORT_BYTES = 16 * 1024;
+const NO_BODY = createKeptBody(Buffer.alloc(0));
+
+/** Holds what an endpoint reports of its load. */
+export interface LoadReport {
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly draining: boolean;
+  /** Arrival in monotonic milliseconds. */
+  readonly at: number;
+}
+
+/** Holds the result of one round of probes. */
+export interface ProbeResult {
+  readonly isHealthy: boolean;
+  /** Whether `/health` says that the endpoint drains. */
+  readonly isDraining: boolean;
+  readonly load?: LoadReport;
+}
+
+/**
+ * Asks an endpoint for its health and load.
+ * @param pool - Connections that only probes use.
+ * @param timers - The clock.
+ * @param timeoutMs - Longest time for each answer in milliseconds.
+ */
+export async function probeEndpoint(
+  pool: PeerPool,
+  timers: TimerService,
+  timeoutMs: number,
+): Promise<ProbeResult> {
+  const health = await get(pool, timers, '/health', timeoutMs);
+  if (!health) return {isHealthy: false, isDraining: false};
+  const isDraining =
+    health.isMarkedDraining ||
+    (health.status === 503 && health.body.draining === true);
+  // An endpoint that drains is up; it is out of the choice for another reason.
+  const isHealthy = (health.status >= 200 && health.status < 300) || isDraining;
+  if (!isHealthy) return {isHealthy, isDraining};
+  const load = await get(pool, timers, '/load', timeoutMs);
+  return {isHealthy, isDraining, load: parseLoad(load?.body, timers.now())};
+}
+
+interface ProbeAnswer {
+  status: number;
+  isMarkedDraining: boolean;
+  body: Record<string, unknown>;
+}
+
+async function get(
+  pool: PeerPool,
+  timers: TimerService,
+  path: string,
+  timeoutMs: number,
+): Promise<ProbeAnswer | undefined> {
+  const result = await pool.send({
+    method: 'GET',
+    path,
+    headers: {},
+    body: NO_BODY,
+    deadlineAt: timers.now() + timeoutMs,
+    needsFreshConnection: false,
+    signal: new AbortController().signal,
+  });
+  if (result.err) return undefined;
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of result.chunks) {
+      bytes += chunk.length;
+      if (bytes > MAX_REPORT_BYTES) return undefined;
+      chunks.push(chunk);
+    }
+  } catch {
+    return undefined;
+  }
+  return {
+    status: result.res.statusCode ?? 0,
+    isMarkedDraining: result.res.headers[HeaderName.Draining] === '1',
+    body: parseObject(Buffer.concat(chunks).toString('utf8')),
+  };
+}
+
+function parseObject(text: string): Record<string, unknown> {
+  try {
+    const value: unknown = JSON.parse(text);
+    return typeof value === 'object' && value !== null
+      ? (value as Record<string, unknown>)
+      : {};
+  } catch {
+    return {};
+  }
+}
+
+function parseLoad(
+  body: Record<string, unknown> | undefined,
+  now: number,
+): LoadReport | undefined {
+  if (!body || typeof body.inFlight !== 'number') return undefined;
+  return {
+    inFlight: body.inFlight,
+    queued: typeof body.queued === 'number' ? body.queued : 0,
+    draining: body.draining === true,
+    at: now,
+  };
+}
--- /dev/null
+++ b/packages/instance/src/relay/dispatcher.ts
@@ -0,0 +1,286 @@
+import {
+  Invariant,
+  type InvariantMonitor,
+  type Logger,
+  Outcome,
+  Step,
+  type TimerService,
+} from '@primrosestage/common';
+import {
+  getHedgeDelay,
+  type InstanceInfo,
+  type Target,
+  type TargetSelector,
+} from '@primrosestage/steering';
+import type {Answer, AttemptResult, Refusal} from '../exchange/index.js';
+import type {RequestBody} from '../http/index.js';
+import type {OwnerTask} from '../owner/index.js';
+import {getServiceKey, type RequestContext} from '../request_context.js';
+import type {ServiceTimes} from '../telemetry/index.js';
+import {InstanceRole} from './instance_role.js';
+import type {LinkPacer} from './link_pacer.js';
+import {paceBody, paceChunks} from './pace_transfer.js';
+import type {RelayTask} from './relay_task.js';
+import type {RetryGate} from './retry_gate.js';
+
+/** Configures the dispatcher. */
+export interface DispatcherOptions {
+  self: InstanceInfo;
+  selector: TargetSelector;
+  owner: OwnerTask;
+  relay: RelayTask;
+  retries: RetryGate;
+  times: ServiceTimes;
+  timers: TimerService;
+  monitor: InvariantMonitor;
+  logger: Logger;
+  pace?: LinkPacer;
+}
+
+/** Sends requests to the owners that the selector names, again where that is allowed. */
+export class Dispatcher {
+  constructor(private readonly options: DispatcherOptions) {}
+
+  /**
+   * Sends a request until it is answered or may not be sent again.
+   * @param ctx - The request's context.
+   * @param body - Its body.
+   * @param signal - Cancels the request.
+   * @returns The answer, whose body is still to be read, or the refusal.
+   */
+  async dispatch(
+    ctx: RequestContext,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const {retries, monitor} = this.options;
+    const attempts = new Attempts(ctx, body, signal);
+    retries.creditFirstAttempt(ctx);
+    let last: Refusal | undefined;
+    for (;;) {
+      const target = this.selectTarget(attempts);
+      if (!target) break;
+      const result = await this.attemptHedged(attempts, target);
+      if (result.answer) return result;
+      last = result.refusal;
+      const isAgain =
+        !signal.aborted &&
+        retries.takeRetry(ctx, Step.Ingress, {
+          mayHaveRun: attempts.mayHaveRun,
+          canResend: body.canSend(),
+          attempts: attempts.count,
+        });
+      if (!isAgain) break;
+      this.options.logger.info('request sent again', {
+        requestId: ctx.requestId,
+        step: last.step,
+        peer: last.peer,
+        message: last.message,
+      });
+    }
+    const refusal = attempts.conclude(last ?? this.createNoTargetRefusal(ctx));
+    monitor.check(
+      Invariant.NotRunIsTrue,
+      refusal.outcome !== Outcome.NotRun || attempts.unknownCount === 0,
+      {requestId: ctx.requestId, unknownAttempts: attempts.unknownCount},
+    );
+    return {refusal};
+  }
+
+  private selectTarget(attempts: Attempts): Target | undefined {
+    const {ctx, tried} = attempts;
+    return this.options.selector.selectTarget({
+      service: ctx.service,
+      requestClass: ctx.requestClass,
+      sourceRegion: ctx.sourceRegion,
+      tried,
+    });
+  }
+
+  /** Makes an attempt, and a second one in parallel where the first answer is late. */
+  private async attemptHedged(
+    attempts: Attempts,
+    target: Target,
+  ): Promise<AttemptResult> {
+    const {ctx, body} = attempts;
+    const {timers, times, retries} = this.options;
+    const first = this.attempt(attempts, target);
+    const hedgeDelayMs = getHedgeDelay({
+      requestClass: ctx.requestClass,
+      priority: ctx.service.priority,
+      canResend: body.bytes !== undefined,
+      remainingMs: ctx.deadlineAt - timers.now(),
+      ...times.getPercentiles(getServiceKey(ctx.service)),
+    });
+    if (hedgeDelayMs === undefined) return first.result;
+    const early = await raceWithDelay(first.result, hedgeDelayMs, timers);
+    if (early) return early;
+    if (!retries.takeHedge(ctx)) return first.result;
+    const second = this.selectTarget(attempts);
+    if (!second) return first.result;
+    return takeFirstAnswer([first, this.attempt(attempts, second)]);
+  }
+
+  private attempt(attempts: Attempts, target: Target): RunningAttempt {
+    const {signal, tried} = attempts;
+    tried.add(target.owner.id);
+    attempts.count++;
+    const abort = new AbortController();
+    return {
+      result: this.runAttempt(
+        attempts,
+        target,
+        AbortSignal.any([signal, abort.signal]),
+      ),
+      cancel: () => abort.abort(),
+    };
+  }
+
+  private async runAttempt(
+    attempts: Attempts,
+    target: Target,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const {self, owner, relay, timers, selector, times, pace} = this.options;
+    const {ctx} = attempts;
+    const startedAt = timers.now();
+    const transfer = {
+      fromRegion: self.region,
+      toRegion: target.owner.region,
+      priority: ctx.service.priority,
+    };
+    const isRemote = target.owner.region !== self.region;
+    const body =
+      pace && isRemote
+        ? paceBody(attempts.body, transfer, pace)
+        : attempts.body;
+    const result =
+      target.owner.id === self.id
+        ? await owner.execute(ctx, body, signal)
+        : await relay.send(target.owner, InstanceRole.Owner, ctx, body, signal);
+    const record = (outcome: Outcome) =>
+      selector.recordResult({
+        target,
+        service: ctx.service,
+        outcome,
+        freeSlots: (result.answer ?? result.refusal).freeSlots,
+        latencyMs: timers.now() - startedAt,
+      });
+    if (!result.answer) {
+      if (result.refusal.outcome === Outcome.Unknown) attempts.unknownCount++;
+      attempts.mayHaveRun = attempts.unknownCount > 0;
+      record(result.refusal.outcome);
+      return result;
+    }
+    const {answer} = result;
+    const chunks =
+      pace && isRemote
+        ? paceChunks(answer.chunks, transfer, pace)
+        : answer.chunks;
+    return {
+      answer: recordEnd({...answer, chunks}, isWhole => {
+        if (isWhole && target.owner.id !== self.id) {
+          times.record(getServiceKey(ctx.service), timers.now() - startedAt);
+        }
+        record(isWhole ? Outcome.Answered : Outcome.Unknown);
+      }),
+    };
+  }
+
+  private createNoTargetRefusal(ctx: RequestContext): Refusal {
+    return {
+      outcome: Outcome.NotRun,
+      status: 503,
+      step: Step.Ingress,
+      peer: this.options.self.id,
+      message: `no owner of ${ctx.service.name} may take the request`,
+    };
+  }
+}
+
+/** Holds what is known of the attempts of one request. */
+class Attempts {
+  readonly tried = new Set<string>();
+  count = 0;
+  /** Attempts after which the request may have run. */
+  unknownCount = 0;
+  mayHaveRun = false;
+
+  constructor(
+    readonly ctx: RequestContext,
+    readonly body: RequestBody,
+    readonly signal: AbortSignal,
+  ) {}
+
+  /** Makes the last refusal true for all attempts together. */
+  conclude(last: Refusal): Refusal {
+    if (!this.mayHaveRun || last.outcome === Outcome.Unknown) return last;
+    return {...last, outcome: Outcome.Unknown, status: 502};
+  }
+}
+
+interface RunningAttempt {
+  readonly result: Promise<AttemptResult>;
+  cancel(): void;
+}
+
+async function raceWithDelay<T>(
+  promise: Promise<T>,
+  delayMs: number,
+  timers: TimerService,
+): Promise<T | undefined> {
+  const abort = new AbortController();
+  try {
+    return await Promise.race([
+      promise,
+      timers.sleep(delayMs, abort.signal).then(() => undefined),
+    ]);
+  } finally {
+    abort.abort();
+  }
+}
+
+/** Takes the first answer and cancels the rest; the last refusal where none answers. */
+async function takeFirstAnswer(
+  attempts: readonly RunningAttempt[],
+): Promise<AttemptResult> {
+  return new Promise(resolve => {
+    let openCount = attempts.length;
+    let isResolved = false;
+    for (const attempt of attempts) {
+      void attempt.result.then(result => {
+        openCount--;
+        if (isResolved) {
+          result.answer?.cancel();
+        } else if (result.answer || openCount === 0) {
+          isResolved = true;
+          for (const other of attempts) if (other !== attempt) other.cancel();
+          resolve(result);
+        }
+      });
+    }
+  });
+}
+
+function recordEnd(answer: Answer, record: (isWhole: boolean) => void): Answer {
+  let isRecorded = false;
+  const recordOnce = (isWhole: boolean) => {
+    if (!isRecorded) record(isWhole);
+    isRecorded = true;
+  };
+  return {
+    ...answer,
+    chunks: (async function* () {
+      try {
+        yield* answer.chunks;
+        recordOnce(true);
+      } finally {
+        recordOnce(false);
+      }
+    })(),
+    cancel: () => {
+      answer.cancel();
+      recordOnce(false);
+    },
+  };
+}
--- /dev/null
+++ b/packages/instance/src/relay/read_refusal.ts
@@ -0,0 +1,56 @@
+import {HeaderName, Outcome, Step} from '@primrosestage/common';
+import type {ExchangeResult, Refusal} from '../exchange/index.js';
+import {getHeader} from '../http/index.js';
+
+const MAX_REFUSAL_BYTES = 8 * 1024;
+const STEPS = new Set<string>(Object.values(Step));
+
+/**
+ * Reads the refusal of another instance.
+ * @param peer - Id of the instance.
+ * @param result - Its response, which carries no answer.
+ * @returns The refusal; `unknown` where the response names no outcome.
+ */
+export async function readRefusal(
+  peer: string,
+  result: ExchangeResult & {err?: undefined},
+): Promise<Refusal> {
+  const {headers, statusCode = 502} = result.res;
+  const outcome = getHeader(headers, HeaderName.Outcome);
+  const step = getHeader(headers, HeaderName.Step) ?? '';
+  const freeSlots = Number(getHeader(headers, HeaderName.FreeSlots));
+  const message = await readMessage(result);
+  const common = {
+    step: STEPS.has(step) ? (step as Step) : Step.Relay,
+    peer: getHeader(headers, HeaderName.Peer) ?? peer,
+    message: message ?? `${peer} answered ${statusCode}`,
+    freeSlots: Number.isInteger(freeSlots) ? freeSlots : undefined,
+  };
+  if (outcome === Outcome.NotRun) {
+    return {...common, outcome, status: statusCode};
+  }
+  return {
+    ...common,
+    outcome: Outcome.Unknown,
+    status: outcome === undefined ? 502 : statusCode,
+  };
+}
+
+async function readMessage(
+  result: ExchangeResult & {err?: undefined},
+): Promise<string | undefined> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of result.chunks) {
+      bytes += chunk.length;
+      if (bytes > MAX_REFUSAL_BYTES) return undefined;
+      chunks.push(chunk);
+    }
+    const value: unknown = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+    const {message} = value as {message?: unknown};
+    return typeof message === 'string' ? message : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/instance/src/relay/retry_gate.ts
@@ -0,0 +1,86 @@
+import {Step, type TimerService} from '@primrosestage/common';
+import {
+  createRetryBudget,
+  creditFirstAttempt,
+  decideRetry,
+  type FailedAttempt,
+  type RetryBudget,
+  RetryObstacle,
+  takeToken,
+} from '@primrosestage/steering';
+import {getServiceKey, type RequestContext} from '../request_context.js';
+import type {RequestMetrics, ServiceTimes} from '../telemetry/index.js';
+
+/** Configures the retries of an instance. */
+export interface RetryGateOptions {
+  timers: TimerService;
+  times: ServiceTimes;
+  metrics: RequestMetrics;
+}
+
+/** Holds the retry budgets of an instance; all extra attempts of a service share one. */
+export class RetryGate {
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  constructor(private readonly options: RetryGateOptions) {}
+
+  /**
+   * Credits a first attempt.
+   * @param ctx - The request's context.
+   */
+  creditFirstAttempt(ctx: RequestContext): void {
+    this.budgets.set(
+      getServiceKey(ctx.service),
+      creditFirstAttempt(this.getBudget(ctx)),
+    );
+  }
+
+  /**
+   * Decides whether a request is sent again and takes a token where it is.
+   * @param ctx - The request's context.
+   * @param step - The step that would send it.
+   * @param attempt - What is known of the failed attempt.
+   */
+  takeRetry(
+    ctx: RequestContext,
+    step: Step,
+    attempt: Pick<FailedAttempt, 'mayHaveRun' | 'canResend' | 'attempts'>,
+  ): boolean {
+    const {timers, times, metrics} = this.options;
+    const key = getServiceKey(ctx.service);
+    const {obstacle, budget} = decideRetry(
+      {
+        ...attempt,
+        requestClass: ctx.requestClass,
+        remainingMs: ctx.deadlineAt - timers.now(),
+        medianMs: times.getPercentiles(key).medianMs,
+      },
+      this.getBudget(ctx),
+    );
+    this.budgets.set(key, budget);
+    const labels = {team: ctx.service.team, service: ctx.service.name};
+    if (obstacle === RetryObstacle.None) metrics.retries.inc({...labels, step});
+    else metrics.retryObstacles.inc({...labels, obstacle});
+    return obstacle === RetryObstacle.None;
+  }
+
+  /**
+   * Takes a token for a hedged request.
+   * @param ctx - The request's context.
+   * @returns Whether the budget allows it.
+   */
+  takeHedge(ctx: RequestContext): boolean {
+    const budget = takeToken(this.getBudget(ctx));
+    if (!budget) return false;
+    this.budgets.set(getServiceKey(ctx.service), budget);
+    this.options.metrics.hedges.inc({
+      team: ctx.service.team,
+      service: ctx.service.name,
+    });
+    return true;
+  }
+
+  private getBudget(ctx: RequestContext): RetryBudget {
+    return this.budgets.get(getServiceKey(ctx.service)) ?? createRetryBudget();
+  }
+}
--- a/packages/instance/src/request_context.ts
+++ b/packages/instance/src/request_context.ts
@@ -1,3 +1,4 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import type {RequestClass} from '@primrosestage/common';
 import type {Service} from '@primrosestage/steering';
 
@@ -6,12 +7,27 @@
   requestId: string;
   service: Service;
   requestClass: RequestClass;
+  method: string;
+  /** Path and query as received. */
+  url: string;
   /** Path and query for the backend server. */
   path: string;
+  headers: IncomingHttpHeaders;
   /** End of the request's time on the monotonic clock, in milliseconds. */
   deadlineAt: number;
   hops: number;
   sourceRegion: string;
   sourceZone: string;
   traceParent?: string;
+  idempotencyKey?: string;
+  /** Whether the caller says that it sends the request for the first time. */
+  isFirstAttempt: boolean;
+}
+
+/**
+ * Gets the key under which the state of a request's service is kept.
+ * @param service - The service.
+ */
+export function getServiceKey(service: {team: string; name: string}): string {
+  return `${service.team}/${service.name}`;
 }
--- /dev/null
+++ b/packages/instance/src/request_path/index.ts
@@ -0,0 +1,5 @@
+export {
+  createRequestPath,
+  type RequestPath,
+  type RequestPathOptions,
+} from './create_request_path.js';
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -3,16 +3,29 @@
   type ConnectFunction,
   connectTcp,
   createLogger,
+  createTracing,
   InvariantMonitor,
   RealTimerService,
 } from '@primrosestage/common';
-import {buildTopology, type LoadedSettings} from '@primrosestage/control';
-import {createHash64} from '@primrosestage/steering';
+import {
+  buildTopology,
+  type ConfigurationView,
+  type LoadedSettings,
+} from '@primrosestage/control';
+import {
+  createHash64,
+  type EndpointOwnership,
+  type TargetSelector,
+} from '@primrosestage/steering';
 import {Registry} from 'prom-client';
+import {
+  NearestTargetSelector,
+  SettingsConfiguration,
+  StaticOwnership,
+} from './defaults/index.js';
 import {listen, sendJson} from './http/index.js';
-import {IngressTask} from './ingress/index.js';
 import {LookupTask} from './lookup/index.js';
-import {OwnerTask} from './owner/index.js';
+import {createRequestPath} from './request_path/index.js';
 import {createRpcHandler, router, RPC_PATH} from './rpc/index.js';
 
 /** Replaces parts of an instance, for failure tests. */
@@ -44,49 +57,56 @@
   const registry = new Registry();
   const monitor = new InvariantMonitor(logger, registry);
   const hash = await createHash64();
-  const owner = stack.use(
-    new OwnerTask({
-      topology,
-      self,
-      hash,
-      timers,
-      progressTimeoutMs: system.timing.progressTimeoutMs,
-      connect,
-    }),
+  const tracing = stack.use(
+    createTracing({...instance.traces, instance: self.id}),
   );
-  const ingress = stack.use(
-    new IngressTask({
-      parse: {
-        topology,
-        self,
-        timers,
-        defaultDeadlineMs: system.timing.defaultDeadlineMs,
-        maxRequestMs: system.timing.maxRequestMs,
-      },
+  const incarnation = Math.floor(timers.wallNow());
+  const ownership: EndpointOwnership = new StaticOwnership(
+    topology,
+    self,
+    hash,
+  );
+  const configuration: ConfigurationView = new SettingsConfiguration(system);
+  const selector: TargetSelector = new NearestTargetSelector({
+    topology,
+    self,
+    ownership,
+    configuration,
+  });
+  const requestPath = stack.use(
+    createRequestPath({
       topology,
       self,
+      incarnation,
+      timing: system.timing,
+      ownership,
+      selector,
+      configuration,
       hash,
-      owner,
       timers,
       logger,
-      progressTimeoutMs: system.timing.progressTimeoutMs,
+      registry,
+      monitor,
+      tracer: tracing.tracer,
       connect,
     }),
   );
+  const {ingress, homes} = requestPath;
   const lookup = new LookupTask({
     topology,
     self,
-    incarnation: timers.wallNow(),
+    incarnation,
     blocks: system.blocks,
     trustedPeers: system.trustedPeers,
     getTtlSeconds: () => 10,
   });
-  const handleRpc = createRpcHandler(router({}));
+  const handleRpc = createRpcHandler(router({keys: homes.createRouter()}));
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
-    else if (url.startsWith('/v1/requests/')) void ingress.handle(req, res);
-    else if (url === '/healthz') sendJson(res, 200, {healthy: true});
+    else if (url.startsWith('/v1/requests/')) {
+      void ingress.handle(req, res, false);
+    } else if (url === '/healthz') sendJson(res, 200, {healthy: true});
     else if (url === '/readyz') sendJson(res, 200, {ready: true});
     else sendJson(res, 404, {message: `no resource ${url}`});
   };
@@ -104,7 +124,7 @@
       address: self.internalAddress,
       handle: (req, res) => {
         if (req.url?.startsWith(RPC_PATH)) handleRpc(req, res);
-        else void ingress.handle(req, res);
+        else void ingress.handle(req, res, true);
       },
     }),
   );
--- /dev/null
+++ b/packages/instance/src/telemetry/hop_span.ts
@@ -0,0 +1,80 @@
+import {
+  defaultTextMapGetter,
+  defaultTextMapSetter,
+  ROOT_CONTEXT,
+  type Span,
+  SpanKind,
+  SpanStatusCode,
+  trace,
+  type Tracer,
+} from '@opentelemetry/api';
+import {W3CTraceContextPropagator} from '@opentelemetry/core';
+import {HeaderName, type Step} from '@primrosestage/common';
+
+const PROPAGATOR = new W3CTraceContextPropagator();
+
+/** Describes one step of a request for its span. */
+export interface HopSpanOptions {
+  tracer: Tracer;
+  step: Step;
+  /** Instance or endpoint that the step is about. */
+  peer: string;
+  requestId: string;
+  /** The `traceparent` received; undefined begins a trace. */
+  traceParent: string | undefined;
+}
+
+/** Holds an open span. */
+export interface HopSpan {
+  /** The `traceparent` to pass on. */
+  readonly traceParent: string | undefined;
+  /**
+   * Ends the span.
+   * @param outcome - Outcome of the step.
+   * @param message - Why it failed, where it did.
+   */
+  end(outcome: string, message?: string): void;
+}
+
+/**
+ * Opens the span of one step of a request.
+ * @param options - Tracer, step, peer and parent.
+ */
+export function startHopSpan(options: HopSpanOptions): HopSpan {
+  const parent = PROPAGATOR.extract(
+    ROOT_CONTEXT,
+    {[HeaderName.TraceParent]: options.traceParent ?? ''},
+    defaultTextMapGetter,
+  );
+  const span = options.tracer.startSpan(
+    options.step,
+    {
+      kind: SpanKind.SERVER,
+      attributes: {
+        'primrose.request_id': options.requestId,
+        'primrose.peer': options.peer,
+      },
+    },
+    parent,
+  );
+  return {
+    traceParent: formatTraceParent(span),
+    end: (outcome, message) => {
+      span.setAttribute('primrose.outcome', outcome);
+      if (message !== undefined) {
+        span.setStatus({code: SpanStatusCode.ERROR, message});
+      }
+      span.end();
+    },
+  };
+}
+
+function formatTraceParent(span: Span): string | undefined {
+  const carrier: Record<string, string> = {};
+  PROPAGATOR.inject(
+    trace.setSpan(ROOT_CONTEXT, span),
+    carrier,
+    defaultTextMapSetter,
+  );
+  return carrier[HeaderName.TraceParent];
+}
--- /dev/null
+++ b/packages/instance/src/telemetry/index.ts
@@ -0,0 +1,3 @@
+export {type HopSpan, type HopSpanOptions, startHopSpan} from './hop_span.js';
+export {RequestMetrics, type ServiceLabels} from './request_metrics.js';
+export {type Percentiles, ServiceTimes} from './service_times.js';
--- /dev/null
+++ b/packages/instance/test/request_path/admission.test.ts
@@ -0,0 +1,41 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {call} from '../support/call.js';
+import {startSystem, type TestSystem} from '../support/start_system.js';
+
+let system: TestSystem;
+
+afterEach(() => system.stopAll());
+
+describe('admission', () => {
+  it('guards against more requests at an endpoint than its slots, and against refusals that are not true', async () => {
+    system = await startSystem({
+      subnet: 1,
+      instances: 3,
+      endpoints: 3,
+      slots: 2,
+      handle: (req, res) => void setTimeout(() => res.end('done'), 30),
+    });
+    const results = await Promise.all(
+      Array.from({length: 120}, (_, i) =>
+        call(`${system.getUrl(i % 3)}/x`, {method: i % 2 ? 'POST' : 'GET'}),
+      ),
+    );
+    const answered = results.filter(({status}) => status === 200);
+    const refused = results.filter(({status}) => status === 503);
+    expect(answered.length + refused.length).toBe(120);
+    expect(refused.length).toBeGreaterThan(0);
+    for (const {headers} of refused) {
+      expect(headers['primrose-outcome']).toBe('not-run');
+      expect(headers['retry-after']).toBe('1');
+    }
+    const runs = system.backends.reduce((sum, b) => sum + b.requests.length, 0);
+    expect(runs).toBe(answered.length);
+    for (const backend of system.backends) {
+      expect(backend.maxInFlight).toBeLessThanOrEqual(2);
+    }
+    for (const i of [0, 1, 2]) {
+      const name = 'primrose_invariant_violations_total';
+      expect(await system.getMetric(i, name)).toBe(0);
+    }
+  });
+});
--- /dev/null
+++ b/packages/instance/test/support/start_backend.ts
@@ -0,0 +1,71 @@
+import http from 'node:http';
+
+/** Handles one request of a backend stand-in; `run` is its number, from 1. */
+export type BackendHandler = (
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  run: number,
+) => void;
+
+/** Holds a backend stand-in. */
+export interface TestBackend {
+  readonly address: string;
+  readonly server: http.Server;
+  /** Requests that arrived, in order. */
+  readonly requests: http.IncomingMessage[];
+  handle: BackendHandler;
+  /** Answers `/health`; true adds the draining body. */
+  isDraining: boolean;
+  /** Requests in flight now and at most. */
+  inFlight: number;
+  maxInFlight: number;
+  stop(): Promise<void>;
+}
+
+/** Answers with the request's number. */
+export const answerRun: BackendHandler = (req, res, run) => {
+  req.resume();
+  req.on('end', () => res.end(JSON.stringify({run})));
+};
+
+/** Starts a backend stand-in. */
+export async function startBackend(
+  address: string,
+  handle: BackendHandler = answerRun,
+): Promise<TestBackend> {
+  const [host, port] = address.split(':');
+  const server = http.createServer({keepAliveTimeout: 10_000}, (req, res) => {
+    if (req.url === '/health') {
+      res.writeHead(backend.isDraining ? 503 : 200);
+      res.end(JSON.stringify({draining: backend.isDraining}));
+      return;
+    }
+    if (req.url === '/load') {
+      res.end(JSON.stringify({inFlight: backend.inFlight, queued: 0}));
+      return;
+    }
+    backend.inFlight++;
+    backend.maxInFlight = Math.max(backend.maxInFlight, backend.inFlight);
+    res.once('close', () => backend.inFlight--);
+    backend.requests.push(req);
+    backend.handle(req, res, backend.requests.length);
+  });
+  const backend: TestBackend = {
+    address,
+    server,
+    requests: [],
+    handle,
+    isDraining: false,
+    inFlight: 0,
+    maxInFlight: 0,
+    stop: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+  await new Promise<void>(resolve =>
+    server.listen(Number(port), host, resolve),
+  );
+  return backend;
+}
