--- a/packages/instance/src/routing/index.ts
+++ b/packages/instance/src/routing/index.ts
@@ -1,3 +1,4 @@
+export {createLinkPacer, type LinkPacerOptions} from './create_link_pacer.js';
 export {
   createRoutingRouter,
   type RoutingRouter,
