Map client addresses to regions by a paged block table

Cause: lookups compared an address with every block in turn and took the first match, not the longest. Ruled out: disjoint intervals, which need a second structure to undo a change; a trie of nodes, which needs several times the memory; updating the entries below a removed prefix, which the walk does not need. Change: sorted pages of typed arrays in which each prefix knows the length of the one that contains it.

--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -1,5 +1,6 @@
 export * from './choice/index.js';
 export * from './links/index.js';
+export * from './lookup/index.js';
 export * from './ownership/index.js';
 export * from './shares/index.js';
 export * from './topology/index.js';
--- /dev/null
+++ b/packages/steering/src/lookup/block_table.ts
@@ -0,0 +1,120 @@
+import {Step, StepError} from '@primrosestage/common';
+import {parseAddressWords, parsePrefix, type Prefix} from './prefix.js';
+import {PrefixList} from './prefix_list.js';
+import {PrefixTable} from './prefix_table.js';
+
+/** Names that a table tells apart, as many as its columns of values hold. */
+const MAX_NAMES = 0xffff;
+
+/** Maps an address prefix to a region or site. */
+export interface Block {
+  /** Prefix as `IP/bits`. */
+  prefix: string;
+  /** Name of the region or site. */
+  region: string;
+}
+
+/** Maps client addresses to regions or sites by the longest prefix. */
+export class BlockTable {
+  private readonly ipv4 = new PrefixTable(1);
+  private readonly ipv6 = new PrefixTable(4);
+  private readonly names: string[] = [];
+  private readonly valuesByName = new Map<string, number>();
+
+  /**
+   * Builds a table.
+   * @param blocks - The blocks; of prefixes that occur twice the last one counts.
+   * @returns The table.
+   * @throws StepError when a prefix is not valid.
+   */
+  static build(blocks: Iterable<Block>): BlockTable {
+    const table = new BlockTable();
+    const lists = {ipv4: new PrefixList(1), ipv6: new PrefixList(4)};
+    for (const {prefix, region} of blocks) {
+      const {words, length} = parsePrefix(prefix);
+      const list = words.length === 1 ? lists.ipv4 : lists.ipv6;
+      list.add(words, length, table.getValue(region));
+    }
+    table.ipv4.build(lists.ipv4);
+    table.ipv6.build(lists.ipv6);
+    return table;
+  }
+
+  /** The number of blocks. */
+  get size(): number {
+    return this.ipv4.size + this.ipv6.size;
+  }
+
+  /** The memory of the table in bytes, without its names. */
+  get byteLength(): number {
+    return this.ipv4.byteLength + this.ipv6.byteLength;
+  }
+
+  /**
+   * Gets the region or site of an address.
+   * @param address - The address as text.
+   * @returns The name, or undefined where no block contains it or it is not an address.
+   */
+  getRegion(address: string): string | undefined {
+    const words = parseAddressWords(address);
+    return words && this.getRegionOfWords(words);
+  }
+
+  /**
+   * Gets the region or site of a parsed address.
+   * @param words - One word for IPv4, four for IPv6.
+   * @returns The name, or undefined where no block contains it.
+   */
+  getRegionOfWords(words: readonly number[]): string | undefined {
+    return this.names[this.getTable(words).lookup(words)];
+  }
+
+  /**
+   * Adds a block or changes its region.
+   * @param block - The block.
+   * @throws StepError when the prefix is not valid.
+   */
+  set(block: Block): void {
+    this.setPrefix(parsePrefix(block.prefix), block.region);
+  }
+
+  /**
+   * Adds a parsed prefix or changes its region.
+   * @param prefix - The prefix.
+   * @param region - Name of the region or site.
+   */
+  setPrefix({words, length}: Prefix, region: string): void {
+    this.getTable(words).set(words, length, this.getValue(region));
+  }
+
+  /**
+   * Removes a block.
+   * @param prefix - Its prefix as `IP/bits`.
+   * @returns Whether it was there.
+   * @throws StepError when the prefix is not valid.
+   */
+  delete(prefix: string): boolean {
+    const {words, length} = parsePrefix(prefix);
+    return this.getTable(words).delete(words, length);
+  }
+
+  private getTable(words: readonly number[]): PrefixTable {
+    return words.length === 1 ? this.ipv4 : this.ipv6;
+  }
+
+  private getValue(name: string): number {
+    let value = this.valuesByName.get(name);
+    if (value === undefined) {
+      value = this.names.length;
+      if (value >= MAX_NAMES) {
+        throw new StepError(
+          {step: Step.Lookup, peer: name},
+          `blocks name more than ${MAX_NAMES} regions or sites`,
+        );
+      }
+      this.names.push(name);
+      this.valuesByName.set(name, value);
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/packages/steering/src/lookup/prefix_page.ts
@@ -0,0 +1,83 @@
+/** Entries that a page holds; a change moves at most the entries of one page. */
+export const PAGE_ENTRIES = 1024;
+
+/** Stands for an entry that no other prefix contains. */
+export const NO_PARENT = 255;
+
+/** Holds a sorted run of prefixes in columns. */
+export class PrefixPage {
+  count = 0;
+  /** Start addresses, one column per word. */
+  readonly starts: Uint32Array[];
+  readonly lengths: Uint8Array;
+  /** Length of the longest other prefix that contains the entry, or `NO_PARENT`. */
+  readonly parents: Uint8Array;
+  readonly values: Uint16Array;
+
+  constructor(readonly wordCount: number) {
+    const wordBytes = PAGE_ENTRIES * 4;
+    const buffer = new ArrayBuffer(wordCount * wordBytes + PAGE_ENTRIES * 4);
+    this.starts = Array.from(
+      {length: wordCount},
+      (_, i) => new Uint32Array(buffer, i * wordBytes, PAGE_ENTRIES),
+    );
+    const rest = wordCount * wordBytes;
+    this.values = new Uint16Array(buffer, rest, PAGE_ENTRIES);
+    this.lengths = new Uint8Array(
+      buffer,
+      rest + PAGE_ENTRIES * 2,
+      PAGE_ENTRIES,
+    );
+    this.parents = new Uint8Array(
+      buffer,
+      rest + PAGE_ENTRIES * 3,
+      PAGE_ENTRIES,
+    );
+  }
+
+  /** The memory of the columns in bytes. */
+  get byteLength(): number {
+    return this.values.buffer.byteLength;
+  }
+
+  /**
+   * Opens a place for an entry that the caller then fills.
+   * @param index - Index of the place; the page must not be full.
+   */
+  open(index: number): void {
+    for (const column of this.columns()) {
+      column.copyWithin(index + 1, index, this.count);
+    }
+    this.count++;
+  }
+
+  /**
+   * Removes an entry.
+   * @param index - Index of the entry.
+   */
+  remove(index: number): void {
+    for (const column of this.columns()) {
+      column.copyWithin(index, index + 1, this.count);
+    }
+    this.count--;
+  }
+
+  /**
+   * Moves the upper entries to the end of another page.
+   * @param from - Index of the first entry to move.
+   * @param target - The page that takes them; it must have room.
+   */
+  moveTo(from: number, target: PrefixPage): void {
+    const own = this.columns();
+    target.columns().forEach((column, i) => {
+      const source = own[i];
+      if (source) column.set(source.subarray(from, this.count), target.count);
+    });
+    target.count += this.count - from;
+    this.count = from;
+  }
+
+  private columns(): (Uint32Array | Uint16Array | Uint8Array)[] {
+    return [...this.starts, this.lengths, this.parents, this.values];
+  }
+}
--- /dev/null
+++ b/packages/steering/src/lookup/prefix_table.ts
@@ -0,0 +1,346 @@
+import {maskWord} from './prefix.js';
+import type {PrefixList} from './prefix_list.js';
+import {NO_PARENT, PAGE_ENTRIES, PrefixPage} from './prefix_page.js';
+
+/** Part of a page that is filled when a table is built, so that changes rarely split pages. */
+const BUILD_FILL = 0.9;
+
+interface Position {
+  /** Index of the page; -1 before the first entry. */
+  page: number;
+  index: number;
+}
+
+/**
+ * Maps addresses of one family to values by the longest prefix. The prefixes are sorted by start
+ * address and length; each knows the length of the prefix that contains it, so that a lookup is
+ * one search and, for an address beside the last prefix before it, a walk to the containing ones.
+ */
+export class PrefixTable {
+  private pages: PrefixPage[] = [];
+  /** First start address of each page, one column per word. */
+  private firsts: Uint32Array[];
+  private entryCount = 0;
+
+  constructor(private readonly wordCount: number) {
+    this.firsts = Array.from({length: wordCount}, () => new Uint32Array(0));
+  }
+
+  /** The number of prefixes. */
+  get size(): number {
+    return this.entryCount;
+  }
+
+  /** The memory of pages and directory in bytes. */
+  get byteLength(): number {
+    const directory = this.firsts.reduce((sum, f) => sum + f.byteLength, 0);
+    return this.pages.reduce((sum, page) => sum + page.byteLength, directory);
+  }
+
+  /**
+   * Replaces the content by a list; of prefixes that occur twice the last one counts.
+   * @param list - The prefixes.
+   */
+  build(list: PrefixList): void {
+    this.pages = [];
+    this.entryCount = 0;
+    const order = list.getOrder();
+    const stack: number[] = [];
+    const words = new Array<number>(this.wordCount).fill(0);
+    let page: PrefixPage | undefined;
+    for (let i = 0; i < order.length; i++) {
+      const entry = order[i] ?? 0;
+      const next = order[i + 1];
+      if (next !== undefined && list.compare(entry, next) === 0) continue;
+      list.starts.forEach((column, w) => (words[w] = column[entry] ?? 0));
+      while (stack.length > 0 && !listCovers(list, stack.at(-1) ?? 0, words)) {
+        stack.pop();
+      }
+      const parent = stack.at(-1);
+      stack.push(entry);
+      if (!page || page.count >= PAGE_ENTRIES * BUILD_FILL) {
+        page = new PrefixPage(this.wordCount);
+        this.pages.push(page);
+      }
+      const index = page.count++;
+      this.writeEntry(page, index, words, list.lengths[entry] ?? 0);
+      page.values[index] = list.values[entry] ?? 0;
+      page.parents[index] =
+        parent === undefined ? NO_PARENT : (list.lengths[parent] ?? 0);
+      this.entryCount++;
+    }
+    this.rebuildDirectory();
+  }
+
+  /**
+   * Looks an address up.
+   * @param words - The address.
+   * @returns The value of the longest prefix that contains it, or -1.
+   */
+  lookup(words: readonly number[]): number {
+    return this.wordCount === 1
+      ? this.lookupWord(words[0] ?? 0)
+      : this.resolve(this.locate(words, NO_PARENT), words);
+  }
+
+  /**
+   * Looks up an address of one word.
+   * @param word - The address as an unsigned number.
+   * @returns The value of the longest prefix that contains it, or -1.
+   */
+  lookupWord(word: number): number {
+    const firsts = this.firsts[0] as Uint32Array;
+    const pageIndex = findLastAtMost(firsts, firsts.length, word);
+    if (pageIndex < 0) return -1;
+    const page = this.pages[pageIndex] as PrefixPage;
+    const starts = page.starts[0] as Uint32Array;
+    const index = findLastAtMost(starts, page.count, word);
+    const length = page.lengths[index] as number;
+    const start = starts[index] as number;
+    if (length === 0 || (word ^ start) >>> (32 - length) === 0) {
+      return page.values[index] as number;
+    }
+    if (page.parents[index] === NO_PARENT) return -1;
+    return this.resolve({page: pageIndex, index}, [word]);
+  }
+
+  /**
+   * Adds a prefix or changes its value.
+   * @param words - Its start address.
+   * @param length - Its length in bits.
+   * @param value - The value.
+   */
+  set(words: readonly number[], length: number, value: number): void {
+    const before = this.locate(words, length);
+    if (this.isAt(before, words, length)) {
+      this.getPage(before).values[before.index] = value;
+      return;
+    }
+    const parent = this.findCovering(before, words, length);
+    const place = this.openAfter(before);
+    const page = this.getPage(place);
+    this.writeEntry(page, place.index, words, length);
+    page.values[place.index] = value;
+    page.parents[place.index] = parent
+      ? (this.getPage(parent).lengths[parent.index] ?? 0)
+      : NO_PARENT;
+    this.entryCount++;
+    if (place.index === 0) this.rebuildDirectory();
+    this.adoptContained(place, words, length);
+  }
+
+  /**
+   * Removes a prefix. The entries that it contained keep its length as their parent's: the walk
+   * then continues at the entry before its place, which the same longer prefixes contain.
+   * @param words - Its start address.
+   * @param length - Its length in bits.
+   * @returns Whether it was there.
+   */
+  delete(words: readonly number[], length: number): boolean {
+    const place = this.locate(words, length);
+    if (!this.isAt(place, words, length)) return false;
+    const page = this.getPage(place);
+    page.remove(place.index);
+    this.entryCount--;
+    if (page.count < PAGE_ENTRIES / 4) this.mergePage(place.page);
+    if (place.index === 0 || page.count < PAGE_ENTRIES / 4) {
+      this.rebuildDirectory();
+    }
+    return true;
+  }
+
+  private resolve(from: Position, words: readonly number[]): number {
+    const found = this.findCovering(from, words, Infinity);
+    return found ? (this.getPage(found).values[found.index] ?? -1) : -1;
+  }
+
+  /** Walks from an entry to the longest prefix shorter than a length that contains an address. */
+  private findCovering(
+    from: Position,
+    words: readonly number[],
+    shorterThan: number,
+  ): Position | undefined {
+    let position = from;
+    while (position.page >= 0) {
+      const page = this.getPage(position);
+      const length = page.lengths[position.index] ?? 0;
+      if (length < shorterThan && pageCovers(page, position.index, words)) {
+        return position;
+      }
+      const parent = page.parents[position.index] ?? NO_PARENT;
+      if (parent === NO_PARENT) return undefined;
+      const {index} = position;
+      const start = page.starts.map((column, w) =>
+        maskWord(column[index] ?? 0, w, parent),
+      );
+      position = this.locate(start, parent);
+    }
+    return undefined;
+  }
+
+  /** Finds the last entry at or before a start address and length. */
+  private locate(words: readonly number[], length: number): Position {
+    let low = 0;
+    let high = this.pages.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      const page = this.pages[middle] as PrefixPage;
+      if (compareEntry(page, 0, words, length) <= 0) low = middle + 1;
+      else high = middle;
+    }
+    const pageIndex = low - 1;
+    const page = this.pages[pageIndex];
+    if (!page) return {page: -1, index: -1};
+    low = 0;
+    high = page.count;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (compareEntry(page, middle, words, length) <= 0) low = middle + 1;
+      else high = middle;
+    }
+    return {page: pageIndex, index: low - 1};
+  }
+
+  private isAt(
+    {page, index}: Position,
+    words: readonly number[],
+    length: number,
+  ): boolean {
+    const found = this.pages[page];
+    return !!found && compareEntry(found, index, words, length) === 0;
+  }
+
+  private openAfter(before: Position): Position {
+    if (this.pages.length === 0)
+      this.pages.push(new PrefixPage(this.wordCount));
+    let page = Math.max(0, before.page);
+    let index = before.index + 1;
+    const full = this.pages[page] as PrefixPage;
+    if (full.count === PAGE_ENTRIES) {
+      const upper = new PrefixPage(this.wordCount);
+      full.moveTo(PAGE_ENTRIES / 2, upper);
+      this.pages.splice(page + 1, 0, upper);
+      this.rebuildDirectory();
+      if (index > full.count) {
+        index -= full.count;
+        page++;
+      }
+    }
+    this.pages[page]?.open(index);
+    return {page, index};
+  }
+
+  private mergePage(pageIndex: number): void {
+    const page = this.pages[pageIndex] as PrefixPage;
+    const before = this.pages[pageIndex - 1];
+    const canMerge = before && before.count + page.count <= PAGE_ENTRIES * 0.75;
+    if (canMerge) page.moveTo(0, before);
+    if (page.count === 0) this.pages.splice(pageIndex, 1);
+  }
+
+  /** Makes a new prefix the parent of the entries for which it is the longest one. */
+  private adoptContained(
+    place: Position,
+    words: readonly number[],
+    length: number,
+  ): void {
+    let index = place.index + 1;
+    for (let p = place.page; p < this.pages.length; p++) {
+      const page = this.pages[p] as PrefixPage;
+      for (; index < page.count; index++) {
+        if (!isWithin(page, index, words, length)) return;
+        const parent = page.parents[index] as number;
+        if (parent === NO_PARENT || parent < length) {
+          page.parents[index] = length;
+        }
+      }
+      index = 0;
+    }
+  }
+
+  private writeEntry(
+    page: PrefixPage,
+    index: number,
+    words: readonly number[],
+    length: number,
+  ): void {
+    page.starts.forEach((column, w) => (column[index] = words[w] ?? 0));
+    page.lengths[index] = length;
+  }
+
+  private rebuildDirectory(): void {
+    this.firsts = this.firsts.map((_, w) =>
+      Uint32Array.from(this.pages, page => page.starts[w]?.[0] ?? 0),
+    );
+  }
+
+  private getPage({page}: Position): PrefixPage {
+    return this.pages[page] as PrefixPage;
+  }
+}
+
+function findLastAtMost(
+  column: Uint32Array,
+  count: number,
+  word: number,
+): number {
+  let low = 0;
+  let high = count;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if ((column[middle] as number) <= word) low = middle + 1;
+    else high = middle;
+  }
+  return low - 1;
+}
+
+function compareEntry(
+  page: PrefixPage,
+  index: number,
+  words: readonly number[],
+  length: number,
+): number {
+  for (let w = 0; w < page.wordCount; w++) {
+    const own = page.starts[w]?.[index] ?? 0;
+    const other = words[w] ?? 0;
+    if (own !== other) return own - other;
+  }
+  return (page.lengths[index] ?? 0) - length;
+}
+
+function pageCovers(
+  page: PrefixPage,
+  index: number,
+  words: readonly number[],
+): boolean {
+  const length = page.lengths[index] ?? 0;
+  for (let w = 0; w < page.wordCount; w++) {
+    const start = page.starts[w]?.[index] ?? 0;
+    if (maskWord(words[w] ?? 0, w, length) !== start) return false;
+  }
+  return true;
+}
+
+function isWithin(
+  page: PrefixPage,
+  index: number,
+  words: readonly number[],
+  length: number,
+): boolean {
+  for (let w = 0; w < page.wordCount; w++) {
+    const own = page.starts[w]?.[index] as number;
+    if (maskWord(own, w, length) !== (words[w] ?? 0)) return false;
+  }
+  return true;
+}
+
+function listCovers(
+  list: PrefixList,
+  entry: number,
+  words: readonly number[],
+): boolean {
+  const length = list.lengths[entry] ?? 0;
+  return list.starts.every(
+    (column, w) => maskWord(words[w] ?? 0, w, length) === (column[entry] ?? 0),
+  );
+}
