Answer lookups from the block table in order of region, latency and liveness

Cause: lookups listed drained and suspected instances, gave all of a region's callers the same first instance, and parsed and sorted for each request. Ruled out: a random order for each request, which costs a serialization each. Conclusion: kept; liveness, incarnations and key prefixes come through functions that the membership part replaces.

--- a/packages/instance/src/lookup/lookup_task.ts
+++ b/packages/instance/src/lookup/lookup_task.ts
@@ -1,36 +1,64 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {getErrorMessage, Step} from '@primrosestage/common';
-import type {InstanceInfo, Topology} from '@primrosestage/steering';
-import ipaddr from 'ipaddr.js';
+import {getErrorMessage, Step, type TimerService} from '@primrosestage/common';
+import type {
+  BlockTable,
+  InstanceInfo,
+  Liveness,
+  Topology,
+} from '@primrosestage/steering';
 import {sendJson} from '../http/index.js';
+import {AnswerCache, type LookupAnswer} from './answer_cache.js';
+import {rankInstances} from './rank_instances.js';
 
-/** Maps an address prefix to a region. */
-export interface Block {
-  prefix: string;
-  region: string;
-}
+/**
+ * Time for which an answer is sent again, in milliseconds. Callers keep answers for seconds, so
+ * that this adds little to the age of what they use.
+ */
+const ANSWER_VALID_MS = 100;
+
+/** Most query strings that are kept parsed. */
+const MAX_PARSED_QUERIES = 1024;
 
 /** Configures lookups. */
 export interface LookupTaskOptions {
   topology: Topology;
   self: InstanceInfo;
-  incarnation: number;
-  blocks: readonly Block[];
+  timers: TimerService;
+  blocks: BlockTable;
   trustedPeers: readonly string[];
   getTtlSeconds(team: string): number;
+  /** Gets what this instance believes of another one. */
+  getLiveness(instanceId: string): Liveness;
+  isDrained(instance: InstanceInfo): boolean;
+  /** Gets the start time of an instance, or undefined where it was never heard. */
+  getIncarnation(instanceId: string): number | undefined;
+  /** Gets the prefix of an instance's idempotency keys, or undefined where it was never heard. */
+  getKeyPrefix(instanceId: string): string | undefined;
+}
+
+interface Query {
+  team: string;
+  service: string;
+  client: string | undefined;
 }
 
 /** Tells callers which instances to use. */
 export class LookupTask {
-  constructor(private readonly options: LookupTaskOptions) {}
+  private readonly answers = new AnswerCache(ANSWER_VALID_MS);
+  private readonly queries = new Map<string, Query>();
+  private readonly onlyTeam: string | undefined;
+
+  constructor(private readonly options: LookupTaskOptions) {
+    const teams = new Set(options.topology.services.map(({team}) => team));
+    this.onlyTeam = teams.size === 1 ? [...teams][0] : undefined;
+  }
 
   /** Answers `GET /v1/lookup?team=T&service=S[&client=IP]`. */
   handle(req: IncomingMessage, res: ServerResponse): void {
-    const url = new URL(req.url ?? '/', 'http://instance');
-    const service = url.searchParams.get('service') ?? '';
-    const team = url.searchParams.get('team') ?? this.getOnlyTeam() ?? '';
+    const query = this.parseQuery(req.url ?? '/');
+    let answer: LookupAnswer | undefined;
     try {
-      this.options.topology.getServiceOrThrow(team, service);
+      answer = this.getAnswer(query, this.getClientAddress(req, query));
     } catch (err) {
       sendJson(res, 404, {
         step: Step.Lookup,
@@ -39,46 +67,54 @@
       });
       return;
     }
-    const region =
-      this.getRegion(this.getClientAddress(req, url)) ??
-      this.options.self.region;
-    sendJson(res, 200, {
-      ttlSeconds: this.options.getTtlSeconds(team),
-      instances: this.rankInstances(region).map(({id, publicAddress}) => ({
-        id,
-        url: `http://${publicAddress}/v1/requests/${team}/${service}`,
-        incarnation: this.options.incarnation,
-        keyPrefix: `${id}.${this.options.incarnation}.0`,
-      })),
-    });
+    if (!answer) return void res.destroy();
+    res.writeHead(200, answer.headers);
+    res.end(answer.body);
   }
 
-  private getOnlyTeam(): string | undefined {
-    const teams = new Set(this.options.topology.services.map(s => s.team));
-    return teams.size === 1 ? [...teams][0] : undefined;
+  private getAnswer(query: Query, client: string): LookupAnswer | undefined {
+    const {topology, self, timers, blocks} = this.options;
+    const {team, service} = query;
+    const region = blocks.getRegion(client) ?? self.region;
+    const key = `${team}/${service}/${region}`;
+    return this.answers.getAnswer(key, timers.now(), () => {
+      topology.getServiceOrThrow(team, service);
+      return rankInstances({...this.options, region}).map(instances => ({
+        ttlSeconds: this.options.getTtlSeconds(team),
+        instances: instances.map(instance =>
+          this.describe(instance, team, service),
+        ),
+      }));
+    });
   }
 
-  private getClientAddress(req: IncomingMessage, url: URL): string {
-    const peer = req.socket.remoteAddress ?? '';
-    const named = url.searchParams.get('client');
-    const isTrusted = this.options.trustedPeers.includes(peer);
-    return named !== null && isTrusted ? named : peer;
+  private describe(instance: InstanceInfo, team: string, service: string) {
+    const {id, publicAddress} = instance;
+    return {
+      id,
+      url: `http://${publicAddress}/v1/requests/${team}/${service}`,
+      incarnation: this.options.getIncarnation(id),
+      keyPrefix: this.options.getKeyPrefix(id),
+    };
   }
 
-  private getRegion(client: string): string | undefined {
-    if (!ipaddr.isValid(client)) return undefined;
-    const address = ipaddr.process(client);
-    return this.options.blocks.find(({prefix}) => {
-      const [range, bits] = ipaddr.parseCIDR(prefix);
-      return address.kind() === range.kind() && address.match(range, bits);
-    })?.region;
+  private parseQuery(url: string): Query {
+    const known = this.queries.get(url);
+    if (known) return known;
+    const {searchParams} = new URL(url, 'http://instance');
+    const query = {
+      team: searchParams.get('team') ?? this.onlyTeam ?? '',
+      service: searchParams.get('service') ?? '',
+      client: searchParams.get('client') ?? undefined,
+    };
+    if (this.queries.size >= MAX_PARSED_QUERIES) this.queries.clear();
+    this.queries.set(url, query);
+    return query;
   }
 
-  private rankInstances(region: string): InstanceInfo[] {
-    const rank = (instance: InstanceInfo) =>
-      instance.region === region ? 0 : 1;
-    return [...this.options.topology.instances].sort(
-      (a, b) => rank(a) - rank(b),
-    );
+  private getClientAddress(req: IncomingMessage, query: Query): string {
+    const peer = req.socket.remoteAddress ?? '';
+    const isTrusted = this.options.trustedPeers.includes(peer);
+    return query.client !== undefined && isTrusted ? query.client : peer;
   }
 }
--- a/packages/instance/src/routing/register_routing_metrics.ts
+++ b/packages/instance/src/routing/register_routing_metrics.ts
@@ -27,8 +27,8 @@
           share.set({...labels, target}, weight);
         }
       }
-      for (const {service, region, freeSlots} of status.headroom) {
-        free.set({service, region}, freeSlots);
+      for (const {service, region, freeSlots, ageMs} of status.headroom) {
+        if (ageMs !== null) free.set({service, region}, freeSlots);
       }
       for (const {from, to, use, used} of status.links) {
         link.set({from, to, use}, used);
--- a/packages/instance/src/routing/routing_task.ts
+++ b/packages/instance/src/routing/routing_task.ts
@@ -139,6 +139,11 @@
       .busyMs.add(nowMs, latencyMs);
   }
 
+  /** Says whether an instance, its zone or its region is drained. */
+  isInstanceDrained(instance: InstanceInfo): boolean {
+    return this.drains.isInstanceDrained(instance);
+  }
+
   /** Gets what other instances may ask of this one. */
   getReport(): RoutingReport {
     const {topology, self, timers} = this.options;
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -7,8 +7,17 @@
   InvariantMonitor,
   RealTimerService,
 } from '@primrosestage/common';
-import {buildTopology, type LoadedSettings} from '@primrosestage/control';
-import {createHash64, getCandidates, Liveness} from '@primrosestage/steering';
+import {
+  buildTopology,
+  type ConfigurationView,
+  type LoadedSettings,
+} from '@primrosestage/control';
+import {
+  BlockTable,
+  createHash64,
+  getCandidates,
+  Liveness,
+} from '@primrosestage/steering';
 import {Registry} from 'prom-client';
 import {listen, sendJson} from './http/index.js';
 import {IngressTask} from './ingress/index.js';
@@ -44,6 +53,7 @@
   const self = topology.getInstanceOrThrow(instance.id);
   const connect = options.connect ?? connectTcp;
   const timers = new RealTimerService();
+  const incarnation = timers.wallNow();
   const logger = createLogger({
     level: instance.log.level,
     fields: {instance: self.id},
@@ -61,6 +71,13 @@
       connect,
     }),
   );
+  const configuration: ConfigurationView = {
+    getPreset: name => {
+      const team = system.teams.find(t => t.name === name);
+      return team?.presets[team.active];
+    },
+    getDrains: () => [],
+  };
   const controlAgent = createAgent({connect});
   stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
   const routing = stack.use(
@@ -75,13 +92,7 @@
         },
         getLimit: id => topology.getEndpoint(id)?.slots ?? 0,
       },
-      configuration: {
-        getPreset: name => {
-          const team = system.teams.find(t => t.name === name);
-          return team?.presets[team.active];
-        },
-        getDrains: () => [],
-      },
+      configuration,
       timers,
       monitor,
       random: Math.random,
@@ -115,10 +126,15 @@
   const lookup = new LookupTask({
     topology,
     self,
-    incarnation: timers.wallNow(),
-    blocks: system.blocks,
+    timers,
+    blocks: BlockTable.build(system.blocks),
     trustedPeers: system.trustedPeers,
-    getTtlSeconds: () => 10,
+    getTtlSeconds: team =>
+      configuration.getPreset(team)?.lookupTtlSeconds ?? 10,
+    getLiveness: () => Liveness.Live,
+    isDrained: peer => routing.isInstanceDrained(peer),
+    getIncarnation: () => incarnation,
+    getKeyPrefix: id => `${id}.${incarnation}.0`,
   });
   const handleRpc = createRpcHandler(
     router({routing: createRoutingRouter(routing)}),
