--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -14,6 +14,7 @@
   type LoadedSettings,
 } from '@primrosestage/control';
 import {
+  BlockTable,
   createHash64,
   type EndpointOwnership,
   Liveness,
@@ -113,10 +114,15 @@
   const lookup = new LookupTask({
     topology,
     self,
-    incarnation,
-    blocks: system.blocks,
+    timers,
+    blocks: BlockTable.build(system.blocks),
     trustedPeers: system.trustedPeers,
-    getTtlSeconds: () => 10,
+    getTtlSeconds: team =>
+      configuration.getPreset(team)?.lookupTtlSeconds ?? 10,
+    getLiveness: () => Liveness.Live,
+    isDrained: peer => routing.isInstanceDrained(peer),
+    getIncarnation: () => incarnation,
+    getKeyPrefix: id => `${id}.${incarnation}.0`,
   });
   const handleRpc = createRpcHandler(
     router({
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -3,6 +3,7 @@
 export * from './configuration/index.js';
 export * from './idempotency/index.js';
 export * from './links/index.js';
+export * from './lookup/index.js';
 export * from './ownership/index.js';
 export * from './retry/index.js';
 export * from './shares/index.js';
