Reduce membership and check the sum of the limits on virtual time

Cause: takeovers, joins and releases need one state that heartbeats, goodbyes and the platform's list change. Ruled out: counting a released candidate as clear at once. A candidate that was cleared within the fence now keeps the next one from passing over another. Change: the membership reducer, its messages, and a property over random cuts, pauses, restarts, joins and lagging lists.

--- /dev/null
+++ b/packages/steering/src/membership/handle_tick.ts
@@ -0,0 +1,127 @@
+import {OwnershipEventType} from '../ownership/index.js';
+import {createMessage} from './create_message.js';
+import type {Draft} from './draft.js';
+import {MemberStatus} from './member.js';
+import {
+  type MembershipAction,
+  MembershipActionType,
+} from './membership_action.js';
+import {pick, selectTargets} from './select_targets.js';
+
+/** Members that are asked to reach the target of an unanswered heartbeat. */
+const INDIRECT_PINGS = 2;
+/** Heartbeats without an answer, direct or indirect, after which a member is suspected. */
+export const SUSPECT_AFTER_HEARTBEATS = 2;
+/** Heartbeats between ticks after which this process counts as having been paused. */
+const PAUSE_HEARTBEATS = 2;
+
+/**
+ * Sends due heartbeats and indirect pings, suspects and removes members.
+ * @param draft - The state.
+ * @returns The messages to send.
+ */
+export function handleTick(draft: Draft): MembershipAction[] {
+  const {config, now} = draft;
+  excusePause(draft);
+  draft.set({lastTickAt: now});
+  draft.applyOwnership({type: OwnershipEventType.Tick});
+  removeSuspects(draft);
+  const actions = checkPending(draft);
+  if (now >= draft.state.nextHeartbeatAt) {
+    actions.push(...sendHeartbeat(draft));
+    draft.set({nextHeartbeatAt: now + config.heartbeatMs});
+  }
+  return actions;
+}
+
+/** After a pause of this process the silence of the others is its own and proves nothing. */
+function excusePause(draft: Draft): void {
+  const {config, now, state} = draft;
+  const gapMs = now - state.lastTickAt;
+  if (gapMs <= PAUSE_HEARTBEATS * config.heartbeatMs) return;
+  draft.pending.clear();
+  for (const [id, member] of draft.members) {
+    if (member.status !== MemberStatus.Suspected) continue;
+    draft.members.set(id, {...member, statusAt: member.statusAt + gapMs});
+  }
+}
+
+function removeSuspects(draft: Draft): void {
+  const {config, now} = draft;
+  for (const [id, {status, statusAt}] of draft.members) {
+    const isDue = now >= statusAt + config.suspicionMs;
+    if (status !== MemberStatus.Suspected || !isDue) continue;
+    draft.changeMember(id, {status: MemberStatus.Removed});
+  }
+}
+
+function checkPending(draft: Draft): MembershipAction[] {
+  const {config, now} = draft;
+  const actions: MembershipAction[] = [];
+  for (const [pingId, ping] of draft.pending) {
+    const ageMs = now - ping.sentAt;
+    if (ageMs >= SUSPECT_AFTER_HEARTBEATS * config.heartbeatMs) {
+      draft.pending.delete(pingId);
+      if (draft.members.get(ping.targetId)?.status === MemberStatus.Alive) {
+        draft.changeMember(ping.targetId, {status: MemberStatus.Suspected});
+      }
+    } else if (ageMs >= config.heartbeatMs / 2 && !ping.isIndirect) {
+      draft.pending.set(pingId, {...ping, isIndirect: true});
+      actions.push(...askOthers(draft, pingId, ping.targetId));
+    }
+  }
+  return actions;
+}
+
+function askOthers(
+  draft: Draft,
+  pingId: number,
+  targetId: string,
+): MembershipAction[] {
+  const {config, members} = draft;
+  const target = members.get(targetId);
+  if (target?.status !== MemberStatus.Alive) return [];
+  const others = [...members.values()].filter(
+    ({info, status}) => info.id !== targetId && status === MemberStatus.Alive,
+  );
+  const near = others.filter(({info}) => info.zone === target.info.zone);
+  const own = others.filter(({info}) => info.zone === config.self.zone);
+  const actions: MembershipAction[] = [];
+  const asked = new Set<string>();
+  for (const group of [own, near, others, others]) {
+    const left = group.filter(({info}) => !asked.has(info.id));
+    const via = pick(left, config.random)?.info;
+    if (!via || asked.size === INDIRECT_PINGS) continue;
+    asked.add(via.id);
+    actions.push({
+      type: MembershipActionType.PingIndirectly,
+      pingId,
+      via,
+      target: target.info,
+    });
+  }
+  return actions;
+}
+
+function sendHeartbeat(draft: Draft): MembershipAction[] {
+  const {now} = draft;
+  const actions: MembershipAction[] = [];
+  for (const id of selectTargets(draft)) {
+    const target = draft.members.get(id);
+    if (!target) continue;
+    const pingId = draft.state.pingCount + 1;
+    draft.set({pingCount: pingId});
+    draft.pending.set(pingId, {targetId: id, sentAt: now, isIndirect: false});
+    const message = createMessage(draft, id);
+    actions.push({
+      type: MembershipActionType.Ping,
+      pingId,
+      target: target.info,
+      sentAt: now,
+      sentPhase: draft.state.ownership.phase,
+      message,
+    });
+  }
+  draft.set({heartbeatCount: draft.state.heartbeatCount + 1});
+  return actions;
+}
--- a/packages/steering/src/ownership/contact.ts
+++ b/packages/steering/src/ownership/contact.ts
@@ -38,6 +38,8 @@
   readonly joiningUntil: number;
   /** Time until which no process of this id can act: it released or said goodbye. */
   readonly clearUntil: number;
+  /** Time at which its release or goodbye arrived; Infinity before. */
+  readonly releasedAt: number;
   /** Time until which requests of an incarnation that ended may run. */
   readonly uncleanUntil: number;
   readonly excess: Readonly<Record<string, number>>;
--- a/packages/steering/src/ownership/get_endpoint_limit.ts
+++ b/packages/steering/src/ownership/get_endpoint_limit.ts
@@ -1,4 +1,4 @@
-import {getStanding, Standing} from './get_standing.js';
+import {getStanding, isClear, Standing} from './get_standing.js';
 import type {OwnershipConfig, OwnershipState} from './ownership_state.js';
 import {Phase} from './phase.js';
 
@@ -98,13 +98,16 @@
   if (!split) return 0;
   const lowerHalf = Math.floor(options.slots / 2);
   let doubtful: string | undefined;
+  let hasJustCleared = false;
   for (const id of split.ahead) {
     const standing = getStanding(state, id, now, config);
-    if (standing === Standing.Clear) continue;
+    if (standing === Standing.JustCleared) hasJustCleared = true;
+    if (isClear(standing)) continue;
     if (standing === Standing.Present || doubtful !== undefined) return 0;
     doubtful = id;
   }
   if (doubtful !== undefined) {
+    if (hasJustCleared) return 0;
     return mayPassOver(state, doubtful, now, config) ? lowerHalf : 0;
   }
   const limit = isWatched(state, split.behind, now, config)
@@ -139,7 +142,7 @@
   config: OwnershipConfig,
 ): boolean {
   for (const id of behind) {
-    if (getStanding(state, id, now, config) === Standing.Clear) continue;
+    if (isClear(getStanding(state, id, now, config))) continue;
     const contact = state.contacts.get(id);
     if (!contact || contact.isGone) return false;
     const isJoining =
--- a/packages/steering/src/ownership/get_standing.ts
+++ b/packages/steering/src/ownership/get_standing.ts
@@ -8,6 +8,11 @@
   Present = 'present',
   /** It may be alive and may act. */
   Doubtful = 'doubtful',
+  /**
+   * No process of its id acts now, but an owner ahead of it may still count on its
+   * acknowledgements of the last `fenceAfterMs`.
+   */
+  JustCleared = 'just-cleared',
   /** No process of its id acts now. */
   Clear = 'clear',
 }
@@ -26,16 +31,21 @@
   now: number,
   config: OwnershipConfig,
 ): Standing {
-  const {takeoverAfterMs} = config.timing;
+  const {fenceAfterMs, takeoverAfterMs} = config.timing;
   const contact = state.contacts.get(id);
-  if (contact && now < contact.clearUntil) return Standing.Clear;
+  const settleMs = fenceAfterMs + CLOCK_MARGIN_MS;
+  const getCleared = (sinceMs: number) =>
+    now < sinceMs + settleMs ? Standing.JustCleared : Standing.Clear;
+  if (contact && now < contact.clearUntil) {
+    return getCleared(contact.releasedAt);
+  }
   if (contact && !contact.isGone) {
     const isHeard =
       contact.phase === Phase.Active && now < contact.heardAt + takeoverAfterMs;
     return isHeard ? Standing.Present : Standing.Doubtful;
   }
   return isAbsentFromList(state, id, now, config)
-    ? Standing.Clear
+    ? getCleared(state.absentSince.get(id) ?? now)
     : Standing.Doubtful;
 }
 
@@ -54,3 +64,12 @@
   const validMs = joinAfterMs - listLagMs - CLOCK_MARGIN_MS;
   return now < state.list.requestedAt + validMs;
 }
+
+/**
+ * Says whether a standing excludes that a process of the candidate acts.
+ * @param standing - The standing.
+ * @returns Whether the candidate can be skipped.
+ */
+export function isClear(standing: Standing): boolean {
+  return standing === Standing.Clear || standing === Standing.JustCleared;
+}
--- a/packages/steering/src/ownership/hear_peer.ts
+++ b/packages/steering/src/ownership/hear_peer.ts
@@ -58,6 +58,10 @@
       phase === Phase.Released
         ? lastAliveAt + joinAfterMs - CLOCK_MARGIN_MS
         : -Infinity,
+    releasedAt:
+      phase === Phase.Released
+        ? Math.min(old?.releasedAt ?? Infinity, now)
+        : Infinity,
     uncleanUntil:
       known && !old && !known.isGone
         ? getEndOfRequests(known, now, maxRequestMs)
--- a/packages/steering/src/ownership/index.ts
+++ b/packages/steering/src/ownership/index.ts
@@ -13,7 +13,7 @@
   splitOrder,
   type SplitOrder,
 } from './get_endpoint_limit.js';
-export {getStanding, Standing} from './get_standing.js';
+export {getStanding, isClear, Standing} from './get_standing.js';
 export {
   type AckedEvent,
   type GoodbyeEvent,
--- a/packages/steering/src/ownership/ownership_state.ts
+++ b/packages/steering/src/ownership/ownership_state.ts
@@ -31,6 +31,8 @@
   readonly list?: PlatformList;
   /** Time at which the last list that named an instance arrived, by id. */
   readonly lastListedAt: ReadonlyMap<string, number>;
+  /** Time at which the first of the last lists without a peer arrived, by id. */
+  readonly absentSince: ReadonlyMap<string, number>;
   /** Time until which requests of an earlier process of this id may run. */
   readonly predecessorUntil: number;
 }
@@ -51,6 +53,7 @@
     peers: new Set(config.peers),
     contacts: new Map(),
     lastListedAt: new Map(),
+    absentSince: new Map(),
     predecessorUntil: -Infinity,
   };
 }
--- a/packages/steering/src/ownership/reduce_ownership.ts
+++ b/packages/steering/src/ownership/reduce_ownership.ts
@@ -94,6 +94,7 @@
     isGone: true,
     aliveAt,
     clearUntil: aliveAt + joinAfterMs - CLOCK_MARGIN_MS,
+    releasedAt: Math.min(contact.releasedAt, now),
     uncleanUntil: event.isClean
       ? contact.uncleanUntil
       : getEndOfRequests(contact, now, maxRequestMs),
@@ -115,6 +116,12 @@
   if (requestedAt < (before.list?.requestedAt ?? -Infinity)) return before;
   const lastListedAt = new Map(before.lastListedAt);
   for (const id of ids) lastListedAt.set(id, now);
+  const peers = addPeers(before.peers, ids, config.selfId);
+  const absentSince = new Map<string, number>();
+  for (const id of peers) {
+    if (ids.has(id)) continue;
+    absentSince.set(id, before.absentSince.get(id) ?? now);
+  }
   const contacts = new Map(before.contacts);
   const {listLagMs, maxRequestMs} = config.timing;
   for (const [id, contact] of contacts) {
@@ -134,10 +141,11 @@
   }
   return {
     ...before,
-    peers: addPeers(before.peers, ids, config.selfId),
+    peers,
     contacts,
     list: {requestedAt, ids},
     lastListedAt,
+    absentSince,
   };
 }
 
--- /dev/null
+++ b/packages/steering/test/membership/schedule.ts
@@ -0,0 +1,133 @@
+import fc from 'fast-check';
+import {createInstanceInfo, PLATFORM, Simulation} from './simulation.js';
+
+/** Names a disturbance of a schedule. */
+export type Disturbance =
+  | {kind: 'cut'; from: number; to: number; isOneWay: boolean}
+  | {kind: 'isolate'; target: number; withPlatform: boolean}
+  | {kind: 'platform-cut'; target: number}
+  | {kind: 'store-outage'}
+  | {kind: 'pause'; target: number}
+  | {
+      kind: 'crash';
+      target: number;
+      restartAfterMs: number;
+      removedAfterMs: number;
+    }
+  | {kind: 'stop'; target: number; restartAfterMs: number}
+  | {kind: 'join'; target: number};
+
+export interface ScheduledDisturbance {
+  atMs: number;
+  durationMs: number;
+  what: Disturbance;
+}
+
+const target = fc.nat({max: 3});
+const restartAfterMs = fc.integer({min: 200, max: 40_000});
+
+/** Generates disturbances of up to four instances within 90 s. */
+export const SCHEDULE: fc.Arbitrary<ScheduledDisturbance[]> = fc.array(
+  fc.record({
+    atMs: fc.integer({min: 0, max: 90_000}),
+    durationMs: fc.integer({min: 500, max: 60_000}),
+    what: fc.oneof(
+      fc.record({
+        kind: fc.constant('cut' as const),
+        from: target,
+        to: target,
+        isOneWay: fc.boolean(),
+      }),
+      fc.record({
+        kind: fc.constant('isolate' as const),
+        target,
+        withPlatform: fc.boolean(),
+      }),
+      fc.record({kind: fc.constant('platform-cut' as const), target}),
+      fc.record({kind: fc.constant('store-outage' as const)}),
+      fc.record({kind: fc.constant('pause' as const), target}),
+      fc.record({
+        kind: fc.constant('crash' as const),
+        target,
+        restartAfterMs,
+        removedAfterMs: fc.nat({max: 20_000}),
+      }),
+      fc.record({kind: fc.constant('stop' as const), target, restartAfterMs}),
+      fc.record({kind: fc.constant('join' as const), target}),
+    ),
+  }),
+  {minLength: 1, maxLength: 12},
+);
+
+/**
+ * Schedules disturbances on a simulation.
+ * @param simulation - The simulation, whose members the targets index.
+ * @param schedule - The disturbances.
+ */
+export function applySchedule(
+  simulation: Simulation,
+  schedule: readonly ScheduledDisturbance[],
+): void {
+  const {members} = simulation.options;
+  const ids = () => [...simulation.processes.keys()];
+  const getId = (index: number) => members[index % members.length]!.id;
+  const cut = (from: string, to: string, untilMs: number) =>
+    simulation.cuts.push({from, to, fromMs: simulation.now, untilMs});
+  const restart = (id: string, afterMs: number) =>
+    simulation.schedule(simulation.now + afterMs, () => {
+      const old = simulation.processes.get(id)!;
+      if (old.isEnded) simulation.start(old.config.self);
+      else restart(id, 1_000);
+    });
+  for (const {atMs, durationMs, what} of schedule) {
+    simulation.schedule(atMs, () => {
+      const untilMs = simulation.now + durationMs;
+      simulation.log(`${JSON.stringify(what)} for ${durationMs} ms`);
+      switch (what.kind) {
+        case 'cut':
+          cut(getId(what.from), getId(what.to), untilMs);
+          if (!what.isOneWay) cut(getId(what.to), getId(what.from), untilMs);
+          break;
+        case 'isolate':
+          for (const id of ids()) {
+            cut(id, getId(what.target), untilMs);
+            cut(getId(what.target), id, untilMs);
+          }
+          if (what.withPlatform) cut(getId(what.target), PLATFORM, untilMs);
+          break;
+        case 'platform-cut':
+          cut(getId(what.target), PLATFORM, untilMs);
+          break;
+        case 'store-outage':
+          for (const id of ids()) cut(id, PLATFORM, untilMs);
+          break;
+        case 'pause': {
+          const process = simulation.processes.get(getId(what.target))!;
+          if (!process.isEnded) simulation.pause(process, durationMs);
+          break;
+        }
+        case 'crash': {
+          const process = simulation.processes.get(getId(what.target))!;
+          if (process.isEnded) break;
+          simulation.end(process, what.removedAfterMs);
+          restart(process.id, what.restartAfterMs);
+          break;
+        }
+        case 'stop': {
+          const process = simulation.processes.get(getId(what.target))!;
+          if (process.isEnded) break;
+          simulation.stop(process);
+          restart(process.id, what.restartAfterMs);
+          break;
+        }
+        case 'join': {
+          const id = `joiner-${what.target}`;
+          if (simulation.processes.has(id)) break;
+          const {zone, region} = members[0]!;
+          simulation.start(createInstanceInfo(id, zone, region), false);
+          break;
+        }
+      }
+    });
+  }
+}
