Exchange heartbeats between instances and answer who owns an endpoint

Cause: no task ran the membership reducer. Ruled out: a second state for indirect heartbeats and goodbyes in the task; both are events or messages of the reducer. Change: MembershipTask with its control calls, payloads of other tasks, views and leaving; serve() starts it and merges its router. Before: no control calls. Conclusion: owner and routing can take getLimit and getOwner from the task.

--- /dev/null
+++ b/packages/instance/src/membership/membership_task.ts
@@ -0,0 +1,365 @@
+import {createAgent, getErrorMessage} from '@primrosestage/common';
+import {
+  createGoodbyes,
+  createMembershipState,
+  type EndpointOwnership,
+  getBelievedOwner,
+  getLimit,
+  getStanding,
+  type InstanceInfo,
+  type Member,
+  type MembershipAction,
+  MembershipActionType,
+  type MembershipConfig,
+  type MembershipEvent,
+  MembershipEventType,
+  type MembershipMessage,
+  type MembershipState,
+  mayEarlierRequestsRun,
+  MemberStatus,
+  Phase,
+  type PingAction,
+  reduceMembership,
+  splitOrder,
+  type Standing,
+  SUSPECT_AFTER_HEARTBEATS,
+} from '@primrosestage/steering';
+import type {TRPCClient} from '@trpc/client';
+import {createPeerClient} from '../rpc/index.js';
+import {createMembershipConfig} from './create_membership_config.js';
+import {
+  createMembershipRouter,
+  type MembershipPeerRouter,
+} from './create_membership_router.js';
+import type {Envelope} from './membership_schema.js';
+import type {MembershipTaskOptions} from './membership_task_options.js';
+
+/** Time between reads of the platform's list in milliseconds. */
+const LIST_EVERY_MS = 1_500;
+
+/** Describes the contact with another instance of the region, for status pages. */
+export interface ContactView {
+  id: string;
+  standing: Standing;
+  /** Time since its last message in milliseconds; undefined where it was never heard. */
+  heardAgeMs?: number;
+  /** Time since the last acknowledged heartbeat in milliseconds; undefined where there is none. */
+  ackedAgeMs?: number;
+}
+
+/** Exchanges heartbeats, knows the members and answers who owns an endpoint. */
+export class MembershipTask implements EndpointOwnership, AsyncDisposable {
+  private readonly config: MembershipConfig;
+  private readonly agent;
+  private readonly clients = new Map<
+    string,
+    TRPCClient<MembershipPeerRouter>
+  >();
+  private readonly timersOfTask: AsyncDisposable[] = [];
+  private state: MembershipState;
+  private isEnded = false;
+
+  constructor(private readonly options: MembershipTaskOptions) {
+    this.config = createMembershipConfig(options);
+    this.agent = createAgent({connect: options.connect});
+    this.state = createMembershipState(this.config, options.timers.now());
+  }
+
+  /** Starts the heartbeats; the internal listener must accept control calls by then. */
+  start(): void {
+    const {timers, timing, listEveryMs = LIST_EVERY_MS} = this.options;
+    const tick = () => this.apply({type: MembershipEventType.Tick});
+    this.timersOfTask.push(
+      timers.every(timing.heartbeatMs / 2, tick),
+      timers.every(listEveryMs, () => void this.readList()),
+    );
+    tick();
+    void this.readList();
+  }
+
+  /** Creates the router of the control calls of membership, for the key `membership`. */
+  createRouter() {
+    return createMembershipRouter({
+      receive: envelope => this.receive(envelope),
+      reach: address => this.reach(address),
+    });
+  }
+
+  getOwner(endpointId: string): InstanceInfo | undefined {
+    return getBelievedOwner(this.state, endpointId, this.now(), this.config);
+  }
+
+  getLimit(endpointId: string): number {
+    return getLimit(this.state, endpointId, this.now(), this.config);
+  }
+
+  /**
+   * Says whether requests of an earlier owner may still run at an endpoint; admission then
+   * also counts the requests that the endpoint itself reports.
+   * @param endpointId - Id of the endpoint.
+   */
+  mayEarlierRequestsRun(endpointId: string): boolean {
+    const {ownership, orders} = this.state;
+    const order = orders.get(endpointId) ?? [];
+    const split = splitOrder(ownership, order, this.config.ownership);
+    return mayEarlierRequestsRun(
+      ownership,
+      split?.ahead ?? [],
+      this.now(),
+      this.config.ownership,
+    );
+  }
+
+  /** The phase of this instance. */
+  get phase(): Phase {
+    return this.state.ownership.phase;
+  }
+
+  /** The other instances with what is believed of them. */
+  get members(): readonly Member[] {
+    return [...this.state.members.values()];
+  }
+
+  /**
+   * Gets the members of a status.
+   * @param status - The status.
+   * @returns The members; a leaving one is marked as such.
+   */
+  getMembers(status: MemberStatus): Member[] {
+    return this.members.filter(member => member.status === status);
+  }
+
+  /** Gets the contact with every other instance of the region, for status pages. */
+  getContacts(): ContactView[] {
+    const now = this.now();
+    const {ownership} = this.state;
+    const getAge = (at: number | undefined) =>
+      at === undefined || at === -Infinity ? undefined : now - at;
+    return [...ownership.peers].map(id => {
+      const contact = ownership.contacts.get(id);
+      return {
+        id,
+        standing: getStanding(ownership, id, now, this.config.ownership),
+        heardAgeMs: getAge(contact?.heardAt),
+        ackedAgeMs: getAge(contact?.ackedAt),
+      };
+    });
+  }
+
+  /** Tells the peers that this instance will stop; it keeps its endpoints. */
+  async announceLeaving(): Promise<void> {
+    this.apply({type: MembershipEventType.Leave});
+    await this.pingAll();
+  }
+
+  /** Gives up all endpoints and tells the peers the requests in flight. */
+  async release(): Promise<void> {
+    this.apply({type: MembershipEventType.Release});
+    await this.pingAll();
+  }
+
+  /**
+   * Announces leaving, waits and releases all endpoints.
+   * @param noticeMs - Time for callers with older lookup answers, in milliseconds.
+   */
+  async leave(noticeMs = 0): Promise<void> {
+    await this.announceLeaving();
+    await this.options.timers.sleep(noticeMs);
+    await this.release();
+  }
+
+  /** Says goodbye to the peers and stops the heartbeats. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    if (this.isEnded) return;
+    for (const timer of this.timersOfTask) await timer[Symbol.asyncDispose]();
+    this.apply({type: MembershipEventType.Release});
+    this.isEnded = true;
+    const isClean = [...this.config.getInFlight()].length === 0;
+    const goodbyes = createGoodbyes(
+      this.state,
+      isClean,
+      this.now(),
+      this.config,
+    );
+    await Promise.allSettled(
+      goodbyes.map(({target, message}) => this.send(target, message)),
+    );
+    this.agent.destroy();
+  }
+
+  private now(): number {
+    return this.options.timers.now();
+  }
+
+  private apply(event: MembershipEvent): MembershipAction[] {
+    if (this.isEnded) return [];
+    const before = this.state;
+    const result = reduceMembership(before, event, this.now(), this.config);
+    this.state = result.state;
+    this.logChanges(before);
+    for (const action of result.actions) {
+      if (action.type === MembershipActionType.Ping) void this.ping(action);
+      else if (action.type === MembershipActionType.PingIndirectly) {
+        void this.pingIndirectly(action.pingId, action.via, action.target);
+      }
+    }
+    return result.actions;
+  }
+
+  private receive({message, payload}: Envelope): Envelope {
+    const {id} = message.info;
+    const event = {type: MembershipEventType.Received, message} as const;
+    const {state, actions} = reduceMembership(
+      this.state,
+      event,
+      this.now(),
+      this.config,
+    );
+    const before = this.state;
+    this.state = state;
+    this.logChanges(before);
+    this.options.receivePayload?.(id, payload);
+    const answer = actions.find(
+      action => action.type === MembershipActionType.Acknowledge,
+    );
+    return {
+      message: answer!.message,
+      payload: this.options.getPayload?.(),
+    };
+  }
+
+  private async ping(action: PingAction): Promise<void> {
+    const {pingId, sentAt, sentPhase, target} = action;
+    try {
+      const {message, payload} = await this.send(target, action.message);
+      this.apply({
+        type: MembershipEventType.Acknowledged,
+        pingId,
+        sentAt,
+        sentPhase,
+        message,
+      });
+      this.options.receivePayload?.(target.id, payload);
+    } catch (err) {
+      // The reducer acts on the missing acknowledgement.
+      this.options.logger.debug('heartbeat failed', {
+        peer: target.id,
+        reason: getErrorMessage(err),
+      });
+    }
+  }
+
+  /** Sends a heartbeat to every member that is up, outside the rhythm of the heartbeats. */
+  private async pingAll(): Promise<void> {
+    const {ownership} = this.state;
+    const sentPhase = ownership.phase;
+    const goodbyes = createGoodbyes(this.state, true, this.now(), this.config);
+    await Promise.all(
+      goodbyes.map(async ({target, message}) => {
+        const sentAt = this.now();
+        await this.ping({
+          type: MembershipActionType.Ping,
+          pingId: 0,
+          target,
+          sentAt,
+          sentPhase,
+          message: {...message, goodbye: undefined},
+        });
+      }),
+    );
+  }
+
+  private async pingIndirectly(
+    pingId: number,
+    via: InstanceInfo,
+    target: InstanceInfo,
+  ): Promise<void> {
+    try {
+      const isReached = await this.getClient(
+        via.internalAddress,
+      ).membership.reach.mutate({address: target.internalAddress});
+      if (!isReached) return;
+      this.apply({type: MembershipEventType.IndirectlyAcknowledged, pingId});
+    } catch (err) {
+      this.options.logger.debug('indirect heartbeat failed', {
+        peer: target.id,
+        via: via.id,
+        reason: getErrorMessage(err),
+      });
+    }
+  }
+
+  private async reach(address: string): Promise<boolean> {
+    try {
+      return await this.getClient(address).membership.probe.query();
+    } catch {
+      return false;
+    }
+  }
+
+  private async send(
+    target: InstanceInfo,
+    message: MembershipMessage,
+  ): Promise<Envelope> {
+    const client = this.getClient(target.internalAddress);
+    const payload = this.options.getPayload?.();
+    return client.membership.ping.mutate({message, payload});
+  }
+
+  private async readList(): Promise<void> {
+    const {readPlatformList, logger} = this.options;
+    if (!readPlatformList) return;
+    const requestedAt = this.now();
+    try {
+      const listed = await readPlatformList();
+      this.apply({
+        type: MembershipEventType.ListRead,
+        requestedAt,
+        instances: listed.map(entry => ({
+          id: entry.id,
+          zone: entry.zone,
+          region: entry.region,
+          publicAddress: entry.public,
+          internalAddress: entry.internal,
+          adminAddress: this.getAdminAddress(entry.id),
+        })),
+      });
+    } catch (err) {
+      logger.debug('platform list not read', {reason: getErrorMessage(err)});
+    }
+  }
+
+  /** The platform's list has no administration addresses; the settings may. */
+  private getAdminAddress(id: string): string {
+    return this.options.topology.getInstance(id)?.adminAddress ?? '';
+  }
+
+  private getClient(address: string): TRPCClient<MembershipPeerRouter> {
+    const known = this.clients.get(address);
+    if (known) return known;
+    const client = createPeerClient<MembershipPeerRouter>({
+      address,
+      agent: this.agent,
+      timeoutMs: SUSPECT_AFTER_HEARTBEATS * this.config.heartbeatMs,
+    });
+    this.clients.set(address, client);
+    return client;
+  }
+
+  private logChanges(before: MembershipState): void {
+    const {logger} = this.options;
+    if (before.ownership.phase !== this.phase) {
+      logger.info('ownership phase changed', {phase: this.phase});
+    }
+    for (const [id, member] of this.state.members) {
+      const status = before.members.get(id)?.status;
+      if (status === undefined || status === member.status) continue;
+      logger.info('member status changed', {
+        peer: id,
+        from: status,
+        to: member.status,
+        incarnation: member.incarnation,
+      });
+    }
+  }
+}
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -12,6 +12,7 @@
 import {listen, sendJson} from './http/index.js';
 import {IngressTask} from './ingress/index.js';
 import {LookupTask} from './lookup/index.js';
+import {MembershipTask} from './membership/index.js';
 import {OwnerTask} from './owner/index.js';
 import {createRpcHandler, router, RPC_PATH} from './rpc/index.js';
 
@@ -44,6 +45,19 @@
   const registry = new Registry();
   const monitor = new InvariantMonitor(logger, registry);
   const hash = await createHash64();
+  const incarnation = timers.wallNow();
+  const membership = stack.use(
+    new MembershipTask({
+      topology,
+      self,
+      incarnation,
+      hash,
+      timing: system.timing,
+      timers,
+      logger,
+      connect,
+    }),
+  );
   const owner = stack.use(
     new OwnerTask({
       topology,
@@ -76,12 +90,14 @@
   const lookup = new LookupTask({
     topology,
     self,
-    incarnation: timers.wallNow(),
+    incarnation,
     blocks: system.blocks,
     trustedPeers: system.trustedPeers,
     getTtlSeconds: () => 10,
   });
-  const handleRpc = createRpcHandler(router({}));
+  const handleRpc = createRpcHandler(
+    router({membership: membership.createRouter()}),
+  );
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
@@ -114,6 +130,7 @@
       handle: (req, res) => void handleAdmin(req, res),
     }),
   );
+  membership.start();
   logger.info('instance started', {
     zone: self.zone,
     publicAddress: self.publicAddress,
--- a/packages/steering/src/membership/create_message.ts
+++ b/packages/steering/src/membership/create_message.ts
@@ -1,4 +1,8 @@
-import {getEndpointLimit, type PeerStatement} from '../ownership/index.js';
+import {
+  getEndpointLimit,
+  type PeerStatement,
+  Phase,
+} from '../ownership/index.js';
 import {createUpdate, type Draft} from './draft.js';
 import {MemberStatus, type MemberUpdate} from './member.js';
 import type {MembershipMessage} from './membership_message.js';
@@ -6,6 +10,8 @@
 
 /** Most updates that one message carries. */
 const MAX_UPDATES = 16;
+/** Members per message that did not change; a change that a receiver missed reaches it so. */
+const REPEATED_UPDATES = 2;
 
 /**
  * Creates a message to another instance and counts its updates as sent.
@@ -121,5 +127,30 @@
     if (sendsLeft <= 1) draft.updates.delete(id);
     else draft.updates.set(id, {update, sendsLeft: sendsLeft - 1});
   }
-  return [...accusation, ...chosen.map(([, {update}]) => update)];
+  const updates = [...accusation, ...chosen.map(([, {update}]) => update)];
+  const named = new Set([receiverId, ...updates.map(({id}) => id)]);
+  return [...updates, ...repeatMembers(draft, named, updates.length)];
+}
+
+/** A receiver that joins gets as many members as fit, because it knows none. */
+function repeatMembers(
+  draft: Draft,
+  named: ReadonlySet<string>,
+  updateCount: number,
+): MemberUpdate[] {
+  const {state, config} = draft;
+  const members = [...draft.members.values()].filter(
+    ({info, incarnation}) => incarnation > 0 && !named.has(info.id),
+  );
+  const [receiverId = ''] = named;
+  const isJoining =
+    (state.members.get(receiverId)?.phase ?? Phase.Joining) === Phase.Joining;
+  const count = Math.min(
+    MAX_UPDATES - updateCount,
+    isJoining ? MAX_UPDATES : REPEATED_UPDATES,
+  );
+  const start = Math.floor(config.random() * members.length);
+  return [...members.slice(start), ...members.slice(0, start)]
+    .slice(0, count)
+    .map(createUpdate);
 }
--- a/packages/steering/src/membership/index.ts
+++ b/packages/steering/src/membership/index.ts
@@ -1,3 +1,4 @@
+export {getBelievedOwner} from './get_believed_owner.js';
 export {getLimit} from './create_message.js';
 export {SUSPECT_AFTER_HEARTBEATS} from './handle_tick.js';
 export {type Member, MemberStatus, type MemberUpdate} from './member.js';
--- a/packages/steering/src/ownership/contact.ts
+++ b/packages/steering/src/ownership/contact.ts
@@ -13,7 +13,7 @@
   /** Requests in flight above the sender's limit, by endpoint id. */
   excess: Readonly<Record<string, number>>;
   /** Instances of the region that the sender knows and that its settings do not name. */
-  additions: readonly string[];
+  additions: string[];
 }
 
 /** Holds what this instance knows of one other instance; times are on its monotonic clock. */
