Keep team documents in force at every instance

Cause: an accepted change must be in force everywhere within seconds and never revert, with silent watches, an unreachable store, partitions and restarts. Ruled out: each instance watching the store (4,400 pending calls); every watcher of a zone pushing (double traffic): the second one waits 300 ms for the first. Change: ConfigurationTask with watches of bounded life, tree pushes by trpc, pulls on a digest difference (random pulls each second while no digests arrive), load at start from the store, else from peers, and the first document from the settings. Pushed documents carry no change identifiers.

--- a/packages/control/test/support/faulty_store.ts
+++ b/packages/control/test/support/faulty_store.ts
@@ -17,12 +17,19 @@
   LostReply,
   /** The caller gets no reply, the write takes effect 1.5 s later. */
   DelayedWrite,
+  /** As above, but after 4 s, when the committer has fenced the write. */
+  LongDelayedWrite,
   /** Neither write nor reply arrives. */
   Dropped,
   /** No connection is made. */
   NotSent,
 }
 
+const DELAYS_MS: Partial<Record<Fault, number>> = {
+  [Fault.DelayedWrite]: 1_500,
+  [Fault.LongDelayedWrite]: 4_000,
+};
+
 export interface FaultyStoreOptions {
   timers: TimerService;
   inner: MemoryStore;
@@ -36,6 +43,8 @@
 export class FaultyStore implements Store {
   readonly calls = {get: 0, put: 0, watch: 0};
   isDown = false;
+  /** Calls made while this is set never settle. */
+  isSilent = false;
   /** Watches opened while this is set never return. */
   areWatchesSilent = false;
 
@@ -57,6 +66,7 @@
 
   async watch(options: WatchOptions): Promise<WatchResult> {
     this.calls.watch++;
+    if (this.isSilent) await new Promise(() => {});
     if (this.isDown) throw this.fail(StoreFailure.NotSent);
     if (this.areWatchesSilent) {
       await new Promise(resolve =>
@@ -90,11 +100,13 @@
 
   private async call<T>(run: () => Promise<T>): Promise<T> {
     const {timers, decide} = this.options;
+    if (this.isSilent) await new Promise(() => {});
     await timers.sleep(this.latencyMs);
     const fault = this.isDown ? Fault.NotSent : decide();
     if (fault === Fault.NotSent) throw this.fail(StoreFailure.NotSent);
-    if (fault === Fault.DelayedWrite) {
-      timers.after(1_500, () => void run().catch(() => {}));
+    const delayMs = DELAYS_MS[fault];
+    if (delayMs !== undefined) {
+      timers.after(delayMs, () => void run().catch(() => {}));
     }
     const result = fault <= Fault.LostReply ? await run() : undefined;
     if (fault !== Fault.None) {
--- /dev/null
+++ b/packages/instance/src/configuration/configuration_router.ts
@@ -0,0 +1,35 @@
+import {procedure, router} from '../rpc/index.js';
+import {
+  PULL_SCHEMA,
+  type PullMessage,
+  PUSH_SCHEMA,
+  type PushMessage,
+  type TeamUpdate,
+} from './configuration_messages.js';
+
+/** Handles the configuration calls of other instances. */
+export interface ConfigurationHandlers {
+  handlePush(message: PushMessage): void;
+  handlePull(message: PullMessage): TeamUpdate[];
+}
+
+/**
+ * Creates the router of configuration calls between instances.
+ * @param handlers - Handles the calls.
+ * @returns The router, with all calls under `configuration`.
+ */
+export function createConfigurationRouter(handlers: ConfigurationHandlers) {
+  return router({
+    configuration: router({
+      push: procedure
+        .input(PUSH_SCHEMA)
+        .mutation(({input}) => handlers.handlePush(input)),
+      pull: procedure
+        .input(PULL_SCHEMA)
+        .query(({input}) => handlers.handlePull(input)),
+    }),
+  });
+}
+
+/** Types the calls of `createConfigurationRouter` for clients. */
+export type ConfigurationRouter = ReturnType<typeof createConfigurationRouter>;
--- /dev/null
+++ b/packages/instance/src/configuration/configuration_task.ts
@@ -0,0 +1,360 @@
+import {
+  getErrorMessage,
+  Invariant,
+  type InvariantMonitor,
+  type Logger,
+  type TimerService,
+} from '@primrosestage/common';
+import {
+  ChangeCommitter,
+  CommitOutcome,
+  type CommitResult,
+  type ConfigurationView,
+  type DocumentChange,
+  type Drain,
+  type InitialPresets,
+  parseTeamDocument,
+  type Preset,
+  type Store,
+  type StoreEntry,
+  TEAM_KEY_PREFIX,
+  type TeamDocument,
+} from '@primrosestage/control';
+import {
+  type AppliedDocument,
+  chooseWatchers,
+  computeDigest,
+  ConfigurationSource,
+  type ConfigurationState,
+  findNewerTeams,
+  getRevisions,
+  type Hash64,
+  type InstanceInfo,
+  reduceConfiguration,
+  type Topology,
+} from '@primrosestage/steering';
+import type {
+  PullMessage,
+  PushMessage,
+  TeamUpdate,
+} from './configuration_messages.js';
+import type {ConfigurationPeers} from './configuration_peers.js';
+import {createConfigurationRouter} from './configuration_router.js';
+import {loadDocuments} from './load_documents.js';
+import {pushThroughTree} from './push_through_tree.js';
+import {watchStore} from './watch_store.js';
+
+/** How often documents are pulled from a random peer while no digests arrive. */
+const PULL_INTERVAL_MS = 1_000;
+/** Time without a digest after which random pulls begin again. */
+const DIGESTS_MISSING_AFTER_MS = 5_000;
+/** Shortest time between two pulls from the same peer; a peer that is behind differs too. */
+const PULL_PAUSE_MS = 500;
+const MAX_REMEMBERED_PULLS = 8_192;
+/** Time that the second watcher leaves to the first one's push. */
+const SECOND_WATCHER_DELAY_MS = 300;
+const LOAD_RETRY_MS = 500;
+/** Peers asked at a time while the store does not answer at start. */
+const LOAD_PEERS = 3;
+
+/** Configures the configuration task. */
+export interface ConfigurationTaskOptions {
+  self: InstanceInfo;
+  topology: Topology;
+  /** Teams with the presets of the settings. */
+  teams: ReadonlyArray<InitialPresets & {name: string}>;
+  store: Store;
+  peers: ConfigurationPeers;
+  timers: TimerService;
+  hash: Hash64;
+  monitor: InvariantMonitor;
+  logger: Logger;
+  /** Gets the live instances, this one included. */
+  getLiveInstances: () => readonly InstanceInfo[];
+  /** Draws a whole number from 0 to below the bound. */
+  drawInt: (bound: number) => number;
+}
+
+/** Describes the configuration that is in force at this instance. */
+export interface ConfigurationStatus {
+  revision: number;
+  /** Name of the preset in force. */
+  active: string;
+  /** Time since the document came into force here, in milliseconds. */
+  ageMs: number;
+  source: ConfigurationSource;
+  drains: readonly Drain[];
+}
+
+/** Keeps the team documents in force and in step with the store and the other instances. */
+export class ConfigurationTask implements ConfigurationView, AsyncDisposable {
+  private state: ConfigurationState<TeamDocument> = new Map();
+  private drains: readonly Drain[] = [];
+  private readonly abort = new AbortController();
+  private readonly committer: ChangeCommitter;
+  /** Highest revision per team that reached this instance through peers or that it pushed. */
+  private readonly spreadRevisions = new Map<string, number>();
+  private readonly lastPulls = new Map<string, number>();
+  private lastDigestAt = -Infinity;
+  private loops: Promise<unknown> = Promise.resolve();
+
+  constructor(private readonly options: ConfigurationTaskOptions) {
+    this.committer = new ChangeCommitter(options);
+  }
+
+  /** Starts loading, watching and pulling in the background. */
+  start(): void {
+    const {signal} = this.abort;
+    const {store, timers, logger} = this.options;
+    this.loops = Promise.all([
+      this.load(),
+      watchStore({
+        store,
+        timers,
+        logger,
+        signal,
+        isWatcher: () => this.getWatcherRank() >= 0,
+        handleEntry: entry => void this.handleEntry(entry),
+      }),
+      this.pullPeriodically(),
+    ]);
+  }
+
+  /** Says whether a document of every team is in force. */
+  isReady(): boolean {
+    return this.options.teams.every(({name}) => this.state.has(name));
+  }
+
+  getPreset(team: string): Preset | undefined {
+    const document = this.getDocument(team);
+    return document?.presets[document.active];
+  }
+
+  getDrains(): readonly Drain[] {
+    return this.drains;
+  }
+
+  /** Gets the document in force, without its change identifiers where a peer gave it. */
+  getDocument(team: string): TeamDocument | undefined {
+    return this.state.get(team)?.document;
+  }
+
+  /** Gets revision and age of a team's document. */
+  getStatus(team: string): ConfigurationStatus | undefined {
+    const applied = this.state.get(team);
+    return applied && toStatus(applied, this.options.timers.now());
+  }
+
+  /** Gets the digest that heartbeats carry. */
+  getDigest(): string {
+    return computeDigest(getRevisions(this.state), this.options.hash);
+  }
+
+  /**
+   * Handles the digest of another instance; a difference starts a pull.
+   * @param instanceId - The instance that sent it.
+   * @param digest - Its digest.
+   */
+  handleDigest(instanceId: string, digest: string): void {
+    const nowMs = this.options.timers.now();
+    this.lastDigestAt = nowMs;
+    if (digest === this.getDigest()) return;
+    const lastPullAt = this.lastPulls.get(instanceId) ?? -Infinity;
+    if (nowMs - lastPullAt < PULL_PAUSE_MS) return;
+    // Ids of replaced instances would collect; an early pull after clearing does no harm.
+    if (this.lastPulls.size > MAX_REMEMBERED_PULLS) this.lastPulls.clear();
+    this.lastPulls.set(instanceId, nowMs);
+    void this.pull(instanceId);
+  }
+
+  /**
+   * Makes an operator's change; an accepted one is in force here at once.
+   * @param team - Name of the team.
+   * @param change - The change.
+   * @returns What became of it.
+   */
+  async commit(team: string, change: DocumentChange): Promise<CommitResult> {
+    const result = await this.committer.commit(team, change);
+    const isKnown =
+      result.outcome === CommitOutcome.Accepted ||
+      result.outcome === CommitOutcome.Conflict;
+    if (isKnown) this.apply(team, result.document, ConfigurationSource.Change);
+    return result;
+  }
+
+  /** Creates the router of the configuration calls that other instances make. */
+  createRouter() {
+    return createConfigurationRouter(this);
+  }
+
+  /** Applies a pushed document and forwards it. */
+  handlePush(message: PushMessage): void {
+    const {team, document, rest} = message;
+    this.noteSpread(team, document.revision);
+    this.apply(team, document, ConfigurationSource.Push);
+    void pushThroughTree(this.options.peers, {team, document}, rest);
+  }
+
+  /** Returns the documents that are newer here. */
+  handlePull(message: PullMessage): TeamUpdate[] {
+    const teams = findNewerTeams(getRevisions(this.state), message.revisions);
+    return teams.flatMap(team => this.createUpdate(team) ?? []);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.abort.abort();
+    await this.loops;
+  }
+
+  private apply(
+    team: string,
+    value: unknown,
+    source: ConfigurationSource,
+  ): void {
+    const {timers, logger, monitor} = this.options;
+    const document = parseTeamDocument(value);
+    if (!document) {
+      logger.error('unusable document, the last good one stays in force', {
+        team,
+        source,
+      });
+      return;
+    }
+    const before = this.getDocument(team)?.revision ?? 0;
+    const next = reduceConfiguration(
+      this.state,
+      {team, document, source},
+      timers.now(),
+    );
+    if (next === this.state) return;
+    this.state = next;
+    this.drains = [...next.values()].flatMap(
+      applied => applied.document.drains,
+    );
+    const {revision, active} = document;
+    const details = {team, before, revision, source};
+    monitor.check(Invariant.RevisionRises, revision > before, details);
+    logger.info('configuration in force', {...details, active});
+  }
+
+  private async load(): Promise<void> {
+    const {store, logger, teams, timers} = this.options;
+    const {signal} = this.abort;
+    while (!signal.aborted) {
+      const isLoaded = await loadDocuments({
+        store,
+        logger,
+        teams,
+        getDocument: team => this.getDocument(team),
+        apply: (team, value, source) => {
+          this.apply(team, value, source);
+          this.noteSpread(team, this.getDocument(team)?.revision ?? 0);
+        },
+        pullFromPeers: async () => {
+          const peers = Array.from({length: LOAD_PEERS}, () => this.drawPeer());
+          await Promise.all(
+            [...new Set(peers)].map(peer => peer && this.pull(peer)),
+          );
+        },
+      });
+      if (isLoaded || this.isReady()) return;
+      await timers.sleep(LOAD_RETRY_MS, signal);
+    }
+  }
+
+  private async pullPeriodically(): Promise<void> {
+    const {timers} = this.options;
+    const {signal} = this.abort;
+    while (!signal.aborted) {
+      await timers.sleep(PULL_INTERVAL_MS, signal);
+      const isQuiet =
+        timers.now() - this.lastDigestAt > DIGESTS_MISSING_AFTER_MS;
+      const peer = isQuiet && !signal.aborted ? this.drawPeer() : undefined;
+      if (peer) await this.pull(peer);
+    }
+  }
+
+  private async pull(instanceId: string): Promise<void> {
+    const {peers, logger} = this.options;
+    try {
+      const revisions = getRevisions(this.state);
+      for (const {team, document} of await peers.pull(instanceId, {
+        revisions,
+      })) {
+        this.noteSpread(team, document.revision);
+        this.apply(team, document, ConfigurationSource.Pull);
+      }
+    } catch (err) {
+      logger.debug('pull failed', {
+        peer: instanceId,
+        message: getErrorMessage(err),
+      });
+    }
+  }
+
+  /** Applies a document that a watch returned and pushes it to the zone if nobody has. */
+  private async handleEntry({key, value}: StoreEntry): Promise<void> {
+    if (value === null) return;
+    const {timers, peers} = this.options;
+    const team = key.slice(TEAM_KEY_PREFIX.length);
+    this.apply(team, value, ConfigurationSource.Store);
+    if (this.isSpread(team)) return;
+    if (this.getWatcherRank() !== 0) {
+      await timers.sleep(SECOND_WATCHER_DELAY_MS, this.abort.signal);
+    }
+    const update = this.createUpdate(team);
+    if (!update || this.isSpread(team) || this.abort.signal.aborted) return;
+    this.noteSpread(team, update.document.revision);
+    const ids = this.getZoneIds().filter(id => id !== this.options.self.id);
+    await pushThroughTree(peers, update, ids);
+  }
+
+  private createUpdate(team: string): TeamUpdate | undefined {
+    const document = this.getDocument(team);
+    return document && {team, document: {...document, changes: []}};
+  }
+
+  private isSpread(team: string): boolean {
+    const revision = this.getDocument(team)?.revision ?? 0;
+    return revision <= (this.spreadRevisions.get(team) ?? 0);
+  }
+
+  private noteSpread(team: string, revision: number): void {
+    const before = this.spreadRevisions.get(team) ?? 0;
+    this.spreadRevisions.set(team, Math.max(before, revision));
+  }
+
+  /** Returns 0 or 1 for the first or second watcher of the zone, otherwise -1. */
+  private getWatcherRank(): number {
+    const {self, hash} = this.options;
+    return chooseWatchers(self.zone, this.getZoneIds(), hash).indexOf(self.id);
+  }
+
+  private getZoneIds(): string[] {
+    const {self, getLiveInstances} = this.options;
+    const ids = getLiveInstances()
+      .filter(({zone}) => zone === self.zone)
+      .map(({id}) => id);
+    return ids.includes(self.id) ? ids : [...ids, self.id];
+  }
+
+  private drawPeer(): string | undefined {
+    const {topology, self, drawInt} = this.options;
+    const others = topology.instances.filter(({id}) => id !== self.id);
+    return others.length === 0 ? undefined : others[drawInt(others.length)]?.id;
+  }
+}
+
+function toStatus(
+  {document, source, appliedAt}: AppliedDocument<TeamDocument>,
+  nowMs: number,
+): ConfigurationStatus {
+  const {revision, active, drains} = document;
+  return {
+    revision,
+    active,
+    drains,
+    source,
+    ageMs: Math.round(nowMs - appliedAt),
+  };
+}
--- /dev/null
+++ b/packages/instance/src/configuration/create_rpc_peers.ts
@@ -0,0 +1,35 @@
+import type http from 'node:http';
+import type {Topology} from '@primrosestage/steering';
+import {createPeerClient} from '../rpc/index.js';
+import type {ConfigurationPeers} from './configuration_peers.js';
+import type {ConfigurationRouter} from './configuration_router.js';
+
+/** Longest time of a call; the tree has 3 levels, and the whole must stay under 5 s. */
+const CALL_TIMEOUT_MS = 800;
+
+/** Configures configuration calls over the internal listeners. */
+export interface RpcPeersOptions {
+  topology: Topology;
+  agent: http.Agent;
+}
+
+/**
+ * Creates the configuration calls over the internal listeners.
+ * @param options - Addresses and pool.
+ * @returns The calls.
+ */
+export function createRpcPeers(options: RpcPeersOptions): ConfigurationPeers {
+  const getClient = (instanceId: string) =>
+    createPeerClient<ConfigurationRouter>({
+      address: options.topology.getInstanceOrThrow(instanceId).internalAddress,
+      agent: options.agent,
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  return {
+    push: async (instanceId, message) => {
+      await getClient(instanceId).configuration.push.mutate(message);
+    },
+    pull: async (instanceId, message) =>
+      getClient(instanceId).configuration.pull.query(message),
+  };
+}
--- /dev/null
+++ b/packages/instance/src/configuration/index.ts
@@ -0,0 +1,8 @@
+export type {ConfigurationPeers} from './configuration_peers.js';
+export {
+  type ConfigurationStatus,
+  ConfigurationTask,
+  type ConfigurationTaskOptions,
+} from './configuration_task.js';
+export type {ConfigurationRouter} from './configuration_router.js';
+export {createRpcPeers, type RpcPeersOptions} from './create_rpc_peers.js';
--- /dev/null
+++ b/packages/instance/src/configuration/load_documents.ts
@@ -0,0 +1,66 @@
+import {getErrorMessage, type Logger} from '@primrosestage/common';
+import {
+  createFirstDocument,
+  type InitialPresets,
+  parseTeamDocument,
+  type Store,
+  TEAM_KEY_PREFIX,
+  type TeamDocument,
+} from '@primrosestage/control';
+import {ConfigurationSource} from '@primrosestage/steering';
+
+/** Configures the load of documents at start. */
+export interface LoadDocumentsOptions {
+  store: Store;
+  logger: Logger;
+  /** Teams with the presets of the settings. */
+  teams: ReadonlyArray<InitialPresets & {name: string}>;
+  /** Gets the document in force. */
+  getDocument: (team: string) => TeamDocument | undefined;
+  /** Applies a document. */
+  apply: (team: string, value: unknown, source: ConfigurationSource) => void;
+  /** Pulls from some peers; failures are swallowed. */
+  pullFromPeers: () => Promise<void>;
+}
+
+/**
+ * Tries once to load the documents of all teams from the store, else from peers.
+ * @param options - Store, teams and peers.
+ * @returns Whether the store answered for every team.
+ */
+export async function loadDocuments(
+  options: LoadDocumentsOptions,
+): Promise<boolean> {
+  try {
+    for (const team of options.teams) await loadTeam(options, team);
+    return true;
+  } catch (err) {
+    options.logger.warn('store unavailable, asking peers', {
+      message: getErrorMessage(err),
+    });
+    await options.pullFromPeers();
+    return false;
+  }
+}
+
+async function loadTeam(
+  options: LoadDocumentsOptions,
+  team: InitialPresets & {name: string},
+): Promise<void> {
+  const {store, apply, getDocument} = options;
+  const key = `${TEAM_KEY_PREFIX}${team.name}`;
+  const entry = await store.get(key);
+  if (entry) {
+    apply(team.name, entry.value, ConfigurationSource.Store);
+    return;
+  }
+  // Peers first: where a store lost its content, the revision in force must not start anew.
+  await options.pullFromPeers();
+  const document = getDocument(team.name) ?? createFirstDocument(team);
+  const version = await store.put(key, document, 0);
+  const written = version === undefined ? await store.get(key) : undefined;
+  const value = version === undefined ? written?.value : document;
+  if (parseTeamDocument(value)) {
+    apply(team.name, value, ConfigurationSource.Store);
+  }
+}
--- /dev/null
+++ b/packages/instance/src/configuration/watch_store.ts
@@ -0,0 +1,78 @@
+import {
+  getErrorMessage,
+  type Logger,
+  type TimerService,
+} from '@primrosestage/common';
+import {
+  type Store,
+  type StoreEntry,
+  TEAM_KEY_PREFIX,
+} from '@primrosestage/control';
+
+/** Life of a watch (design 4.6). */
+const WATCH_TIMEOUT_MS = 2_000;
+/** Time beyond its life after which a watch is silent and is reopened. */
+const WATCH_GRACE_MS = 1_000;
+/** How often an instance that holds no watch checks whether it should. */
+const CHECK_INTERVAL_MS = 500;
+const FIRST_BACKOFF_MS = 200;
+const MAX_BACKOFF_MS = 2_000;
+
+/** Configures the watch of an instance. */
+export interface WatchStoreOptions {
+  store: Store;
+  timers: TimerService;
+  logger: Logger;
+  /** Says whether this instance is one of its zone's watchers now. */
+  isWatcher: () => boolean;
+  /** Handles a document that changed. */
+  handleEntry: (entry: StoreEntry) => void;
+  /** Ends the watch. */
+  signal: AbortSignal;
+}
+
+/**
+ * Holds a watch on the team documents while this instance is a watcher.
+ * @param options - Store, watcher choice and handler.
+ */
+export async function watchStore(options: WatchStoreOptions): Promise<void> {
+  const {timers, logger, signal} = options;
+  let after = 0;
+  let backoffMs = FIRST_BACKOFF_MS;
+  while (!signal.aborted) {
+    if (!options.isWatcher()) {
+      await timers.sleep(CHECK_INTERVAL_MS, signal);
+      continue;
+    }
+    try {
+      const {entries, version} = await watchOnce(options, after);
+      for (const entry of entries) options.handleEntry(entry);
+      // A lower version comes from a store that was lost; reading starts anew there.
+      after = version < after ? 0 : version;
+      backoffMs = FIRST_BACKOFF_MS;
+    } catch (err) {
+      if (signal.aborted) return;
+      logger.warn('watch failed', {message: getErrorMessage(err), backoffMs});
+      await timers.sleep(backoffMs, signal);
+      backoffMs = Math.min(MAX_BACKOFF_MS, 2 * backoffMs);
+    }
+  }
+}
+
+async function watchOnce(options: WatchStoreOptions, after: number) {
+  const abort = new AbortController();
+  const end = () => abort.abort();
+  const deadline = options.timers.after(WATCH_TIMEOUT_MS + WATCH_GRACE_MS, end);
+  options.signal.addEventListener('abort', end, {once: true});
+  try {
+    return await options.store.watch({
+      prefix: TEAM_KEY_PREFIX,
+      after,
+      timeoutMs: WATCH_TIMEOUT_MS,
+      signal: abort.signal,
+    });
+  } finally {
+    deadline[Symbol.dispose]();
+    options.signal.removeEventListener('abort', end);
+  }
+}
--- /dev/null
+++ b/packages/instance/test/configuration/cluster.ts
@@ -0,0 +1,201 @@
+import {
+  createLogger,
+  InvariantMonitor,
+  Step,
+  StepError,
+  VirtualTimerService,
+} from '@primrosestage/common';
+import {
+  CommitOutcome,
+  type CommitResult,
+  type DocumentChange,
+  MemoryStore,
+  type TeamDocument,
+} from '@primrosestage/control';
+import {createHash64} from '@primrosestage/steering';
+import {Registry} from 'prom-client';
+import {
+  Fault,
+  FaultyStore,
+} from '../../../control/test/support/faulty_store.js';
+import {
+  SYSTEM,
+  TEAM,
+  TOPOLOGY,
+} from '../../../control/test/support/fixtures.js';
+import {
+  type ConfigurationPeers,
+  ConfigurationTask,
+} from '../../src/configuration/index.js';
+
+const PEER_LATENCY_MS = 12;
+const PEER_TIMEOUT_MS = 800;
+const hash = await createHash64();
+const logger = createLogger({level: 'error', fields: {}});
+
+/** Holds one simulated instance. */
+export interface Member {
+  id: string;
+  task: ConfigurationTask;
+  store: FaultyStore;
+  monitor: InvariantMonitor;
+  isDead: boolean;
+}
+
+/** Simulates the configuration tasks of the Tesfaye example on virtual time. */
+export class Cluster {
+  readonly timers = new VirtualTimerService();
+  readonly inner = new MemoryStore({timers: this.timers});
+  readonly members = new Map<string, Member>();
+  readonly zonesCut = new Set<string>();
+  /** Calls per kind from one instance to another. */
+  readonly peerCalls = {push: 0, pull: 0};
+  violations = 0;
+  revertsSeen = 0;
+  private draws = 0;
+
+  constructor(private readonly decide: () => Fault = () => Fault.None) {}
+
+  get ids(): string[] {
+    return TOPOLOGY.instances.map(({id}) => id);
+  }
+
+  /** Starts or restarts an instance; a former life stops acting at once. */
+  start(id: string): Member {
+    const former = this.members.get(id);
+    if (former) this.kill(former);
+    const store = new FaultyStore({
+      timers: this.timers,
+      inner: this.inner,
+      decide: this.decide,
+    });
+    const monitor = new InvariantMonitor(logger, new Registry());
+    const task = new ConfigurationTask({
+      self: TOPOLOGY.getInstanceOrThrow(id),
+      topology: TOPOLOGY,
+      teams: SYSTEM.teams,
+      store,
+      peers: this.createPeers(id),
+      timers: this.timers,
+      hash,
+      monitor,
+      logger,
+      getLiveInstances: () => TOPOLOGY.instances,
+      drawInt: bound => (this.draws += 7) % bound,
+    });
+    const member = {id, task, store, monitor, isDead: false};
+    this.members.set(id, member);
+    task.start();
+    return member;
+  }
+
+  startAll(): void {
+    for (const id of this.ids) this.start(id);
+  }
+
+  setStoreDown(isDown: boolean): void {
+    for (const {store} of this.members.values()) store.isDown = isDown;
+  }
+
+  /** Partitions a zone from the other zones and from the store. */
+  cut(zone: string): void {
+    this.zonesCut.add(zone);
+    for (const {id, store} of this.members.values()) {
+      if (this.isCut(id)) store.isDown = true;
+    }
+  }
+
+  /** Ends partitions and outages. */
+  heal(): void {
+    this.zonesCut.clear();
+    this.setStoreDown(false);
+  }
+
+  /** Advances time and checks at each 50 ms that no instance reverts. */
+  async run(durationMs: number): Promise<void> {
+    for (let leftMs = durationMs; leftMs > 0; leftMs -= 50) {
+      const before = [...this.members.values()].map(
+        m => [m, revisionOf(m)] as const,
+      );
+      await this.timers.advanceAsync(50);
+      for (const [member, revision] of before) {
+        if (revisionOf(member) < revision) this.revertsSeen++;
+      }
+    }
+  }
+
+  getRevisions(): number[] {
+    return [...this.members.values()].map(revisionOf);
+  }
+
+  async readDocument(): Promise<TeamDocument> {
+    return (await this.inner.get(`teams/${TEAM}`))!.value as TeamDocument;
+  }
+
+  /** Commits at an instance; the result is unknown where the instance is killed meanwhile. */
+  async commit(id: string, change: DocumentChange): Promise<CommitResult> {
+    const member = this.members.get(id)!;
+    const lost: CommitResult = {
+      outcome: CommitOutcome.Unknown,
+      issues: [],
+      message: '',
+    };
+    const timeout = this.timers.sleep(10_000).then(() => lost);
+    const result = await Promise.race([
+      member.task.commit(TEAM, change),
+      timeout,
+    ]);
+    return member.isDead ? lost : result;
+  }
+
+  async dispose(): Promise<void> {
+    for (const member of this.members.values()) this.kill(member);
+    await this.timers.advanceAsync(5_000, 100);
+  }
+
+  private kill(member: Member): void {
+    member.isDead = true;
+    this.violations += member.monitor.violationCount;
+    void member.task[Symbol.asyncDispose]();
+    // A write that was sent may still arrive; the dead process sends nothing more.
+    member.store.isSilent = true;
+  }
+
+  private createPeers(from: string): ConfigurationPeers {
+    const call = async <T>(
+      to: string,
+      run: (member: Member) => T,
+    ): Promise<T> => {
+      const member = this.members.get(to);
+      const isCut = this.isCut(from) !== this.isCut(to);
+      await this.timers.sleep(isCut ? PEER_TIMEOUT_MS : PEER_LATENCY_MS);
+      if (isCut || !member || member.isDead) {
+        throw new StepError(
+          {step: Step.Spread, peer: to},
+          `no answer from ${to}`,
+        );
+      }
+      const result = run(member);
+      await this.timers.sleep(PEER_LATENCY_MS);
+      return result;
+    };
+    return {
+      push: (to, message) => {
+        this.peerCalls.push++;
+        return call(to, ({task}) => task.handlePush(message));
+      },
+      pull: (to, message) => {
+        this.peerCalls.pull++;
+        return call(to, ({task}) => task.handlePull(message));
+      },
+    };
+  }
+
+  private isCut(id: string): boolean {
+    return this.zonesCut.has(TOPOLOGY.getInstanceOrThrow(id).zone);
+  }
+}
+
+function revisionOf({task}: Member): number {
+  return task.getStatus(TEAM)?.revision ?? 0;
+}
