Add the administration API and take the configuration from the store

Cause: operators had no way to change presets and drains, and the instance served the presets of its settings only. Ruled out: answering a change by the instance's own document, which may be old. Conclusion: an instance runs without a platform.

--- /dev/null
+++ b/packages/instance/src/admin/admin_answer.ts
@@ -0,0 +1,33 @@
+import {CommitOutcome, type CommitResult} from '@primrosestage/control';
+
+/** Holds status and body of an answer. */
+export interface AdminAnswer {
+  status: number;
+  body: unknown;
+}
+
+/** Maps what became of a change to the HTTP status. */
+const STATUSES: Record<CommitOutcome, number> = {
+  [CommitOutcome.Accepted]: 200,
+  [CommitOutcome.Invalid]: 400,
+  [CommitOutcome.Conflict]: 409,
+  [CommitOutcome.NotMade]: 503,
+  [CommitOutcome.Unknown]: 504,
+};
+
+/**
+ * Creates the answer to a change.
+ * @param changeId - Identifier under which the operator may repeat it.
+ * @param result - What became of it.
+ * @returns The answer.
+ */
+export function createChangeAnswer(
+  changeId: string,
+  result: CommitResult,
+): AdminAnswer {
+  const {outcome, revision, issues, message} = result;
+  return {
+    status: STATUSES[outcome],
+    body: {outcome, changeId, revision, issues, message},
+  };
+}
--- /dev/null
+++ b/packages/instance/src/admin/admin_task.ts
@@ -0,0 +1,216 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  getErrorMessage,
+  type Logger,
+  Step,
+  StepError,
+  type TimerService,
+} from '@primrosestage/common';
+import {
+  checkPreset,
+  diffPresets,
+  type TeamDocument,
+} from '@primrosestage/control';
+import type {InstanceInfo, Topology} from '@primrosestage/steering';
+import type {ConfigurationTask} from '../configuration/index.js';
+import {sendJson} from '../http/index.js';
+import {type AdminAnswer, createChangeAnswer} from './admin_answer.js';
+import {Access, authorize, type TeamTokens} from './authorize.js';
+import {createAdminRouter} from './create_admin_router.js';
+import {gatherStatus} from './gather_status.js';
+import type {
+  HeadroomReport,
+  InstanceStatus,
+  ShareReport,
+} from './instance_status.js';
+import {
+  parseActivate,
+  parseDrain,
+  type ParsedChange,
+  parsePutPreset,
+} from './parse_change.js';
+import {readJsonBody} from './read_json_body.js';
+import {summarizeStatus} from './team_status.js';
+
+/** Path prefix of the administration API. */
+export const ADMIN_PATH = '/admin/v1/teams/';
+
+/** Configures the administration API. */
+export interface AdminTaskOptions {
+  self: InstanceInfo;
+  topology: Topology;
+  teams: readonly TeamTokens[];
+  configuration: ConfigurationTask;
+  timers: TimerService;
+  logger: Logger;
+  /** Says whether this instance takes requests. */
+  isReady(): boolean;
+  /** Gets the shares that are in force here. */
+  getShares(team: string): ShareReport[];
+  /** Gets the free slots that this instance knows of. */
+  getHeadroom(team: string): HeadroomReport[];
+  /** Asks another instance for its status; rejects where it does not answer. */
+  fetchStatus(instance: InstanceInfo, team: string): Promise<InstanceStatus>;
+}
+
+/** Answers the administration API. */
+export class AdminTask {
+  constructor(private readonly options: AdminTaskOptions) {}
+
+  /** Creates the router of the control calls that other instances make. */
+  createRouter() {
+    return createAdminRouter(team => this.getOwnStatus(team));
+  }
+
+  /**
+   * Answers a request under `ADMIN_PATH`.
+   * @param req - The request.
+   * @param res - Its response.
+   */
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const {self, teams, logger} = this.options;
+    const {pathname} = new URL(req.url ?? '/', 'http://instance');
+    const [team = '', ...path] = pathname.slice(ADMIN_PATH.length).split('/');
+    let answer: AdminAnswer;
+    try {
+      const access = authorize(req.headers.authorization, team, teams);
+      answer =
+        access === Access.Granted
+          ? await this.route(team, req, path)
+          : createFault(
+              access === Access.Forbidden ? 403 : 401,
+              access === Access.Forbidden
+                ? 'the token belongs to another team'
+                : 'a bearer token of the team is required',
+            );
+    } catch (err) {
+      logger.warn('administration request failed', {
+        path: pathname,
+        message: getErrorMessage(err),
+      });
+      const isBody = err instanceof StepError && err.step === Step.Admin;
+      answer = createFault(isBody ? 400 : 500, getErrorMessage(err));
+    }
+    if (answer.status === 401) res.setHeader('www-authenticate', 'Bearer');
+    const origin = answer.status < 300 ? {} : {step: Step.Admin, peer: self.id};
+    sendJson(res, answer.status, {...origin, ...(answer.body as object)});
+  }
+
+  private async route(
+    team: string,
+    req: IncomingMessage,
+    path: string[],
+  ): Promise<AdminAnswer> {
+    const {topology} = this.options;
+    const document = this.options.configuration.getDocument(team);
+    const [resource, name = '', verb, other = ''] = path;
+    const isPreset = resource === 'presets' && name !== '';
+    switch (`${req.method} ${resource}/${path.length}`) {
+      case 'GET presets/1':
+        return document ? listPresets(document) : NO_DOCUMENT;
+      case 'GET presets/2':
+        return document ? showPreset(document, name) : NO_DOCUMENT;
+      case 'GET presets/4':
+        if (verb !== 'diff') break;
+        return document ? diffNamed(document, name, other) : NO_DOCUMENT;
+      case 'GET status/1':
+        return this.gatherStatus(team);
+      case 'PUT presets/2':
+        if (!isPreset) break;
+        return this.change(
+          team,
+          parsePutPreset(await readJsonBody(req), name, team, topology),
+        );
+      case 'POST presets/3': {
+        if (!isPreset || verb !== 'validate') break;
+        const body = (await readJsonBody(req)) as {preset?: unknown} | null;
+        const {issues} = checkPreset(body?.preset, team, topology);
+        return {status: 200, body: {isValid: issues.length === 0, issues}};
+      }
+      case 'POST active/1':
+        return this.change(team, parseActivate(await readJsonBody(req)));
+      case 'POST drains/1':
+        return this.change(team, parseDrain(await readJsonBody(req)));
+    }
+    return createFault(404, `no resource ${req.method} ${path.join('/')}`);
+  }
+
+  private async change(
+    team: string,
+    {change, issues}: ParsedChange,
+  ): Promise<AdminAnswer> {
+    if (!change) {
+      const message = `${issues.length} faults`;
+      return {status: 400, body: {outcome: 'invalid', issues, message}};
+    }
+    const {configuration, logger} = this.options;
+    const result = await configuration.commit(team, change);
+    const {changeId, basedOn, action} = change;
+    logger.info('change', {
+      team,
+      changeId,
+      basedOn,
+      kind: action.kind,
+      outcome: result.outcome,
+      revision: result.revision,
+    });
+    return createChangeAnswer(changeId, result);
+  }
+
+  private async gatherStatus(team: string): Promise<AdminAnswer> {
+    const {self, topology, timers, fetchStatus} = this.options;
+    const reports = await gatherStatus({
+      self,
+      instances: topology.instances,
+      timers,
+      getOwnStatus: () => this.getOwnStatus(team),
+      fetchStatus: instance => fetchStatus(instance, team),
+    });
+    return {status: 200, body: summarizeStatus(team, reports)};
+  }
+
+  private getOwnStatus(team: string): InstanceStatus {
+    const {configuration, isReady, getShares, getHeadroom} = this.options;
+    const status = configuration.getStatus(team);
+    return {
+      isReady: isReady(),
+      configuration: status ? {...status, drains: [...status.drains]} : null,
+      shares: getShares(team),
+      headroom: getHeadroom(team),
+    };
+  }
+}
+
+const NO_DOCUMENT = createFault(503, 'no document of the team is known yet');
+
+function createFault(status: number, message: string): AdminAnswer {
+  return {status, body: {message}};
+}
+
+function listPresets({revision, active, presets}: TeamDocument): AdminAnswer {
+  const names = Object.keys(presets).sort();
+  return {status: 200, body: {revision, active, presets: names}};
+}
+
+function showPreset(document: TeamDocument, name: string): AdminAnswer {
+  const {revision, active, presets} = document;
+  if (!Object.hasOwn(presets, name)) {
+    return createFault(404, `no preset ${name}`);
+  }
+  const isActive = name === active;
+  return {
+    status: 200,
+    body: {revision, name, isActive, preset: presets[name]},
+  };
+}
+
+function diffNamed(
+  {revision, presets}: TeamDocument,
+  from: string,
+  to: string,
+): AdminAnswer {
+  const missing = [from, to].find(name => !Object.hasOwn(presets, name));
+  if (missing !== undefined) return createFault(404, `no preset ${missing}`);
+  const differences = diffPresets(presets[from]!, presets[to]!);
+  return {status: 200, body: {revision, from, to, differences}};
+}
--- /dev/null
+++ b/packages/instance/src/admin/read_json_body.ts
@@ -0,0 +1,35 @@
+import type {IncomingMessage} from 'node:http';
+import {getErrorMessage, Step, StepError} from '@primrosestage/common';
+
+/** Largest body of an administration request; a preset of 10 regions has some kilobytes. */
+const MAX_BODY_BYTES = 256 * 1024;
+
+/**
+ * Reads a JSON body.
+ * @param req - The request.
+ * @returns The parsed value.
+ * @throws StepError when the body is too large or no JSON.
+ */
+export async function readJsonBody(req: IncomingMessage): Promise<unknown> {
+  const peer = req.socket.remoteAddress ?? '';
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > MAX_BODY_BYTES) {
+      throw new StepError(
+        {step: Step.Admin, peer},
+        `body is larger than ${MAX_BODY_BYTES} bytes`,
+      );
+    }
+    chunks.push(chunk);
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+  } catch (err) {
+    throw new StepError(
+      {step: Step.Admin, peer, cause: err},
+      `body is no JSON: ${getErrorMessage(err)}`,
+    );
+  }
+}
--- a/packages/instance/src/cli/main.ts
+++ b/packages/instance/src/cli/main.ts
@@ -1,5 +1,12 @@
-import {getErrorMessage} from '@primrosestage/common';
-import {loadSettings, SettingsError} from '@primrosestage/control';
+import {getErrorMessage, type TimerService} from '@primrosestage/common';
+import {
+  buildTopology,
+  InstanceState,
+  type LoadedSettings,
+  loadSettings,
+  MemoryStore,
+  SettingsError,
+} from '@primrosestage/control';
 import {cac} from 'cac';
 import {serve} from '../serve.js';
 
@@ -16,7 +23,7 @@
     .command('serve', 'Run one entry instance')
     .option('--settings <file>', 'TOML settings of the instance')
     .option('--embedded-store', 'Keep an in-memory store inside the process')
-    .action((options: {settings: string}) => runServe(options.settings));
+    .action(runServe);
   cli
     .command('check <file>', 'Check settings without starting')
     .action((file: string) => {
@@ -41,9 +48,38 @@
   }
 }
 
-async function runServe(file: string): Promise<void> {
-  const instance = await serve(loadSettings(file));
+interface ServeArguments {
+  settings?: string;
+  embeddedStore?: boolean;
+}
+
+async function runServe(options: ServeArguments): Promise<void> {
+  if (typeof options.settings !== 'string') {
+    process.stderr.write('option --settings: found nothing, expected a file\n');
+    process.exitCode = EXIT_USAGE;
+    return;
+  }
+  const settings = loadSettings(options.settings);
+  const instance = await serve(
+    settings,
+    options.embeddedStore ? {createStore: createEmbeddedStore(settings)} : {},
+  );
   process.once('SIGTERM', () => {
     void instance[Symbol.asyncDispose]().then(() => process.exit(0));
   });
 }
+
+/** Creates a store for one process; instances with stores of their own share no changes. */
+function createEmbeddedStore({system}: LoadedSettings) {
+  const {instances} = buildTopology(system);
+  const listed = instances.map(instance => ({
+    id: instance.id,
+    zone: instance.zone,
+    region: instance.region,
+    internal: instance.internalAddress,
+    public: instance.publicAddress,
+    state: InstanceState.Live,
+  }));
+  return (timers: TimerService) =>
+    new MemoryStore({timers, getInstances: () => listed});
+}
--- a/packages/instance/src/configuration/configuration_messages.ts
+++ b/packages/instance/src/configuration/configuration_messages.ts
@@ -20,6 +20,9 @@
   revisions: z.record(z.string(), z.number().int()),
 });
 
+/** Checks the answer to a pull. */
+export const PULL_ANSWER_SCHEMA = z.array(TEAM_UPDATE_SCHEMA);
+
 /** Holds a team's document on its way between instances. */
 export type TeamUpdate = z.infer<typeof TEAM_UPDATE_SCHEMA>;
 
--- a/packages/instance/src/configuration/configuration_router.ts
+++ b/packages/instance/src/configuration/configuration_router.ts
@@ -14,22 +14,20 @@
 }
 
 /**
- * Creates the router of configuration calls between instances.
+ * Creates the configuration calls between instances.
  * @param handlers - Handles the calls.
- * @returns The router, with all calls under `configuration`.
+ * @returns The router with the mutation `push` and the query `pull`.
  */
 export function createConfigurationRouter(handlers: ConfigurationHandlers) {
   return router({
-    configuration: router({
-      push: procedure
-        .input(PUSH_SCHEMA)
-        .mutation(({input}) => handlers.handlePush(input)),
-      pull: procedure
-        .input(PULL_SCHEMA)
-        .query(({input}) => handlers.handlePull(input)),
-    }),
+    push: procedure
+      .input(PUSH_SCHEMA)
+      .mutation(({input}) => handlers.handlePush(input)),
+    pull: procedure
+      .input(PULL_SCHEMA)
+      .query(({input}) => handlers.handlePull(input)),
   });
 }
 
-/** Types the calls of `createConfigurationRouter` for clients. */
+/** Types the configuration calls for clients. */
 export type ConfigurationRouter = ReturnType<typeof createConfigurationRouter>;
--- a/packages/instance/src/configuration/configuration_task.ts
+++ b/packages/instance/src/configuration/configuration_task.ts
@@ -102,12 +102,16 @@
     this.committer = new ChangeCommitter(options);
   }
 
-  /** Starts loading, watching and pulling in the background. */
-  start(): void {
+  /**
+   * Starts loading, watching and pulling in the background.
+   * @returns A promise that resolves after the first attempt to load, whether it succeeded or not.
+   */
+  async start(): Promise<void> {
     const {signal} = this.abort;
     const {store, timers, logger} = this.options;
+    const firstAttempt = this.load();
     this.loops = Promise.all([
-      this.load(),
+      firstAttempt.then(isLoaded => (isLoaded ? undefined : this.repeatLoad())),
       watchStore({
         store,
         timers,
@@ -118,6 +122,7 @@
       }),
       this.pullPeriodically(),
     ]);
+    await firstAttempt;
   }
 
   /** Says whether a document of every team is in force. */
@@ -237,28 +242,31 @@
     logger.info('configuration in force', {...details, active});
   }
 
-  private async load(): Promise<void> {
-    const {store, logger, teams, timers} = this.options;
+  private load(): Promise<boolean> {
+    const {store, logger, teams} = this.options;
+    return loadDocuments({
+      store,
+      logger,
+      teams,
+      getDocument: team => this.getDocument(team),
+      apply: (team, value, source) => {
+        this.apply(team, value, source);
+        this.noteSpread(team, this.getDocument(team)?.revision ?? 0);
+      },
+      pullFromPeers: async () => {
+        const peers = Array.from({length: LOAD_PEERS}, () => this.drawPeer());
+        await Promise.all(
+          [...new Set(peers)].map(peer => peer && this.pull(peer)),
+        );
+      },
+    });
+  }
+
+  private async repeatLoad(): Promise<void> {
     const {signal} = this.abort;
-    while (!signal.aborted) {
-      const isLoaded = await loadDocuments({
-        store,
-        logger,
-        teams,
-        getDocument: team => this.getDocument(team),
-        apply: (team, value, source) => {
-          this.apply(team, value, source);
-          this.noteSpread(team, this.getDocument(team)?.revision ?? 0);
-        },
-        pullFromPeers: async () => {
-          const peers = Array.from({length: LOAD_PEERS}, () => this.drawPeer());
-          await Promise.all(
-            [...new Set(peers)].map(peer => peer && this.pull(peer)),
-          );
-        },
-      });
-      if (isLoaded || this.isReady()) return;
-      await timers.sleep(LOAD_RETRY_MS, signal);
+    while (!signal.aborted && !this.isReady()) {
+      await this.options.timers.sleep(LOAD_RETRY_MS, signal);
+      if (signal.aborted || (await this.load())) return;
     }
   }
 
--- a/packages/instance/src/configuration/create_rpc_peers.ts
+++ b/packages/instance/src/configuration/create_rpc_peers.ts
@@ -1,12 +1,24 @@
 import type http from 'node:http';
 import type {Topology} from '@primrosestage/steering';
 import {createPeerClient} from '../rpc/index.js';
+import {
+  PULL_ANSWER_SCHEMA,
+  type PullMessage,
+  type PushMessage,
+} from './configuration_messages.js';
 import type {ConfigurationPeers} from './configuration_peers.js';
 import type {ConfigurationRouter} from './configuration_router.js';
 
 /** Longest time of a call; the tree has 3 levels, and the whole must stay under 5 s. */
 const CALL_TIMEOUT_MS = 800;
 
+interface AppClient {
+  configuration: {
+    push: {mutate(message: PushMessage): Promise<unknown>};
+    pull: {query(message: PullMessage): Promise<unknown>};
+  };
+}
+
 /** Configures configuration calls over the internal listeners. */
 export interface RpcPeersOptions {
   topology: Topology;
@@ -24,12 +36,14 @@
       address: options.topology.getInstanceOrThrow(instanceId).internalAddress,
       agent: options.agent,
       timeoutMs: CALL_TIMEOUT_MS,
-    });
+    }) as unknown as AppClient;
   return {
     push: async (instanceId, message) => {
       await getClient(instanceId).configuration.push.mutate(message);
     },
     pull: async (instanceId, message) =>
-      getClient(instanceId).configuration.pull.query(message),
+      PULL_ANSWER_SCHEMA.parse(
+        await getClient(instanceId).configuration.pull.query(message),
+      ),
   };
 }
--- /dev/null
+++ b/packages/instance/src/configuration/register_configuration_metrics.ts
@@ -0,0 +1,38 @@
+import {Gauge, type Registry} from 'prom-client';
+import type {ConfigurationTask} from './configuration_task.js';
+
+/**
+ * Registers the metrics of the configuration.
+ * @param task - The task that is measured.
+ * @param teams - The teams of the settings.
+ * @param registry - Where the metrics are registered.
+ */
+export function registerConfigurationMetrics(
+  task: ConfigurationTask,
+  teams: ReadonlyArray<{name: string}>,
+  registry: Registry,
+): void {
+  new Gauge({
+    name: 'primrose_configuration_revision',
+    help: 'Revision of the team document in force; 0 where there is none.',
+    labelNames: ['team'],
+    registers: [registry],
+    collect() {
+      for (const {name} of teams) {
+        this.set({team: name}, task.getStatus(name)?.revision ?? 0);
+      }
+    },
+  });
+  new Gauge({
+    name: 'primrose_configuration_age_seconds',
+    help: 'Time since the team document came into force at this instance.',
+    labelNames: ['team'],
+    registers: [registry],
+    collect() {
+      for (const {name} of teams) {
+        const status = task.getStatus(name);
+        if (status) this.set({team: name}, status.ageMs / 1_000);
+      }
+    },
+  });
+}
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -1,3 +1,4 @@
+import {randomInt} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   type ConnectFunction,
@@ -6,10 +7,22 @@
   createLogger,
   InvariantMonitor,
   RealTimerService,
+  type TimerService,
 } from '@primrosestage/common';
-import {buildTopology, type LoadedSettings} from '@primrosestage/control';
+import {
+  buildTopology,
+  HttpStore,
+  type LoadedSettings,
+  type Store,
+} from '@primrosestage/control';
 import {createHash64, getCandidates, Liveness} from '@primrosestage/steering';
 import {Registry} from 'prom-client';
+import {ADMIN_PATH, AdminTask, fetchInstanceStatus} from './admin/index.js';
+import {
+  ConfigurationTask,
+  createRpcPeers,
+  registerConfigurationMetrics,
+} from './configuration/index.js';
 import {listen, sendJson} from './http/index.js';
 import {IngressTask} from './ingress/index.js';
 import {LookupTask} from './lookup/index.js';
@@ -26,6 +39,8 @@
 export interface ServeOptions {
   /** Opens all outgoing connections. */
   connect?: ConnectFunction;
+  /** Creates the store; the platform's one where absent. */
+  createStore?: (timers: TimerService) => Store;
 }
 
 /**
@@ -63,6 +78,26 @@
   );
   const controlAgent = createAgent({connect});
   stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
+  const store =
+    options.createStore?.(timers) ??
+    stack.use(new HttpStore({...system.store, connect, timers}));
+  const configuration = stack.use(
+    new ConfigurationTask({
+      self,
+      topology,
+      teams: system.teams,
+      store,
+      peers: createRpcPeers({topology, agent: controlAgent}),
+      timers,
+      hash,
+      monitor,
+      logger,
+      getLiveInstances: () => topology.instances,
+      drawInt: bound => randomInt(bound),
+    }),
+  );
+  registerConfigurationMetrics(configuration, system.teams, registry);
+  await configuration.start();
   const routing = stack.use(
     new RoutingTask({
       topology,
@@ -75,13 +110,7 @@
         },
         getLimit: id => topology.getEndpoint(id)?.slots ?? 0,
       },
-      configuration: {
-        getPreset: name => {
-          const team = system.teams.find(t => t.name === name);
-          return team?.presets[team.active];
-        },
-        getDrains: () => [],
-      },
+      configuration,
       timers,
       monitor,
       random: Math.random,
@@ -118,20 +147,42 @@
     incarnation: timers.wallNow(),
     blocks: system.blocks,
     trustedPeers: system.trustedPeers,
-    getTtlSeconds: () => 10,
+    getTtlSeconds: team =>
+      configuration.getPreset(team)?.lookupTtlSeconds ?? 10,
+  });
+  const isReady = () => configuration.isReady();
+  const admin = new AdminTask({
+    self,
+    topology,
+    teams: system.teams,
+    configuration,
+    timers,
+    logger,
+    isReady,
+    getShares: name =>
+      routing.getStatus().shares.filter(({team}) => team === name),
+    getHeadroom: name =>
+      routing.getStatus().headroom.filter(({team}) => team === name),
+    fetchStatus: (peer, team) => fetchInstanceStatus(peer, team, controlAgent),
   });
   const handleRpc = createRpcHandler(
-    router({routing: createRoutingRouter(routing)}),
+    router({
+      routing: createRoutingRouter(routing),
+      configuration: configuration.createRouter(),
+      admin: admin.createRouter(),
+    }),
   );
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
     else if (url.startsWith('/v1/requests/')) void ingress.handle(req, res);
     else if (url === '/healthz') sendJson(res, 200, {healthy: true});
-    else if (url === '/readyz') sendJson(res, 200, {ready: true});
+    else if (url === '/readyz')
+      sendJson(res, isReady() ? 200 : 503, {ready: isReady()});
     else sendJson(res, 404, {message: `no resource ${url}`});
   };
   const handleAdmin = async (req: IncomingMessage, res: ServerResponse) => {
+    if (req.url?.startsWith(ADMIN_PATH)) return admin.handle(req, res);
     if (req.url !== '/metrics') {
       sendJson(res, 404, {message: `no resource ${req.url}`});
       return;
--- a/packages/instance/test/configuration/cluster.ts
+++ b/packages/instance/test/configuration/cluster.ts
@@ -85,7 +85,7 @@
     });
     const member = {id, task, store, monitor, isDead: false};
     this.members.set(id, member);
-    task.start();
+    void task.start();
     return member;
   }
 
