--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -4,6 +4,7 @@
   connectTcp,
   createAgent,
   createLogger,
+  createTracing,
   InvariantMonitor,
   RealTimerService,
 } from '@primrosestage/common';
@@ -15,15 +16,16 @@
 import {
   BlockTable,
   createHash64,
-  getCandidates,
+  type EndpointOwnership,
   Liveness,
 } from '@primrosestage/steering';
 import {Registry} from 'prom-client';
+import {SettingsConfiguration, StaticOwnership} from './defaults/index.js';
 import {listen, sendJson} from './http/index.js';
-import {IngressTask} from './ingress/index.js';
 import {LookupTask} from './lookup/index.js';
-import {OwnerTask} from './owner/index.js';
+import {createRequestPath} from './request_path/index.js';
 import {
+  createLinkPacer,
   createRoutingRouter,
   fetchRoutingReport,
   registerRoutingMetrics,
@@ -53,7 +55,6 @@
   const self = topology.getInstanceOrThrow(instance.id);
   const connect = options.connect ?? connectTcp;
   const timers = new RealTimerService();
-  const incarnation = timers.wallNow();
   const logger = createLogger({
     level: instance.log.level,
     fields: {instance: self.id},
@@ -61,37 +62,23 @@
   const registry = new Registry();
   const monitor = new InvariantMonitor(logger, registry);
   const hash = await createHash64();
-  const owner = stack.use(
-    new OwnerTask({
-      topology,
-      self,
-      hash,
-      timers,
-      progressTimeoutMs: system.timing.progressTimeoutMs,
-      connect,
-    }),
+  const tracing = stack.use(
+    createTracing({...instance.traces, instance: self.id}),
   );
-  const configuration: ConfigurationView = {
-    getPreset: name => {
-      const team = system.teams.find(t => t.name === name);
-      return team?.presets[team.active];
-    },
-    getDrains: () => [],
-  };
+  const incarnation = Math.floor(timers.wallNow());
+  const ownership: EndpointOwnership = new StaticOwnership(
+    topology,
+    self,
+    hash,
+  );
+  const configuration: ConfigurationView = new SettingsConfiguration(system);
   const controlAgent = createAgent({connect});
   stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
   const routing = stack.use(
     new RoutingTask({
       topology,
       self,
-      ownership: {
-        getOwner: id => {
-          const endpoint = topology.getEndpoint(id);
-          if (!endpoint) return undefined;
-          return getCandidates(endpoint, topology.instances, hash)[0];
-        },
-        getLimit: id => topology.getEndpoint(id)?.slots ?? 0,
-      },
+      ownership,
       configuration,
       timers,
       monitor,
@@ -104,25 +91,26 @@
   );
   registerRoutingMetrics(routing, registry);
   await routing.loadPeerShares();
-  const ingress = stack.use(
-    new IngressTask({
-      parse: {
-        topology,
-        self,
-        timers,
-        defaultDeadlineMs: system.timing.defaultDeadlineMs,
-        maxRequestMs: system.timing.maxRequestMs,
-      },
+  const requestPath = stack.use(
+    createRequestPath({
       topology,
       self,
+      incarnation,
+      timing: system.timing,
+      ownership,
+      selector: routing,
+      configuration,
       hash,
-      owner,
       timers,
       logger,
-      progressTimeoutMs: system.timing.progressTimeoutMs,
+      registry,
+      monitor,
+      tracer: tracing.tracer,
       connect,
+      pace: createLinkPacer({links: routing.links, self, timers}),
     }),
   );
+  const {ingress, homes} = requestPath;
   const lookup = new LookupTask({
     topology,
     self,
@@ -137,13 +125,17 @@
     getKeyPrefix: id => `${id}.${incarnation}.0`,
   });
   const handleRpc = createRpcHandler(
-    router({routing: createRoutingRouter(routing)}),
+    router({
+      routing: createRoutingRouter(routing),
+      keys: homes.createRouter(),
+    }),
   );
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
-    else if (url.startsWith('/v1/requests/')) void ingress.handle(req, res);
-    else if (url === '/healthz') sendJson(res, 200, {healthy: true});
+    else if (url.startsWith('/v1/requests/')) {
+      void ingress.handle(req, res, false);
+    } else if (url === '/healthz') sendJson(res, 200, {healthy: true});
     else if (url === '/readyz') sendJson(res, 200, {ready: true});
     else sendJson(res, 404, {message: `no resource ${url}`});
   };
@@ -161,7 +153,7 @@
       address: self.internalAddress,
       handle: (req, res) => {
         if (req.url?.startsWith(RPC_PATH)) handleRpc(req, res);
-        else void ingress.handle(req, res);
+        else void ingress.handle(req, res, true);
       },
     }),
   );
