Benchmark lookups against a flat binary search and a fixed answer

Cause: the speed and memory of the block table and of lookups over HTTP were not known. Ruled out: a full HTTP client for the load, which costs more than the servers under test; a raw client writes prepared bytes.

--- a/packages/steering/src/lookup/block_table.ts
+++ b/packages/steering/src/lookup/block_table.ts
@@ -14,6 +14,12 @@
   region: string;
 }
 
+/** Maps a parsed address prefix to a region or site. */
+export interface ParsedBlock {
+  prefix: Prefix;
+  region: string;
+}
+
 /** Maps client addresses to regions or sites by the longest prefix. */
 export class BlockTable {
   private readonly ipv4 = new PrefixTable(1);
@@ -28,10 +34,19 @@
    * @throws StepError when a prefix is not valid.
    */
   static build(blocks: Iterable<Block>): BlockTable {
+    return BlockTable.buildFromPrefixes(parseBlocks(blocks));
+  }
+
+  /**
+   * Builds a table from parsed prefixes.
+   * @param blocks - The blocks; of prefixes that occur twice the last one counts.
+   * @returns The table.
+   */
+  static buildFromPrefixes(blocks: Iterable<ParsedBlock>): BlockTable {
     const table = new BlockTable();
     const lists = {ipv4: new PrefixList(1), ipv6: new PrefixList(4)};
     for (const {prefix, region} of blocks) {
-      const {words, length} = parsePrefix(prefix);
+      const {words, length} = prefix;
       const list = words.length === 1 ? lists.ipv4 : lists.ipv6;
       list.add(words, length, table.getValue(region));
     }
@@ -66,7 +81,8 @@
    * @returns The name, or undefined where no block contains it.
    */
   getRegionOfWords(words: readonly number[]): string | undefined {
-    return this.names[this.getTable(words).lookup(words)];
+    const value = this.getTable(words).lookup(words);
+    return value < 0 ? undefined : this.names[value];
   }
 
   /**
@@ -118,3 +134,9 @@
     return value;
   }
 }
+
+function* parseBlocks(blocks: Iterable<Block>): Generator<ParsedBlock> {
+  for (const {prefix, region} of blocks) {
+    yield {prefix: parsePrefix(prefix), region};
+  }
+}
--- a/packages/steering/src/lookup/index.ts
+++ b/packages/steering/src/lookup/index.ts
@@ -1,4 +1,4 @@
-export {type Block, BlockTable} from './block_table.js';
+export {type Block, BlockTable, type ParsedBlock} from './block_table.js';
 export {parseAddressWords, parsePrefix, type Prefix} from './prefix.js';
 export {PrefixList} from './prefix_list.js';
 export {PrefixTable} from './prefix_table.js';
--- /dev/null
+++ b/packages/testing/src/bench/figure.ts
@@ -0,0 +1,50 @@
+/** Says how a figure is judged. */
+export enum GoalKind {
+  AtMost = 'at most',
+  AtLeast = 'at least',
+}
+
+/** Holds a bound that a figure or its ratio to the baseline should keep. */
+export interface Goal {
+  kind: GoalKind;
+  bound: number;
+  /** Whether the bound is for the ratio to the baseline; otherwise it is for the value. */
+  isRatio: boolean;
+}
+
+/** Holds one measured figure. */
+export interface Figure {
+  /** Dotted name that begins with the part. */
+  name: string;
+  value: number;
+  unit: string;
+  seed: number;
+  /** Number of observations behind the value. */
+  n: number;
+  /** The same quantity of a baseline, measured in the same run. */
+  baseline?: {name: string; value: number};
+  goal?: Goal;
+}
+
+/** Takes figures as they are measured. */
+export interface FigureSink {
+  readonly seed: number;
+  /** Records a figure under the seed of the run. */
+  record(figure: Omit<Figure, 'seed'>): void;
+}
+
+/** Gets the ratio of a figure to its baseline, or undefined where it has none. */
+export function getRatio({value, baseline}: Figure): number | undefined {
+  return baseline && baseline.value !== 0 ? value / baseline.value : undefined;
+}
+
+/** Says whether a figure keeps its goal; undefined where it has none. */
+export function isGoalMet(figure: Figure): boolean | undefined {
+  const {goal, value} = figure;
+  if (!goal) return undefined;
+  const measured = goal.isRatio ? getRatio(figure) : value;
+  if (measured === undefined) return undefined;
+  return goal.kind === GoalKind.AtMost
+    ? measured <= goal.bound
+    : measured >= goal.bound;
+}
--- /dev/null
+++ b/packages/testing/src/bench/main.ts
@@ -0,0 +1,70 @@
+import {getErrorMessage} from '@primrosestage/common';
+import {cac} from 'cac';
+import type {Figure, FigureSink} from './figure.js';
+import {runLookupBench} from './lookup/index.js';
+import {formatTable} from './report/format_table.js';
+import {writeReport} from './report/write_report.js';
+
+/** Seed of a run that names none. */
+const DEFAULT_SEED = 20_240_501;
+
+/** Measures one part and records its figures. */
+type BenchPart = (sink: FigureSink) => Promise<void>;
+
+const PARTS: Record<string, BenchPart> = {
+  lookup: runLookupBench,
+};
+
+async function main(argv: string[]): Promise<void> {
+  const cli = cac('bench');
+  cli.option('--only <name>', `Run one part: ${Object.keys(PARTS).join(', ')}`);
+  cli.option('--report <dir>', 'Write the figures as an HTML page');
+  cli.option('--seed <number>', 'Seed of all random numbers', {
+    default: DEFAULT_SEED,
+  });
+  cli.help();
+  const {options} = cli.parse(argv);
+  if (options.help) return;
+  const parts = Object.entries(PARTS).filter(
+    ([name]) => options.only === undefined || options.only === name,
+  );
+  if (parts.length === 0) {
+    process.stderr.write(
+      `no part ${options.only}; expected one of ${Object.keys(PARTS).join(', ')}\n`,
+    );
+    process.exitCode = 2;
+    return;
+  }
+  const seed = Number(options.seed);
+  const startedAt = new Date().toISOString();
+  const figures: Figure[] = [];
+  const sink: FigureSink = {
+    seed,
+    record(figure) {
+      const {name, value, unit, n, ...rest} = figure;
+      const complete = {name, value, unit, seed, n, ...rest};
+      figures.push(complete);
+      process.stdout.write(`${JSON.stringify(complete)}\n`);
+    },
+  };
+  for (const [name, run] of parts) {
+    try {
+      await run(sink);
+    } catch (err) {
+      process.stderr.write(`part ${name} failed: ${getErrorMessage(err)}\n`);
+      process.exitCode = 1;
+    }
+  }
+  process.stdout.write(`\n${formatTable(figures)}\n`);
+  if (options.report === undefined) return;
+  const command = ['npm run bench --', ...argv.slice(2)].join(' ');
+  const file = writeReport(String(options.report), figures, {
+    seed,
+    startedAt,
+    command,
+    node: process.version,
+  });
+  process.stdout.write(`report: ${file}\n`);
+}
+
+await main(process.argv);
--- /dev/null
+++ b/packages/testing/src/bench/process/child_process.ts
@@ -0,0 +1,48 @@
+import {fork} from 'node:child_process';
+import {once} from 'node:events';
+import {fileURLToPath} from 'node:url';
+import {Step, StepError} from '@primrosestage/common';
+import type {ChildTask, ChildUsage} from './child_roles.js';
+
+const CHILD_MAIN = fileURLToPath(new URL('./child_main.js', import.meta.url));
+
+/** Controls a child process of the benchmark; disposal ends it. */
+export interface BenchChild extends AsyncDisposable {
+  readonly pid: number;
+  /** Collects garbage in the child and gets what it used so far. */
+  getUsage(): Promise<ChildUsage>;
+}
+
+/**
+ * Starts a child process and waits until it listens.
+ * @param task - What it runs.
+ * @returns The running child.
+ * @throws StepError when it ends before it listens.
+ */
+export async function startChild(task: ChildTask): Promise<BenchChild> {
+  const child = fork(CHILD_MAIN, [JSON.stringify(task)], {
+    execArgv: ['--expose-gc'],
+    stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
+  });
+  const exited = once(child, 'exit');
+  const first = await Promise.race([once(child, 'message'), exited]);
+  if (first[0] !== 'ready') {
+    throw new StepError(
+      {step: Step.Settings, peer: task.role},
+      `child process ${task.role} ended before it listened`,
+    );
+  }
+  return {
+    pid: child.pid ?? 0,
+    async getUsage() {
+      const answer = once(child, 'message');
+      child.send('usage');
+      const [usage] = await answer;
+      return usage as ChildUsage;
+    },
+    async [Symbol.asyncDispose]() {
+      child.kill('SIGKILL');
+      await exited;
+    },
+  };
+}
