Add stand-ins, a cluster launcher and a first demo

Change: stand-ins of store, backend servers and callers as processes with commands over IPC; a launcher; a ledger that compares callers and backend servers. Before: none.

--- /dev/null
+++ b/packages/testing/src/backend/backend_server.ts
@@ -0,0 +1,211 @@
+import {once} from 'node:events';
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {HeaderName, Outcome} from '@primrosestage/common';
+import {RunEnd, type RunRecord} from '../ledger/records.js';
+import type {SeededRandom} from '../random/index.js';
+import {type BackendFaults, NO_BACKEND_FAULTS} from './backend_faults.js';
+import {createBody} from './create_body.js';
+
+/** Time after a start in which service times fall from 4 times to the normal value. */
+const COLD_MS = 8_000;
+
+/** Configures a backend server stand-in. */
+export interface BackendServerOptions {
+  host: string;
+  port: number;
+  endpointId: string;
+  /** Median time that a request takes, in milliseconds. */
+  serviceMs: number;
+  random: SeededRandom;
+  onRun: (run: RunRecord) => void;
+}
+
+/** Stands in for a backend server; it records runs over its slots instead of refusing them. */
+export class BackendServer implements AsyncDisposable {
+  private faults: BackendFaults = {...NO_BACKEND_FAULTS};
+  private readonly sockets = new Set<Socket>();
+  private readonly silenced = new WeakSet<Socket>();
+  private readonly openRuns = new Map<RunRecord, (end: RunEnd) => void>();
+  private server?: http.Server;
+  private isDraining = false;
+  private firstSignAtMs?: number;
+  private coldSinceMs = 0;
+  private pastInFlight: {atMs: number; inFlight: number}[] = [];
+
+  constructor(private readonly options: BackendServerOptions) {}
+
+  /** Replaces all faults by the given ones. */
+  setFaults(faults: Partial<BackendFaults>): void {
+    this.faults = {...NO_BACKEND_FAULTS, ...faults};
+  }
+
+  /** Starts or ends the drain that the server reports. */
+  setDraining(isDraining: boolean): void {
+    this.isDraining = isDraining;
+    this.firstSignAtMs = undefined;
+  }
+
+  /** Makes all connections that exist now silent for ever; new ones work. */
+  silenceConnections(): void {
+    for (const socket of this.sockets) this.silenced.add(socket);
+  }
+
+  /**
+   * Starts to listen.
+   * @param isCold - Whether the first requests take longer.
+   */
+  async start(isCold = false): Promise<void> {
+    if (this.server) return;
+    this.coldSinceMs = isCold ? Date.now() : 0;
+    const server = http.createServer((req, res) => this.handle(req, res));
+    this.server = server;
+    server.keepAliveTimeout = 60_000;
+    server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    server.listen(this.options.port, this.options.host, 1024);
+    await once(server, 'listening');
+  }
+
+  /** Ends as a process that dies does: runs end without an answer. */
+  async crash(): Promise<void> {
+    const {server} = this;
+    this.server = undefined;
+    for (const finish of [...this.openRuns.values()]) finish(RunEnd.Crashed);
+    const closed = new Promise(resolve => server?.close(resolve));
+    for (const socket of this.sockets) socket.destroy();
+    if (server) await closed;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.crash();
+  }
+
+  private handle(req: IncomingMessage, res: ServerResponse): void {
+    if (this.silenced.has(req.socket)) return;
+    if (req.url === '/health') return this.sendHealth(res);
+    if (req.url === '/load') return this.sendLoad(res);
+    req.resume();
+    req.once('end', () => this.run(req, res));
+  }
+
+  private sendHealth(res: ServerResponse): void {
+    if (this.isDraining) this.firstSignAtMs ??= Date.now();
+    const isHealthy = this.faults.claimHealthy ?? true;
+    const status = this.isDraining || !isHealthy ? 503 : 200;
+    sendJson(res, status, this.isDraining ? {draining: true} : {});
+  }
+
+  private sendLoad(res: ServerResponse): void {
+    if (this.isDraining) this.firstSignAtMs ??= Date.now();
+    const nowMs = Date.now();
+    const {lagMs, claimInFlight} = this.faults;
+    this.pastInFlight.push({atMs: nowMs, inFlight: this.openRuns.size});
+    this.pastInFlight = this.pastInFlight.filter(p => p.atMs >= nowMs - 20_000);
+    const past = this.pastInFlight.findLast(p => p.atMs <= nowMs - lagMs);
+    sendJson(res, 200, {
+      inFlight: claimInFlight ?? past?.inFlight ?? 0,
+      queued: 0,
+      draining: this.isDraining,
+    });
+  }
+
+  private run(req: IncomingMessage, res: ServerResponse): void {
+    const {random} = this.options;
+    if (this.isDraining) res.setHeader(HeaderName.Draining, '1');
+    if (random.chance(this.faults.shed)) {
+      if (this.isDraining) this.firstSignAtMs ??= Date.now();
+      res.setHeader(HeaderName.Outcome, Outcome.NotRun);
+      sendJson(res, 503, {message: 'no capacity'});
+      return;
+    }
+    if (random.chance(this.faults.crashBefore)) {
+      req.socket.destroy();
+      return;
+    }
+    const url = new URL(req.url ?? '/', 'http://backend');
+    const run: RunRecord = {
+      kind: 'run',
+      id: url.pathname.split('/').at(-1) ?? '',
+      key: String(req.headers[HeaderName.IdempotencyKey] ?? ''),
+      isIdempotent: req.method === 'GET',
+      endpoint: this.options.endpointId,
+      startMs: Date.now(),
+      endMs: 0,
+      end: RunEnd.Complete,
+    };
+    if (this.firstSignAtMs !== undefined) {
+      run.afterLeavingMs = run.startMs - this.firstSignAtMs;
+    }
+    const workMs = this.drawServiceMs();
+    const limitMs = Number(req.headers[HeaderName.DeadlineMs] ?? Infinity);
+    const isLate = workMs > limitMs;
+    const timer = setTimeout(
+      () => {
+        if (isLate) {
+          finish(RunEnd.Deadline);
+          res.setHeader(HeaderName.Outcome, Outcome.Unknown);
+          sendJson(res, 504, {message: 'deadline passed'});
+        } else {
+          this.answer(run, url, req, res);
+        }
+      },
+      Math.min(workMs, limitMs),
+    );
+    const finish = (end: RunEnd) => {
+      clearTimeout(timer);
+      if (!this.openRuns.delete(run)) return;
+      this.options.onRun({...run, endMs: Date.now(), end});
+    };
+    this.openRuns.set(run, finish);
+    res.once('finish', () => finish(RunEnd.Complete));
+    res.once('close', () => finish(RunEnd.Cancelled));
+  }
+
+  private answer(
+    run: RunRecord,
+    url: URL,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): void {
+    const {random, endpointId} = this.options;
+    if (this.silenced.has(req.socket)) {
+      this.openRuns.get(run)?.(RunEnd.Complete);
+      return;
+    }
+    if (random.chance(this.faults.crashAfter)) {
+      this.openRuns.get(run)?.(RunEnd.Complete);
+      req.socket.destroy();
+      return;
+    }
+    if (this.isDraining) this.firstSignAtMs ??= Date.now();
+    const sizeBytes = Number(url.searchParams.get('bytes') ?? 0);
+    const body = sizeBytes
+      ? createBody(run.id, sizeBytes)
+      : Buffer.from(JSON.stringify({id: run.id, endpoint: endpointId}));
+    res.setHeader('content-length', body.length);
+    if (random.chance(this.faults.truncate)) {
+      res.write(body.subarray(0, body.length / 2), () => req.socket.destroy());
+    } else {
+      res.end(body);
+    }
+  }
+
+  private drawServiceMs(): number {
+    const ageMs = Date.now() - this.coldSinceMs;
+    const coldness = 1 + 3 * Math.max(0, 1 - ageMs / COLD_MS);
+    const {serviceMs, random} = this.options;
+    return random.heavyTail(serviceMs) * this.faults.slowness * coldness;
+  }
+}
+
+function sendJson(res: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  res.end(text);
+}
--- /dev/null
+++ b/packages/testing/src/callers/caller.ts
@@ -0,0 +1,100 @@
+import {randomUUID} from 'node:crypto';
+import http from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Priority} from '@primrosestage/common';
+import type {Service} from '@primrosestage/steering';
+import {type AttemptRecord, AttemptResult} from '../ledger/records.js';
+import type {SeededRandom} from '../random/index.js';
+import {LookupCache, type LookupTarget} from './lookup_cache.js';
+import {sendAttempt} from './send_attempt.js';
+
+const MAX_ATTEMPTS = 4;
+const DEADLINE_MS = {urgent: 3_000, normal: 5_000, bulk: 15_000};
+
+/** Configures a caller. */
+export interface CallerOptions {
+  zone: string;
+  localAddress: string;
+  team: string;
+  /** Public addresses of instances to ask for lookups. */
+  addresses: string[];
+  random: SeededRandom;
+  onAttempt: (attempt: AttemptRecord) => void;
+}
+
+/** Stands in for a caller: looks instances up, sends requests and tries again. */
+export class Caller {
+  private readonly agent = new http.Agent({keepAlive: true, timeout: 20_000});
+  private readonly lookups: LookupCache;
+
+  constructor(private readonly options: CallerOptions) {
+    this.lookups = new LookupCache(options);
+  }
+
+  /**
+   * Sends one request with its retries.
+   * @param service - The service; bookings and orders are not idempotent and carry a key.
+   * @param requestId - Unique id of the request.
+   */
+  async sendRequest(service: Service, requestId: string): Promise<void> {
+    const {random} = this.options;
+    const isIdempotent = service.priority !== Priority.Normal;
+    const isBulk = service.priority === Priority.Bulk;
+    const sizeBytes = isBulk ? random.int(16, 1024) * 1024 : 0;
+    const readPauseMs = isBulk && random.chance(0.2) ? random.int(1, 20) : 0;
+    // Without any lookup answer the attempts go to a closed port and are counted.
+    const targets = [...(await this.lookups.get(service.name))];
+    if (targets.length === 0) {
+      targets.push({id: '', url: 'http://127.0.0.1:1', keyPrefix: 'none.0.0'});
+    }
+    let key = '';
+    let attemptOfKey = 0;
+    for (let number = 1; number <= MAX_ATTEMPTS; number++) {
+      const target = targets[(number - 1) % targets.length] as LookupTarget;
+      if (!isIdempotent && !key) {
+        key = `${target.keyPrefix}.${randomUUID()}`;
+        attemptOfKey = 0;
+      }
+      attemptOfKey++;
+      const startMs = Date.now();
+      const id = `${requestId}~${number}`;
+      const outcome = await sendAttempt({
+        agent: this.agent,
+        localAddress: this.options.localAddress,
+        url: target.url,
+        id,
+        isIdempotent,
+        key,
+        attempt: attemptOfKey,
+        deadlineMs: DEADLINE_MS[service.priority],
+        sizeBytes,
+        readPauseMs,
+      });
+      const isDone =
+        outcome.result === AttemptResult.Answered ||
+        outcome.result === AttemptResult.Wrong;
+      const isLast = isDone || number === MAX_ATTEMPTS;
+      this.options.onAttempt({
+        kind: 'attempt',
+        id,
+        key,
+        service: service.name,
+        zone: this.options.zone,
+        isIdempotent,
+        isLast,
+        instance: target.id,
+        startMs,
+        endMs: Date.now(),
+        ...outcome,
+      });
+      if (isLast) return;
+      const isCertain =
+        outcome.result === AttemptResult.Unreachable ||
+        outcome.result === AttemptResult.NotRun;
+      // After an attempt that certainly did not run a new key may be used; an older
+      // key stays in use half of the time, because callers do that too.
+      if (isCertain && attemptOfKey === 1 && random.chance(0.5)) key = '';
+      await sleep(random.int(20, 60) * 2 ** number);
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/src/callers/lookup_cache.ts
@@ -0,0 +1,85 @@
+import http from 'node:http';
+import type {SeededRandom} from '../random/index.js';
+
+/** Probability that an expired lookup answer is used once more. */
+const STALE_USE = 0.3;
+const LOOKUP_TIMEOUT_MS = 1_500;
+
+/** Describes an instance in a lookup answer. */
+export interface LookupTarget {
+  id: string;
+  url: string;
+  keyPrefix: string;
+}
+
+interface LookupAnswer {
+  ttlSeconds: number;
+  instances: LookupTarget[];
+}
+
+/** Configures the lookups of one caller. */
+export interface LookupCacheOptions {
+  localAddress: string;
+  team: string;
+  /** Public addresses of instances to ask. */
+  addresses: string[];
+  random: SeededRandom;
+}
+
+/** Keeps lookup answers, now and then past their lifetime as callers do. */
+export class LookupCache {
+  private readonly answers = new Map<
+    string,
+    {expiresAt: number; instances: LookupTarget[]}
+  >();
+
+  constructor(private readonly options: LookupCacheOptions) {}
+
+  /**
+   * Gets the instances for a service.
+   * @param service - Name of the service.
+   * @returns The instances, best first; a stale answer or none where no instance answers.
+   */
+  async get(service: string): Promise<LookupTarget[]> {
+    const {random, addresses} = this.options;
+    const cached = this.answers.get(service);
+    if (cached && (Date.now() < cached.expiresAt || random.chance(STALE_USE))) {
+      return cached.instances;
+    }
+    for (const address of random.sample(addresses, 3)) {
+      const answer = await this.ask(address, service);
+      if (!answer || answer.instances.length === 0) continue;
+      const expiresAt = Date.now() + answer.ttlSeconds * 1_000;
+      this.answers.set(service, {expiresAt, instances: answer.instances});
+      return answer.instances;
+    }
+    return cached?.instances ?? [];
+  }
+
+  private ask(
+    address: string,
+    service: string,
+  ): Promise<LookupAnswer | undefined> {
+    const {team, localAddress} = this.options;
+    return new Promise(resolve => {
+      const req = http.get(
+        `http://${address}/v1/lookup?team=${team}&service=${service}`,
+        {localAddress, signal: AbortSignal.timeout(LOOKUP_TIMEOUT_MS)},
+        res => {
+          let text = '';
+          res.setEncoding('utf8');
+          res.on('data', chunk => (text += chunk));
+          res.on('error', () => resolve(undefined));
+          res.on('end', () =>
+            resolve(
+              res.statusCode === 200
+                ? (JSON.parse(text) as LookupAnswer)
+                : undefined,
+            ),
+          );
+        },
+      );
+      req.on('error', () => resolve(undefined));
+    });
+  }
+}
--- /dev/null
+++ b/packages/testing/src/callers/send_attempt.ts
@@ -0,0 +1,160 @@
+import http from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {getErrorMessage, HeaderName} from '@primrosestage/common';
+import {createBody} from '../backend/create_body.js';
+import {AttemptResult, getRequestOf} from '../ledger/records.js';
+
+/** Time after the deadline in which an answer still counts. */
+const GRACE_MS = 1_000;
+
+/** Describes one attempt of a caller. */
+export interface AttemptOptions {
+  agent: http.Agent;
+  /** Address that the caller has. */
+  localAddress: string;
+  /** URL of the service at an instance, from a lookup. */
+  url: string;
+  id: string;
+  isIdempotent: boolean;
+  key: string;
+  /** Value of `primrose-attempt`. */
+  attempt: number;
+  deadlineMs: number;
+  /** Size of the download; 0 asks for a short JSON answer. */
+  sizeBytes: number;
+  /** Pause after each chunk of a download, in milliseconds. */
+  readPauseMs: number;
+}
+
+/** Says what the caller saw of an attempt. */
+export interface AttemptOutcome {
+  result: AttemptResult;
+  status: number;
+  step: string;
+  peer: string;
+  detail: string;
+}
+
+/**
+ * Sends one attempt and classifies what comes back.
+ * @param options - Caller, instance and request.
+ * @returns The classified result; the promise is never rejected.
+ */
+export async function sendAttempt(
+  options: AttemptOptions,
+): Promise<AttemptOutcome> {
+  const {id, key, sizeBytes} = options;
+  const query = sizeBytes > 0 ? `?bytes=${sizeBytes}` : '';
+  const timeoutMs = options.deadlineMs + GRACE_MS;
+  const req = http.request(`${options.url}/run/${id}${query}`, {
+    agent: options.agent,
+    localAddress: options.localAddress,
+    method: options.isIdempotent ? 'GET' : 'POST',
+    signal: AbortSignal.timeout(timeoutMs),
+    headers: {
+      [HeaderName.RequestId]: id,
+      [HeaderName.DeadlineMs]: String(options.deadlineMs),
+      [HeaderName.Attempt]: String(options.attempt),
+      ...(key ? {[HeaderName.IdempotencyKey]: key} : {}),
+    },
+  });
+  let isConnected = false;
+  req.once('socket', socket => {
+    if (!socket.connecting) isConnected = true;
+    else socket.once('connect', () => (isConnected = true));
+  });
+  let res: http.IncomingMessage;
+  try {
+    res = await new Promise((resolve, reject) => {
+      req.once('response', resolve).on('error', reject).end();
+    });
+  } catch (err) {
+    const result = isConnected
+      ? AttemptResult.Unknown
+      : AttemptResult.Unreachable;
+    const detail = `no answer: ${getErrorMessage(err)}`;
+    return {result, status: 0, step: '', peer: '', detail};
+  }
+  return readAnswer(res, options);
+}
+
+async function readAnswer(
+  res: http.IncomingMessage,
+  options: AttemptOptions,
+): Promise<AttemptOutcome> {
+  const status = res.statusCode ?? 0;
+  const getHeader = (name: HeaderName) => String(res.headers[name] ?? '');
+  const outcome = getHeader(HeaderName.Outcome);
+  const step = getHeader(HeaderName.Step);
+  const peer = getHeader(HeaderName.Peer);
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of res) {
+      chunks.push(chunk as Buffer);
+      if (options.readPauseMs > 0) await sleep(options.readPauseMs);
+    }
+  } catch (err) {
+    const detail = `body ended early: ${getErrorMessage(err)}`;
+    const isAnswer = status === 200 || outcome === 'answered';
+    const result = isAnswer ? AttemptResult.Truncated : AttemptResult.Unknown;
+    return {result, status, step, peer, detail};
+  }
+  const body = Buffer.concat(chunks);
+  const detail = status === 200 ? '' : body.toString('utf8').slice(0, 200);
+  return {
+    ...classify(status, outcome, body, options),
+    status,
+    step,
+    peer,
+    ...(detail ? {detail} : {}),
+  };
+}
+
+function classify(
+  status: number,
+  outcome: string,
+  body: Buffer,
+  options: AttemptOptions,
+): {result: AttemptResult; detail: string} {
+  if (status === 503 && outcome === 'not-run') {
+    return {result: AttemptResult.NotRun, detail: ''};
+  }
+  if ((status === 502 || status === 504) && outcome === 'unknown') {
+    return {result: AttemptResult.Unknown, detail: ''};
+  }
+  // The answer to an earlier attempt was too large to be kept.
+  if (status === 410 && outcome === 'answered') {
+    return {result: AttemptResult.Answered, detail: ''};
+  }
+  if (status !== 200) {
+    return {result: AttemptResult.Wrong, detail: `status ${status}`};
+  }
+  const fault = findBodyFault(body, options);
+  return fault
+    ? {result: AttemptResult.Wrong, detail: fault}
+    : {result: AttemptResult.Answered, detail: ''};
+}
+
+function findBodyFault(
+  body: Buffer,
+  {id, sizeBytes}: AttemptOptions,
+): string | undefined {
+  if (sizeBytes > 0) {
+    if (body.length !== sizeBytes) {
+      return `clean end after ${body.length} of ${sizeBytes} bytes`;
+    }
+    return body.equals(createBody(id, sizeBytes))
+      ? undefined
+      : 'body of another request';
+  }
+  try {
+    const answered = String(
+      (JSON.parse(body.toString('utf8')) as {id: string}).id,
+    );
+    return getRequestOf(answered) === getRequestOf(id)
+      ? undefined
+      : `answer of ${answered}`;
+  } catch {
+    return `unreadable body of ${body.length} bytes`;
+  }
+}
--- /dev/null
+++ b/packages/testing/src/cluster/fetch_text.ts
@@ -0,0 +1,46 @@
+import http from 'node:http';
+
+/** Describes a call to an instance. */
+export interface FetchOptions {
+  method?: string;
+  headers?: Record<string, string>;
+  body?: unknown;
+  timeoutMs?: number;
+}
+
+/** Holds the answer to a call. */
+export interface TextAnswer {
+  status: number;
+  text: string;
+}
+
+/**
+ * Calls a listener of an instance.
+ * @param url - URL to call.
+ * @param options - Method, headers, body and timeout, 1,000 ms where absent.
+ * @returns The answer, or undefined where there was none.
+ */
+export function fetchText(
+  url: string,
+  options: FetchOptions = {},
+): Promise<TextAnswer | undefined> {
+  return new Promise(resolve => {
+    const req = http.request(url, {
+      method: options.method,
+      agent: false,
+      headers: {...options.headers, 'content-type': 'application/json'},
+      signal: AbortSignal.timeout(options.timeoutMs ?? 1_000),
+    });
+    req.on('error', () => resolve(undefined));
+    req.on('response', res => {
+      let text = '';
+      res.setEncoding('utf8');
+      res.on('data', chunk => (text += chunk));
+      res.on('error', () => resolve(undefined));
+      res.on('end', () => resolve({status: res.statusCode ?? 0, text}));
+    });
+    req.end(
+      options.body === undefined ? undefined : JSON.stringify(options.body),
+    );
+  });
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,4 +1,6 @@
-export {
-  startBackendServer,
-  type BackendServerOptions,
-} from './standins/backend_server.js';
+export * from './backend/index.js';
+export * from './callers/index.js';
+export * from './cluster/index.js';
+export * from './faults/index.js';
+export * from './ledger/index.js';
+export * from './store/index.js';
--- /dev/null
+++ b/packages/testing/src/ledger/find_over_slots.ts
@@ -0,0 +1,49 @@
+import type {RunRecord} from './records.js';
+
+/** Shortest excess that counts: closing and opening connections may be seen in either order. */
+const MIN_EXCESS_MS = 20;
+
+/** Describes a time in which an endpoint ran more requests than it has slots. */
+export interface SlotExcess {
+  endpoint: string;
+  startMs: number;
+  endMs: number;
+  /** Most runs at a time. */
+  peak: number;
+}
+
+/**
+ * Finds the times in which an endpoint ran more requests than it has slots.
+ * @param runs - Runs of one endpoint, in any order.
+ * @param slots - Slots of the endpoint.
+ * @returns Excesses of 20 ms and more.
+ */
+export function findOverSlots(runs: RunRecord[], slots: number): SlotExcess[] {
+  const changes = runs
+    .flatMap(({startMs, endMs}) => [
+      {atMs: startMs, delta: 1},
+      {atMs: endMs, delta: -1},
+    ])
+    .sort((a, b) => a.atMs - b.atMs || a.delta - b.delta);
+  const excesses: SlotExcess[] = [];
+  let count = 0;
+  let open: SlotExcess | undefined;
+  for (const {atMs, delta} of changes) {
+    count += delta;
+    if (count > slots) {
+      open ??= {
+        endpoint: runs[0]?.endpoint ?? '',
+        startMs: atMs,
+        endMs: atMs,
+        peak: count,
+      };
+      open.peak = Math.max(open.peak, count);
+    } else if (open) {
+      if (atMs - open.startMs >= MIN_EXCESS_MS) {
+        excesses.push({...open, endMs: atMs});
+      }
+      open = undefined;
+    }
+  }
+  return excesses;
+}
--- /dev/null
+++ b/packages/testing/src/ledger/ledger.ts
@@ -0,0 +1,211 @@
+import {findOverSlots} from './find_over_slots.js';
+import {groupBy} from './group_by.js';
+import {
+  type AttemptRecord,
+  AttemptResult,
+  getRequestOf,
+  type RunRecord,
+} from './records.js';
+
+/** Time after its first sign in which a leaving backend server may receive work. */
+const MAX_WORK_AFTER_LEAVING_MS = 3_000;
+
+/** Names a broken guarantee that the records show. */
+export enum FindingKind {
+  Wrong = 'wrong',
+  Duplicate = 'duplicate',
+  CutByPlannedStop = 'cut by planned stop',
+  FalseNotRun = 'false not-run',
+  OverSlots = 'over slots',
+  WorkAfterLeaving = 'work after leaving',
+}
+
+/** Describes one broken guarantee. */
+export interface Finding {
+  kind: FindingKind;
+  atMs: number;
+  detail: string;
+}
+
+/** Describes a planned stop of an instance. */
+export interface PlannedStop {
+  instance: string;
+  startMs: number;
+  endMs: number;
+}
+
+/** Holds what the checker needs besides the records. */
+export interface LedgerContext {
+  getSlots: (endpoint: string) => number;
+  plannedStops: PlannedStop[];
+  /** Says whether a fault that may cut requests by itself was active between two times. */
+  hasOtherFault: (startMs: number, endMs: number) => boolean;
+}
+
+/** Summarizes the records. */
+export interface LedgerSummary {
+  requests: number;
+  answered: number;
+  notRun: number;
+  unknown: number;
+  /** Attempts, not requests, whose body ended early with a connection error. */
+  truncated: number;
+  longestAfterLeavingMs: number;
+  findings: Finding[];
+}
+
+/** Collects what callers saw and backend servers ran, and compares the two. */
+export class Ledger {
+  private readonly attempts: AttemptRecord[] = [];
+  private readonly runs: RunRecord[] = [];
+
+  /** Adds a record. */
+  add(record: AttemptRecord | RunRecord): void {
+    if (record.kind === 'run') this.runs.push(record);
+    else this.attempts.push(record);
+  }
+
+  /** All attempts so far. */
+  get allAttempts(): readonly AttemptRecord[] {
+    return this.attempts;
+  }
+
+  /**
+   * Compares callers and backend servers.
+   * @param context - Slots, planned stops and faults.
+   * @returns Counts and broken guarantees.
+   */
+  summarize(context: LedgerContext): LedgerSummary {
+    const runsOf = groupBy(this.runs, run => getRequestOf(run.id));
+    const requests = groupBy(this.attempts, a => getRequestOf(a.id));
+    const counts = {answered: 0, notRun: 0, unknown: 0, truncated: 0};
+    const findings: Finding[] = [
+      ...this.findDuplicates(runsOf),
+      ...this.findOverSlots(context),
+      ...this.findLateWork(),
+    ];
+    for (const [request, attempts] of requests) {
+      const runs = runsOf.get(request) ?? [];
+      findings.push(...findAttemptFaults(attempts, runs, context));
+      const has = (...results: AttemptResult[]) =>
+        attempts.some(({result}) => results.includes(result));
+      if (has(AttemptResult.Answered)) counts.answered++;
+      else if (has(AttemptResult.Wrong)) continue;
+      else if (has(AttemptResult.Unknown, AttemptResult.Truncated)) {
+        counts.unknown++;
+      } else counts.notRun++;
+    }
+    counts.truncated = this.attempts.filter(
+      ({result}) => result === AttemptResult.Truncated,
+    ).length;
+    return {
+      requests: requests.size,
+      ...counts,
+      longestAfterLeavingMs: this.runs.reduce(
+        (longest, run) => Math.max(longest, run.afterLeavingMs ?? 0),
+        0,
+      ),
+      findings: findings.sort((a, b) => a.atMs - b.atMs),
+    };
+  }
+
+  private findDuplicates(runsOf: Map<string, RunRecord[]>): Finding[] {
+    const findings: Finding[] = [];
+    for (const [request, runs] of runsOf) {
+      const last = runs.at(-1);
+      if (!last || last.isIdempotent || runs.length < 2) continue;
+      findings.push({
+        kind: FindingKind.Duplicate,
+        atMs: last.startMs,
+        detail: `${request} ran ${runs.length} times: ${runs.map(formatRun).join('; ')}`,
+      });
+    }
+    return findings;
+  }
+
+  private findOverSlots({getSlots}: LedgerContext): Finding[] {
+    const runsOf = groupBy(this.runs, run => run.endpoint);
+    return [...runsOf].flatMap(([endpoint, runs]) =>
+      findOverSlots(runs, getSlots(endpoint)).map(excess => ({
+        kind: FindingKind.OverSlots,
+        atMs: excess.startMs,
+        detail: `${endpoint} ran ${excess.peak} with ${getSlots(endpoint)} slots for ${excess.endMs - excess.startMs} ms`,
+      })),
+    );
+  }
+
+  private findLateWork(): Finding[] {
+    return this.runs
+      .filter(run => (run.afterLeavingMs ?? 0) > MAX_WORK_AFTER_LEAVING_MS)
+      .map(run => ({
+        kind: FindingKind.WorkAfterLeaving,
+        atMs: run.startMs,
+        detail: `${formatRun(run)}, ${run.afterLeavingMs} ms after the first sign`,
+      }));
+  }
+}
+
+function findAttemptFaults(
+  attempts: AttemptRecord[],
+  runs: RunRecord[],
+  context: LedgerContext,
+): Finding[] {
+  return attempts.flatMap(attempt => {
+    const report = (kind: FindingKind, reason: string): Finding[] => [
+      {
+        kind,
+        atMs: attempt.endMs,
+        detail: `${formatAttempt(attempt)}: ${reason}`,
+      },
+    ];
+    switch (attempt.result) {
+      case AttemptResult.Wrong:
+        return report(FindingKind.Wrong, attempt.detail);
+      case AttemptResult.Answered:
+        return runs.length > 0
+          ? []
+          : report(FindingKind.Wrong, 'answered, but no backend server ran it');
+      case AttemptResult.NotRun: {
+        const run = runs.find(
+          r =>
+            r.id === attempt.id ||
+            (attempt.key &&
+              r.key === attempt.key &&
+              r.startMs <= attempt.endMs),
+        );
+        return run ? report(FindingKind.FalseNotRun, formatRun(run)) : [];
+      }
+      case AttemptResult.Unknown:
+      case AttemptResult.Truncated: {
+        const isCut =
+          context.plannedStops.some(
+            stop =>
+              [attempt.instance, attempt.peer].includes(stop.instance) &&
+              attempt.endMs >= stop.startMs &&
+              attempt.startMs <= stop.endMs,
+          ) && !context.hasOtherFault(attempt.startMs, attempt.endMs);
+        return isCut
+          ? report(FindingKind.CutByPlannedStop, attempt.detail)
+          : [];
+      }
+      default:
+        return [];
+    }
+  });
+}
+
+function formatRun(run: RunRecord): string {
+  return `run of ${run.id} at ${run.endpoint} from ${formatTime(run.startMs)} to ${formatTime(run.endMs)} (${run.end})`;
+}
+
+function formatAttempt(attempt: AttemptRecord): string {
+  return `${attempt.id} via ${attempt.instance} from ${formatTime(attempt.startMs)} to ${formatTime(attempt.endMs)}, status ${attempt.status}, step ${attempt.step} ${attempt.peer}`;
+}
+
+/**
+ * Formats a wall-clock time as in the log lines of the processes.
+ * @param timeMs - Milliseconds since the Unix epoch.
+ */
+export function formatTime(timeMs: number): string {
+  return new Date(timeMs).toISOString().slice(11, 23);
+}
--- /dev/null
+++ b/packages/testing/src/random/index.ts
@@ -0,0 +1,1 @@
+export {SeededRandom} from './seeded_random.js';
