--- a/packages/testing/src/cluster/cluster.ts
+++ b/packages/testing/src/cluster/cluster.ts
@@ -13,6 +13,7 @@
   type SystemSettings,
 } from '@primrosestage/control';
 import type {InstanceInfo, Topology} from '@primrosestage/steering';
+import type {CutKind} from '../faults/index.js';
 import type {AttemptRecord, RunRecord} from '../ledger/records.js';
 import {Child} from '../process/index.js';
 import {listInstances} from '../store/index.js';
@@ -44,6 +45,7 @@
   readonly backend: Child;
   readonly callers: Child;
   private readonly instances = new Map<string, Child>();
+  private readonly cuts = new Map<string, Record<string, CutKind>>();
   private readonly children: Child[] = [];
   private listed: ListedInstance[];
 
@@ -86,6 +88,9 @@
       : [ROLE_MAIN, 'instance', file];
     const child = this.start(id, args, !this.options.usesBinary);
     this.instances.set(id, child);
+    if (!this.options.usesBinary) {
+      this.callInstance(id, 'setCuts', this.cuts.get(id) ?? {});
+    }
     if (!this.listed.some(listed => listed.id === id)) {
       const info = listInstances(this.settings).filter(i => i.id === id);
       void this.setListed([...this.listed, ...info]);
@@ -93,6 +98,19 @@
     return child;
   }
 
+  /** Replaces the hosts that an instance is cut off from, also after a restart. */
+  setCuts(id: string, cuts: Record<string, CutKind>): void {
+    this.cuts.set(id, cuts);
+    this.callInstance(id, 'setCuts', cuts);
+  }
+
+  /** Sends a command to an instance, which may be down or paused and answer later or never. */
+  callInstance(id: string, command: string, ...args: unknown[]): void {
+    this.getInstance(id)
+      .call(command, ...args)
+      .catch(() => {});
+  }
+
   /** Gets the process of an instance. */
   getInstance(id: string): Child {
     return this.instances.get(id) as Child;
--- a/packages/testing/src/faults/run_instance_process.ts
+++ b/packages/testing/src/faults/run_instance_process.ts
@@ -2,24 +2,30 @@
 import {loadSettings} from '@primrosestage/control';
 import {serve} from '@primrosestage/instance';
 import {serveCommands} from '../process/index.js';
-import {FaultConnector} from './fault_connector.js';
+import {type CutKind, FaultConnector} from './fault_connector.js';
 
 /**
  * Runs an instance whose connections fail on command.
  * @param settingsFile - TOML settings of the instance.
  */
 export async function runInstanceProcess(settingsFile: string): Promise<void> {
+  let shutdown: Promise<unknown> | undefined;
   const connector = new FaultConnector();
+  // The cuts must be known before the first connection is opened.
+  await new Promise<void>(resolve =>
+    serveCommands({
+      setCuts: (cuts: Record<string, CutKind>) => {
+        connector.setCuts(cuts);
+        resolve();
+      },
+      stall: (hosts: string[]) => connector.stall(hosts),
+    }),
+  );
   const instance = await serve(loadSettings(settingsFile), {
     connect: connector.connect,
   });
-  process.once('SIGTERM', () => {
-    // A second SIGTERM must not shorten the shutdown, as with the published binary.
-    process.on('SIGTERM', () => {});
-    void instance[Symbol.asyncDispose]().then(() => process.exit(0));
-  });
-  serveCommands({
-    setCuts: connector.setCuts.bind(connector),
-    stall: connector.stall.bind(connector),
+  // Later signals must not shorten the shutdown, as with the published binary.
+  process.on('SIGTERM', () => {
+    shutdown ??= instance[Symbol.asyncDispose]().then(() => process.exit(0));
   });
 }
--- a/packages/testing/src/process/child.ts
+++ b/packages/testing/src/process/child.ts
@@ -64,6 +64,11 @@
     return !this.hasExited;
   }
 
+  /** Id of the process. */
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
   /**
    * Runs a command in the child.
    * @returns The command's result.
--- /dev/null
+++ b/packages/testing/src/soak/backend_faults.ts
@@ -0,0 +1,109 @@
+import type {BackendFaults} from '../backend/index.js';
+import type {FaultContext, FaultKind} from './fault_context.js';
+
+/** Lists the faults of backend servers and of the load on them. */
+export const BACKEND_FAULTS: FaultKind[] = [
+  {
+    name: 'cold starts',
+    mayCutRequests: true,
+    async start(context) {
+      const {name} = context.random.pick(context.cluster.topology.zones);
+      const ids = context.claimEndpoints(4, {zone: name});
+      await context.cluster.backend.call('crash', ids);
+      return {
+        detail: ids.join(', '),
+        holdMs: context.drawMs(1, 4),
+        end: async () => {
+          await context.cluster.backend.call('start', ids, true);
+          context.release(...ids);
+        },
+      };
+    },
+  },
+  createFault('lying health and load', true, ({random}) =>
+    random.pick([
+      {claimHealthy: false},
+      {claimInFlight: 0},
+      {claimInFlight: 99},
+      {lagMs: 10_000},
+    ]),
+  ),
+  createFault('crashes around runs', true, ({random}) => ({
+    crashBefore: random.float() * 0.3,
+    crashAfter: random.float() * 0.3,
+  })),
+  createFault('truncated bodies', true, () => ({truncate: 0.2})),
+  createFault('shedding', false, () => ({shed: 0.5})),
+  {
+    name: 'silent backend connections',
+    mayCutRequests: true,
+    async start(context) {
+      const ids = context.claimEndpoints(5);
+      await context.cluster.backend.call('silence', ids);
+      context.release(...ids);
+      return {detail: ids.join(', '), holdMs: 6_000, end: async () => {}};
+    },
+  },
+  {
+    name: 'backend drain',
+    mayCutRequests: false,
+    async start(context) {
+      const ids = context.claimEndpoints(4);
+      const {backend} = context.cluster;
+      await backend.call('setDraining', ids, true);
+      return {
+        detail: ids.join(', '),
+        holdMs: context.drawMs(7, 10),
+        end: async () => {
+          await backend.call('setDraining', ids, false);
+          context.release(...ids);
+        },
+      };
+    },
+  },
+  {
+    name: 'overload',
+    mayCutRequests: false,
+    async start(context) {
+      const {backend, callers, topology} = context.cluster;
+      const service = topology.services.find(s => s.priority === 'urgent');
+      const ids = context.claimEndpoints(99, {service: service?.name});
+      await backend.call('setFaults', ids, {slowness: 12});
+      await callers.call('setRate', 3 * context.ratePerSecond);
+      return {
+        detail: `${service?.name} 12 times slower, 3 times the load`,
+        holdMs: context.drawMs(5, 10),
+        end: async () => {
+          await callers.call('setRate', context.ratePerSecond);
+          await backend.call('setFaults', ids, {});
+          context.release(...ids);
+        },
+      };
+    },
+  },
+];
+
+function createFault(
+  name: string,
+  mayCutRequests: boolean,
+  draw: (context: FaultContext) => Partial<BackendFaults>,
+): FaultKind {
+  return {
+    name,
+    mayCutRequests,
+    async start(context) {
+      const ids = context.claimEndpoints(6);
+      const {backend} = context.cluster;
+      const faults = draw(context);
+      await backend.call('setFaults', ids, faults);
+      return {
+        detail: `${ids.join(', ')} ${JSON.stringify(faults)}`,
+        holdMs: context.drawMs(5, 10),
+        end: async () => {
+          await backend.call('setFaults', ids, {});
+          context.release(...ids);
+        },
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/testing/src/soak/create_report.ts
@@ -0,0 +1,124 @@
+import {FindingKind, formatTime, type Ledger} from '../ledger/index.js';
+import type {FaultContext} from './fault_context.js';
+import type {InstanceMonitor} from './instance_monitor.js';
+import {measureRecovery} from './measure_recovery.js';
+import type {FaultRecord} from './run_faults.js';
+
+/** Time after a fault in which requests may still be cut by it: progress timeout and its retries. */
+const AFTERMATH_MS = 8_000;
+const MAX_LINES = 40;
+
+/** Holds what a soak test collected. */
+export interface ReportOptions {
+  ledger: Ledger;
+  context: FaultContext;
+  monitor: InstanceMonitor;
+  faults: FaultRecord[];
+  /** Failures of the soak test itself. */
+  problems: string[];
+}
+
+/** Holds the report of a soak test. */
+export interface Report {
+  text: string;
+  isPassed: boolean;
+}
+
+/**
+ * Creates the report of a soak test.
+ * @param options - What the test collected.
+ * @returns The table and whether all guarantees held.
+ */
+export function createReport(options: ReportOptions): Report {
+  const {ledger, context, monitor, faults, problems} = options;
+  const {cluster, operator} = context;
+  const summary = ledger.summarize({
+    getSlots: id => cluster.topology.getEndpoint(id)?.slots ?? 0,
+    plannedStops: context.plannedStops,
+    hasOtherFault: (startMs, endMs) =>
+      faults.some(
+        fault =>
+          fault.mayCutRequests &&
+          fault.startMs <= endMs &&
+          fault.endMs + AFTERMATH_MS >= startMs,
+      ),
+  });
+  let slowestMs = 0;
+  const late = operator.accepted.flatMap(change => {
+    const spread = monitor.measureSpread(change, context.exemptions);
+    slowestMs = Math.max(slowestMs, spread.spreadMs);
+    return spread.late.map(
+      text =>
+        `revision ${change.revision} of ${formatTime(change.atMs)}: ${text}`,
+    );
+  });
+  const violations = monitor.countViolations();
+  const capCount = violations.get('shift_under_cap') ?? 0;
+  const otherCount =
+    [...violations.values()].reduce((sum, count) => sum + count, 0) - capCount;
+  const broken = [
+    ...problems,
+    ...context.badStops.map(text => `planned stop: ${text}`),
+    ...late.map(text => `slow configuration: ${text}`),
+    ...monitor.reverts.map(text => `configuration reverted: ${text}`),
+    ...operator.contradictions.map(text => `conflicting changes: ${text}`),
+    ...findDivergence(options),
+    ...[...violations].map(([name, n]) => `invariant ${name}: ${n}`),
+    ...summary.findings.map(
+      ({kind, atMs, detail}) => `${kind} at ${formatTime(atMs)}: ${detail}`,
+    ),
+  ];
+  const count = (kind: FindingKind) =>
+    summary.findings.filter(finding => finding.kind === kind).length;
+  const rows: [string, string | number][] = [
+    ['requests', summary.requests],
+    ['answered', summary.answered],
+    ['not-run', summary.notRun],
+    ['unknown', summary.unknown],
+    ['wrong', count(FindingKind.Wrong)],
+    ['truncated (connection error)', summary.truncated],
+    ['duplicate', count(FindingKind.Duplicate)],
+    ['cut by planned stop', count(FindingKind.CutByPlannedStop)],
+    ['false not-run', count(FindingKind.FalseNotRun)],
+    ['over slots', count(FindingKind.OverSlots)],
+    ['cap violations', capCount],
+    ['other invariant violations', otherCount],
+    ['work after leaving', count(FindingKind.WorkAfterLeaving)],
+    ['longest work after leaving', `${summary.longestAfterLeavingMs} ms`],
+    ['changes accepted', operator.accepted.length],
+    ['slowest configuration spread', `${slowestMs} ms`],
+    ['planned stops', context.plannedStops.length],
+  ];
+  const lines = [
+    ...rows.map(([name, value]) => `${name.padEnd(30)}${value}`),
+    '',
+    'began         ended         recovered  fault',
+    ...faults.map(fault => formatFault(fault, ledger)),
+    '',
+    ...broken.slice(0, MAX_LINES),
+    ...(broken.length > MAX_LINES
+      ? [`and ${broken.length - MAX_LINES} more`]
+      : []),
+    broken.length > 0 ? `FAILED: ${broken.length} findings` : 'passed',
+  ];
+  return {text: lines.join('\n'), isPassed: broken.length === 0};
+}
+
+function findDivergence({context, monitor}: ReportOptions): string[] {
+  const newest = Math.max(
+    0,
+    ...context.operator.accepted.map(({revision}) => revision),
+  );
+  return [...monitor.getLastRevisions()]
+    .filter(([, revision]) => revision < newest)
+    .map(
+      ([id, revision]) =>
+        `configuration lost: ${id} ended at revision ${revision}, accepted was ${newest}`,
+    );
+}
+
+function formatFault(fault: FaultRecord, ledger: Ledger): string {
+  const recoveryMs = measureRecovery(ledger.allAttempts, fault.endMs);
+  const recovery = recoveryMs === undefined ? '> 20 s' : `${recoveryMs} ms`;
+  return `${formatTime(fault.startMs)}  ${formatTime(fault.endMs)}  ${recovery.padEnd(9)}  ${fault.name}: ${fault.detail}`;
+}
--- /dev/null
+++ b/packages/testing/src/soak/fault_context.ts
@@ -0,0 +1,117 @@
+import type {Cluster} from '../cluster/index.js';
+import type {PlannedStop} from '../ledger/index.js';
+import type {SeededRandom} from '../random/index.js';
+import type {StoreFaults} from '../store/index.js';
+import type {CutBoard} from './cut_board.js';
+import type {Exemption} from './instance_monitor.js';
+import type {Operator} from './operator.js';
+
+/** Most instances that faults hold down at a time; the rest must still serve. */
+const MAX_BUSY_INSTANCES = 3;
+
+/** Describes a fault that is active. */
+export interface ActiveFault {
+  /** What was drawn: instances, zones, fractions. */
+  detail: string;
+  /** Time until `end` is called. */
+  holdMs: number;
+  /** Ends the fault and resolves when its cause is gone. */
+  end: () => Promise<unknown>;
+}
+
+/** Describes a kind of fault. */
+export interface FaultKind {
+  name: string;
+  /** Whether requests may be cut while it is active. */
+  mayCutRequests: boolean;
+  start: (context: FaultContext) => Promise<ActiveFault>;
+}
+
+/** Holds what faults act on, and keeps two faults off the same part. */
+export class FaultContext {
+  readonly plannedStops: PlannedStop[] = [];
+  readonly exemptions: Exemption[] = [];
+  /** Planned stops that ended with another code than 0. */
+  readonly badStops: string[] = [];
+  private readonly busy = new Set<string>();
+  private readonly storeFaults = new Set<Partial<StoreFaults>>();
+
+  constructor(
+    readonly cluster: Cluster,
+    readonly random: SeededRandom,
+    readonly cuts: CutBoard,
+    readonly operator: Operator,
+    readonly ratePerSecond: number,
+  ) {}
+
+  /** Takes an instance that no other fault uses, or undefined where too many are used. */
+  claimInstance(id?: string): string | undefined {
+    const ids = this.cluster.topology.instances.map(instance => instance.id);
+    const free = ids.filter(other => !this.busy.has(other));
+    if (ids.length - free.length >= MAX_BUSY_INSTANCES) return undefined;
+    const claimed = id ?? this.random.pick(free);
+    if (!free.includes(claimed)) return undefined;
+    this.busy.add(claimed);
+    return claimed;
+  }
+
+  /** Takes backend servers that no other fault uses. */
+  claimEndpoints(
+    count: number,
+    filter: {zone?: string; service?: string} = {},
+  ): string[] {
+    const free = this.cluster.topology.endpoints.filter(
+      ({id, zone, service}) =>
+        !this.busy.has(id) &&
+        zone === (filter.zone ?? zone) &&
+        service === (filter.service ?? service),
+    );
+    const ids = this.random.sample(free, count).map(({id}) => id);
+    for (const id of ids) this.busy.add(id);
+    return ids;
+  }
+
+  /** Gives claimed parts back. */
+  release(...ids: string[]): void {
+    for (const id of ids) this.busy.delete(id);
+  }
+
+  /**
+   * Exempts instances from the time limit of configuration changes.
+   * @returns Ends the exemption.
+   */
+  exempt(...instances: string[]): () => void {
+    const added = instances.map(instance => ({
+      instance,
+      startMs: Date.now(),
+      endMs: Infinity,
+    }));
+    this.exemptions.push(...added);
+    return () => added.forEach(one => (one.endMs = Date.now()));
+  }
+
+  /**
+   * Adds faults to the store; later ones take precedence.
+   * @returns Ends them.
+   */
+  async addStoreFaults(
+    faults: Partial<StoreFaults>,
+  ): Promise<() => Promise<unknown>> {
+    const apply = () =>
+      this.cluster.store.call(
+        'setFaults',
+        Object.assign({}, ...this.storeFaults),
+      );
+    this.storeFaults.add(faults);
+    await apply();
+    return () => {
+      this.storeFaults.delete(faults);
+      return apply();
+    };
+  }
+
+  /** Draws a duration in milliseconds. */
+  drawMs(minSeconds: number, maxSeconds: number): number {
+    return this.random.int(minSeconds * 1_000, maxSeconds * 1_000);
+  }
+}
--- /dev/null
+++ b/packages/testing/src/soak/main.ts
@@ -0,0 +1,94 @@
+import {mkdirSync, mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {getErrorMessage} from '@primrosestage/common';
+import {cac} from 'cac';
+import {Cluster} from '../cluster/index.js';
+import {Ledger} from '../ledger/index.js';
+import {SeededRandom} from '../random/index.js';
+import {CutBoard} from './cut_board.js';
+import {FaultContext} from './fault_context.js';
+import {InstanceMonitor} from './instance_monitor.js';
+import {Operator} from './operator.js';
+import {createReport} from './create_report.js';
+import {type FaultRecord, runFaults} from './run_faults.js';
+
+/** Time before the first fault in which connections and shares settle. */
+const WARM_UP_MS = 5_000;
+/** Longest wait for the last requests; longer than any deadline of a caller. */
+const LAST_REQUESTS_MS = 30_000;
+
+const cli = cac('soak');
+cli.option('--seed <seed>', 'Seed of faults and load', {default: 1});
+cli.option('--minutes <minutes>', 'Time with faults', {default: 3});
+cli.option('--system <name>', 'Folder of examples', {default: 'ruotalibera'});
+cli.option('--rate <rate>', 'Requests per second', {default: 150});
+cli.option('--faults <names>', 'Kinds of faults, separated by |');
+cli.option('--logs <dir>', 'Directory of the logs');
+cli.help();
+const {options} = cli.parse();
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(1));
+}
+if (!options.help) process.exitCode = (await runSoak()) ? 0 : 1;
+
+async function runSoak(): Promise<boolean> {
+  const logDir = options.logs
+    ? path.resolve(String(options.logs))
+    : mkdtempSync(path.join(tmpdir(), 'primrosestage-soak-'));
+  mkdirSync(logDir, {recursive: true});
+  const seed = Number(options.seed);
+  process.stdout.write(`seed ${seed}, logs of all processes: ${logDir}\n`);
+  const ledger = new Ledger();
+  await using cluster = new Cluster({
+    system: String(options.system),
+    seed,
+    logDir,
+    usesBinary: false,
+    onRecord: record => ledger.add(record),
+  });
+  const random = new SeededRandom(seed);
+  const operator = new Operator(cluster, new SeededRandom(seed + 1));
+  const rate = Number(options.rate);
+  const cuts = new CutBoard(cluster);
+  const context = new FaultContext(cluster, random, cuts, operator, rate);
+  const faults: FaultRecord[] = [];
+  const problems: string[] = [];
+  await cluster.startInstances();
+  await using monitor = new InstanceMonitor(cluster);
+  await context.addStoreFaults({listLagMs: random.int(0, 9_000)});
+  await cluster.callers.call('setRate', rate);
+  await sleep(WARM_UP_MS);
+  const endMs = Date.now() + Number(options.minutes) * 60_000;
+  const names = String(options.faults ?? '')
+    .split('|')
+    .filter(name => name !== '');
+  try {
+    await runFaults(context, names, endMs, faults);
+    await finish(cluster, monitor);
+  } catch (err) {
+    problems.push(`soak test: ${getErrorMessage(err)}`);
+  }
+  const report = createReport({ledger, context, monitor, faults, problems});
+  const text = `seed ${seed}, ${options.system}\n${report.text}\n`;
+  process.stdout.write(`\n${text}`);
+  writeFileSync(path.join(logDir, 'report.txt'), text);
+  return report.isPassed;
+}
+
+async function finish(
+  cluster: Cluster,
+  monitor: InstanceMonitor,
+): Promise<void> {
+  const {callers, backend} = cluster;
+  await callers.call('setRate', 0);
+  const endMs = Date.now() + LAST_REQUESTS_MS;
+  while (Date.now() < endMs && (await callers.call('getOpen')) !== 0) {
+    await sleep(100);
+  }
+  await backend.call('stop');
+  await callers.call('stop');
+  await monitor.scrape();
+}
