--- a/packages/instance/src/idempotency/home_task.ts
+++ b/packages/instance/src/idempotency/home_task.ts
@@ -13,11 +13,12 @@
   type KeyTable,
   MAX_RECORDED_BODY_BYTES,
   type RecordedAnswer,
+  getServiceKey,
 } from '@primrosestage/steering';
 import type {Answer, AttemptResult, Refusal} from '../exchange/index.js';
 import type {RequestBody} from '../http/index.js';
 import type {Dispatcher} from '../relay/index.js';
-import {getServiceKey, type RequestContext} from '../request_context.js';
+import type {RequestContext} from '../request_context.js';
 import {createKeptAnswer} from './create_kept_answer.js';
 
 /** Configures the execution of requests that carry a key. */
--- a/packages/instance/src/owner/owner_task.ts
+++ b/packages/instance/src/owner/owner_task.ts
@@ -20,10 +20,11 @@
   RefusalReason,
   RequestOrigin,
   type Topology,
+  getServiceKey,
 } from '@primrosestage/steering';
 import type {AttemptResult, Refusal} from '../exchange/index.js';
 import type {RequestBody} from '../http/index.js';
-import {getServiceKey, type RequestContext} from '../request_context.js';
+import type {RequestContext} from '../request_context.js';
 import type {RetryGate} from '../relay/index.js';
 import {
   type RequestMetrics,
@@ -235,7 +236,8 @@
     return {
       answer: {
         ...answer,
-        freeSlots: queue.freeSlots,
+        // The slot of the answered request is free by the time the report is used.
+        freeSlots: queue.freeSlots + (queue.waitingCount === 0 ? 1 : 0),
         chunks: endAfter(answer.chunks, end),
         cancel: () => {
           answer.cancel();
--- a/packages/instance/src/relay/dispatcher.ts
+++ b/packages/instance/src/relay/dispatcher.ts
@@ -11,11 +11,12 @@
   type InstanceInfo,
   type Target,
   type TargetSelector,
+  getServiceKey,
 } from '@primrosestage/steering';
 import type {Answer, AttemptResult, Refusal} from '../exchange/index.js';
 import type {RequestBody} from '../http/index.js';
 import type {OwnerTask} from '../owner/index.js';
-import {getServiceKey, type RequestContext} from '../request_context.js';
+import type {RequestContext} from '../request_context.js';
 import type {ServiceTimes} from '../telemetry/index.js';
 import {InstanceRole} from './instance_role.js';
 import type {LinkPacer} from './link_pacer.js';
--- a/packages/instance/src/relay/index.ts
+++ b/packages/instance/src/relay/index.ts
@@ -1,3 +1,4 @@
+export {createLinkPacer} from './create_link_pacer.js';
 export {Dispatcher, type DispatcherOptions} from './dispatcher.js';
 export {InstanceRole} from './instance_role.js';
 export type {LinkPacer, LinkTransfer} from './link_pacer.js';
--- a/packages/instance/src/request_context.ts
+++ b/packages/instance/src/request_context.ts
@@ -23,11 +23,3 @@
   /** Whether the caller says that it sends the request for the first time. */
   isFirstAttempt: boolean;
 }
-
-/**
- * Gets the key under which the state of a request's service is kept.
- * @param service - The service.
- */
-export function getServiceKey(service: {team: string; name: string}): string {
-  return `${service.team}/${service.name}`;
-}
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -2,6 +2,7 @@
 import {
   type ConnectFunction,
   connectTcp,
+  createAgent,
   createLogger,
   createTracing,
   InvariantMonitor,
@@ -15,17 +16,20 @@
 import {
   createHash64,
   type EndpointOwnership,
-  type TargetSelector,
+  Liveness,
 } from '@primrosestage/steering';
 import {Registry} from 'prom-client';
-import {
-  NearestTargetSelector,
-  SettingsConfiguration,
-  StaticOwnership,
-} from './defaults/index.js';
+import {SettingsConfiguration, StaticOwnership} from './defaults/index.js';
 import {listen, sendJson} from './http/index.js';
 import {LookupTask} from './lookup/index.js';
+import {createLinkPacer} from './relay/index.js';
 import {createRequestPath} from './request_path/index.js';
+import {
+  createRoutingRouter,
+  fetchRoutingReport,
+  registerRoutingMetrics,
+  RoutingTask,
+} from './routing/index.js';
 import {createRpcHandler, router, RPC_PATH} from './rpc/index.js';
 
 /** Replaces parts of an instance, for failure tests. */
@@ -67,12 +71,25 @@
     hash,
   );
   const configuration: ConfigurationView = new SettingsConfiguration(system);
-  const selector: TargetSelector = new NearestTargetSelector({
-    topology,
-    self,
-    ownership,
-    configuration,
-  });
+  const controlAgent = createAgent({connect});
+  stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
+  const routing = stack.use(
+    new RoutingTask({
+      topology,
+      self,
+      ownership,
+      configuration,
+      timers,
+      monitor,
+      random: Math.random,
+      getLiveness: () => Liveness.Live,
+      getReportedFree: () => undefined,
+      getMemberCount: region => topology.getInstancesOfRegion(region).length,
+      fetchReport: peer => fetchRoutingReport(peer, controlAgent),
+    }),
+  );
+  registerRoutingMetrics(routing, registry);
+  await routing.loadPeerShares();
   const requestPath = stack.use(
     createRequestPath({
       topology,
@@ -80,7 +97,7 @@
       incarnation,
       timing: system.timing,
       ownership,
-      selector,
+      selector: routing,
       configuration,
       hash,
       timers,
@@ -89,6 +106,7 @@
       monitor,
       tracer: tracing.tracer,
       connect,
+      pace: createLinkPacer(routing.links, self.region, timers),
     }),
   );
   const {ingress, homes} = requestPath;
@@ -100,7 +118,12 @@
     trustedPeers: system.trustedPeers,
     getTtlSeconds: () => 10,
   });
-  const handleRpc = createRpcHandler(router({keys: homes.createRouter()}));
+  const handleRpc = createRpcHandler(
+    router({
+      keys: homes.createRouter(),
+      routing: createRoutingRouter(routing),
+    }),
+  );
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
