Stop in the order of the design and test the exchange with misbehaving peers

Cause: a stop closed listeners at once and in no order, and nothing tested the exchange against truncated, malformed, late and missing answers.

Ruled out: a fixed list of steps in serve.ts; parts supply theirs as functions, so runShutdown bounds, logs and orders them in one place.

Change: runShutdown with ShutdownSteps, readiness and lookups that follow it, a second SIGTERM without effect, and tests of PeerPool on raw sockets.

--- a/packages/instance/src/cli/main.ts
+++ b/packages/instance/src/cli/main.ts
@@ -43,7 +43,11 @@
 
 async function runServe(file: string): Promise<void> {
   const instance = await serve(loadSettings(file));
-  process.once('SIGTERM', () => {
+  let isStopping = false;
+  // The handler stays in place: without it, a second signal would end the process at once.
+  process.on('SIGTERM', () => {
+    if (isStopping) return;
+    isStopping = true;
     void instance[Symbol.asyncDispose]().then(() => process.exit(0));
   });
 }
--- a/packages/instance/src/http/listen.ts
+++ b/packages/instance/src/http/listen.ts
@@ -5,6 +5,9 @@
 /** Longest request header that a listener accepts. */
 const MAX_HEADER_BYTES = 16 * 1024;
 
+/** Time for open requests to end after a listener has been closed. */
+const CLOSE_TIMEOUT_MS = 500;
+
 /** Configures a listener. */
 export interface ListenOptions {
   /** `host:port` to listen on. */
@@ -45,7 +48,15 @@
     server,
     [Symbol.asyncDispose]: () =>
       new Promise(resolve => {
-        server.close(() => resolve());
+        // A connection on which a request never became complete counts as busy.
+        const timeout = setTimeout(
+          () => server.closeAllConnections(),
+          CLOSE_TIMEOUT_MS,
+        );
+        server.close(() => {
+          clearTimeout(timeout);
+          resolve();
+        });
         server.closeIdleConnections();
       }),
   };
--- a/packages/instance/src/lookup/lookup_task.ts
+++ b/packages/instance/src/lookup/lookup_task.ts
@@ -18,6 +18,10 @@
   blocks: readonly Block[];
   trustedPeers: readonly string[];
   getTtlSeconds(team: string): number;
+  /** Says whether this instance is leaving, and no longer named in answers. */
+  isLeaving(): boolean;
+  /** Gets the prefix of the keys whose home is an instance. */
+  getKeyPrefix(instance: InstanceInfo): string;
 }
 
 /** Tells callers which instances to use. */
@@ -44,11 +48,11 @@
       this.options.self.region;
     sendJson(res, 200, {
       ttlSeconds: this.options.getTtlSeconds(team),
-      instances: this.rankInstances(region).map(({id, publicAddress}) => ({
-        id,
-        url: `http://${publicAddress}/v1/requests/${team}/${service}`,
+      instances: this.rankInstances(region).map(instance => ({
+        id: instance.id,
+        url: `http://${instance.publicAddress}/v1/requests/${team}/${service}`,
         incarnation: this.options.incarnation,
-        keyPrefix: `${id}.${this.options.incarnation}.0`,
+        keyPrefix: this.options.getKeyPrefix(instance),
       })),
     });
   }
@@ -75,10 +79,11 @@
   }
 
   private rankInstances(region: string): InstanceInfo[] {
+    const {topology, self, isLeaving} = this.options;
     const rank = (instance: InstanceInfo) =>
       instance.region === region ? 0 : 1;
-    return [...this.options.topology.instances].sort(
-      (a, b) => rank(a) - rank(b),
-    );
+    return topology.instances
+      .filter(({id}) => id !== self.id || !isLeaving())
+      .sort((a, b) => rank(a) - rank(b));
   }
 }
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -31,6 +31,7 @@
   RoutingTask,
 } from './routing/index.js';
 import {createRpcHandler, router, RPC_PATH} from './rpc/index.js';
+import {runShutdown} from './shutdown/index.js';
 
 /** Replaces parts of an instance, for failure tests. */
 export interface ServeOptions {
@@ -109,7 +110,8 @@
       pace: createLinkPacer(routing.links, self.region, timers),
     }),
   );
-  const {ingress, homes} = requestPath;
+  const {ingress, homes, tracker} = requestPath;
+  let isLeaving = false;
   const lookup = new LookupTask({
     topology,
     self,
@@ -117,6 +119,9 @@
     blocks: system.blocks,
     trustedPeers: system.trustedPeers,
     getTtlSeconds: () => 10,
+    isLeaving: () => isLeaving,
+    getKeyPrefix: ({id}) =>
+      id === self.id ? homes.getKeyPrefix() : `${id}.${incarnation}.0`,
   });
   const handleRpc = createRpcHandler(
     router({
@@ -130,8 +135,9 @@
     else if (url.startsWith('/v1/requests/')) {
       void ingress.handle(req, res, false);
     } else if (url === '/healthz') sendJson(res, 200, {healthy: true});
-    else if (url === '/readyz') sendJson(res, 200, {ready: true});
-    else sendJson(res, 404, {message: `no resource ${url}`});
+    else if (url === '/readyz') {
+      sendJson(res, isLeaving ? 503 : 200, {ready: !isLeaving});
+    } else sendJson(res, 404, {message: `no resource ${url}`});
   };
   const handleAdmin = async (req: IncomingMessage, res: ServerResponse) => {
     if (req.url !== '/metrics') {
@@ -162,7 +168,27 @@
     publicAddress: self.publicAddress,
     violations: monitor.violationCount,
   });
-  return stack;
+  return {
+    [Symbol.asyncDispose]: () =>
+      runShutdown({
+        steps: {
+          markNotReady: () => (isLeaving = true),
+          leaveLookups: () => tracker.startLeaving(),
+          announceLeaving: async () => {},
+          releaseOwnership: async () => {},
+          handOverKeys: () => homes.handOver(),
+          finishRequests: () => tracker.waitUntilIdle(),
+          closeConnections: () => stack[Symbol.asyncDispose](),
+        },
+        selfId: self.id,
+        timers,
+        logger,
+        monitor,
+        drainNoticeMs: system.timing.drainNoticeMs,
+        shutdownTimeoutMs: system.timing.shutdownTimeoutMs,
+        getOpenRequests: () => tracker.activeCount,
+      }),
+  };
 }
 
 /** Disposes resources in reverse order of their creation; Node.js 20 has no AsyncDisposableStack. */
--- /dev/null
+++ b/packages/instance/test/exchange/peer_pool.test.ts
@@ -0,0 +1,214 @@
+import type net from 'node:net';
+import {connectTcp, RealTimerService, Step} from '@primrosestage/common';
+import {afterEach, describe, expect, it} from 'vitest';
+import {FailureKind, PeerPool} from '../../src/exchange/index.js';
+import {createKeptBody} from '../../src/http/index.js';
+import {type RawServer, startRawServer} from '../support/start_raw_server.js';
+
+const ADDRESS = '127.40.2.1:8080';
+const PROGRESS_TIMEOUT_MS = 200;
+const timers = new RealTimerService();
+const sleep = (ms: number) => timers.sleep(ms);
+
+let server: RawServer;
+let pool: PeerPool;
+
+afterEach(async () => {
+  await pool[Symbol.asyncDispose]();
+  await server.stop();
+});
+
+async function start(
+  handle: (socket: net.Socket, run: number) => void,
+): Promise<void> {
+  server = await startRawServer(ADDRESS, handle);
+  pool = new PeerPool({
+    step: Step.Backend,
+    peer: 'e-1',
+    address: ADDRESS,
+    connect: connectTcp,
+    timers,
+    maxSockets: 4,
+    progressTimeoutMs: PROGRESS_TIMEOUT_MS,
+  });
+}
+
+interface Exchanged {
+  status?: number;
+  body: string;
+  kind?: FailureKind;
+  mayHaveRun?: boolean;
+}
+
+/** Sends a request and reads the answer to its end. */
+async function exchange(
+  options: {
+    isFresh?: boolean;
+    deadlineMs?: number;
+    signal?: AbortSignal;
+  } = {},
+): Promise<Exchanged> {
+  const result = await pool.send({
+    method: 'GET',
+    path: '/',
+    headers: {},
+    requestId: 'q-1',
+    body: createKeptBody(Buffer.alloc(0)),
+    deadlineAt: timers.now() + (options.deadlineMs ?? 5_000),
+    needsFreshConnection: options.isFresh ?? false,
+    signal: options.signal ?? new AbortController().signal,
+  });
+  if (result.err) {
+    const {kind, mayHaveRun} = result.err;
+    return {body: '', kind, mayHaveRun};
+  }
+  const exchanged: Exchanged = {status: result.res.statusCode, body: ''};
+  try {
+    for await (const chunk of result.chunks) exchanged.body += chunk.toString();
+  } catch (err) {
+    const {kind, mayHaveRun} = err as Exchanged;
+    return {...exchanged, kind, mayHaveRun};
+  }
+  return exchanged;
+}
+
+const OK = 'HTTP/1.1 200 OK\r\n';
+
+describe('PeerPool', () => {
+  it.each([
+    ['with content-length', `${OK}content-length: 10\r\n\r\nhalf`],
+    ['chunked', `${OK}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`],
+  ])(
+    'guards against a truncated body %s that ends as if whole',
+    async (_, text) => {
+      await start(socket => socket.end(text));
+      expect(await exchange()).toMatchObject({
+        status: 200,
+        body: 'half',
+        kind: FailureKind.Broken,
+        mayHaveRun: true,
+      });
+    },
+  );
+
+  it.each([
+    ['an answer whose end cannot be told', `${OK}\r\nsome text`],
+    ['rubbish', 'rubbish\r\n\r\n'],
+    ['a header of 32 KB', `${OK}x: ${'y'.repeat(32_768)}\r\n\r\n`],
+    [
+      'both lengths',
+      `${OK}content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`,
+    ],
+    [
+      'the answer to another request',
+      `${OK}primrose-request-id: q-0\r\ncontent-length: 2\r\n\r\nno`,
+    ],
+  ])('guards against taking %s for an answer', async (_, text) => {
+    await start(socket => socket.end(text));
+    expect(await exchange()).toMatchObject({
+      kind: FailureKind.Malformed,
+      mayHaveRun: true,
+    });
+  });
+
+  it.each([0, 30])(
+    'guards against bytes sent %i ms after an answer that become the next answer',
+    async delayMs => {
+      const late = `${OK}content-length: 4\r\n\r\nlate`;
+      await start(socket => {
+        socket.write(`${OK}content-length: 2\r\n\r\nok`);
+        if (delayMs === 0) socket.write(late);
+        else setTimeout(() => socket.write(late), delayMs);
+      });
+      expect(await exchange()).toEqual({status: 200, body: 'ok'});
+      await sleep(60);
+      expect(await exchange()).toEqual({status: 200, body: 'ok'});
+      expect(server.sockets).toHaveLength(2);
+    },
+  );
+
+  it('guards against a stale connection that makes the end of a non-idempotent request unknown', async () => {
+    await start((socket, run) => {
+      // The first connection is closed when a second request arrives on it.
+      if (socket === server.sockets[0] && run > 1) socket.destroy();
+      else socket.write(`${OK}content-length: 2\r\n\r\nok`);
+    });
+    await exchange();
+    await sleep(600);
+    expect(await exchange({isFresh: true})).toEqual({status: 200, body: 'ok'});
+    expect(server.sockets).toHaveLength(2);
+  });
+
+  it('guards against a new connection for every request', async () => {
+    await start(socket => socket.write(`${OK}content-length: 2\r\n\r\nok`));
+    for (let i = 0; i < 3; i++) await exchange({isFresh: true});
+    expect(server.sockets).toHaveLength(1);
+  });
+
+  it('guards against waiting on a silent peer, and against using its other connections again', async () => {
+    let isSilent = false;
+    await start(socket => {
+      if (!isSilent) socket.write(`${OK}content-length: 2\r\n\r\nok`);
+    });
+    await Promise.all([exchange(), exchange()]);
+    expect(server.sockets).toHaveLength(2);
+    isSilent = true;
+    const startedAt = timers.now();
+    const silent = await exchange();
+    expect(silent).toMatchObject({kind: FailureKind.Silent, mayHaveRun: true});
+    expect(timers.now() - startedAt).toBeLessThan(5 * PROGRESS_TIMEOUT_MS);
+    isSilent = false;
+    expect(await exchange()).toEqual({status: 200, body: 'ok'});
+    expect(server.sockets).toHaveLength(3);
+  });
+
+  it('guards against a peer that goes silent in the middle of a body', async () => {
+    await start(socket => socket.write(`${OK}content-length: 10\r\n\r\nhalf`));
+    expect(await exchange()).toMatchObject({
+      status: 200,
+      body: 'half',
+      kind: FailureKind.Silent,
+    });
+  });
+
+  it('guards against ending an exchange because its reader is slow', async () => {
+    const body = 'x'.repeat(4 * 1024 * 1024);
+    await start(socket =>
+      socket.write(`${OK}content-length: ${body.length}\r\n\r\n${body}`),
+    );
+    const result = await pool.send({
+      method: 'GET',
+      path: '/',
+      headers: {},
+      body: createKeptBody(Buffer.alloc(0)),
+      deadlineAt: timers.now() + 5_000,
+      needsFreshConnection: false,
+      signal: new AbortController().signal,
+    });
+    let bytes = 0;
+    for await (const chunk of result.err ? [] : result.chunks) {
+      if (bytes === 0) await sleep(3 * PROGRESS_TIMEOUT_MS);
+      bytes += chunk.length;
+    }
+    expect(bytes).toBe(body.length);
+  });
+
+  it('guards against a deadline that does not end an exchange', async () => {
+    await start(() => {});
+    expect(await exchange({deadlineMs: 50})).toMatchObject({
+      kind: FailureKind.Deadline,
+      mayHaveRun: true,
+    });
+    await sleep(20);
+    expect(server.sockets[0]?.destroyed).toBe(true);
+  });
+
+  it('guards against a refused connection that counts as a run', async () => {
+    await start(() => {});
+    await server.stop();
+    expect(await exchange()).toMatchObject({
+      kind: FailureKind.Connect,
+      mayHaveRun: false,
+    });
+  });
+});
