--- a/packages/instance/src/idempotency/home_router.ts
+++ b/packages/instance/src/idempotency/home_router.ts
@@ -109,7 +109,7 @@
     const {topology, relay, self} = this.options;
     const key = parseIdempotencyKey(ctx.idempotencyKey ?? '');
     if (!key) return this.refuseMalformed();
-    await this.handover;
+    if (!(await this.waitForHandover(ctx))) return this.refuseHandover(ctx);
     const table = this.tables.get(getTableId(key));
     if (table) return this.task.execute(table, key, ctx, body, signal);
     const home = topology.getInstance(key.home);
@@ -141,7 +141,7 @@
     const {self} = this.options;
     const key = parseIdempotencyKey(ctx.idempotencyKey ?? '');
     if (!key) return this.refuseMalformed();
-    await this.handover;
+    if (!(await this.waitForHandover(ctx))) return this.refuseHandover(ctx);
     const table = this.tables.get(getTableId(key));
     if (table) return this.task.execute(table, key, ctx, body, signal);
     return key.home === self.id
@@ -163,6 +163,24 @@
     this.agent.destroy();
   }
 
+  /** Waits for a handover that has begun; false where the deadline comes first. */
+  private async waitForHandover(ctx: RequestContext): Promise<boolean> {
+    if (!this.handover) return true;
+    const {timers} = this.options;
+    const abort = new AbortController();
+    const remainingMs = Math.max(0, ctx.deadlineAt - timers.now());
+    const isDone = await Promise.race([
+      this.handover.then(() => true),
+      timers.sleep(remainingMs, abort.signal).then(() => false),
+    ]);
+    abort.abort();
+    return isDone;
+  }
+
+  private refuseHandover(ctx: RequestContext): AttemptResult {
+    return this.refuseLost(ctx, 'the key records are being handed over');
+  }
+
   private async runHandover(): Promise<void> {
     await this.task.waitUntilIdle();
     for (const [id, table] of this.tables) {
--- /dev/null
+++ b/packages/instance/test/idempotency/home_router.test.ts
@@ -0,0 +1,163 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {call} from '../support/call.js';
+import {ConnectControl} from '../support/connect_control.js';
+import {answerRun, type BackendHandler} from '../support/start_backend.js';
+import {startSystem, type TestSystem} from '../support/start_system.js';
+
+const SUBNET = 4;
+const HOME = 0;
+const OTHER = 1;
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+let system: TestSystem;
+let control: ConnectControl;
+
+afterEach(async () => {
+  const violations = 'primrose_invariant_violations_total';
+  const count = await system.getMetric(OTHER, violations);
+  await system.stopAll();
+  expect(count).toBe(0);
+});
+
+async function start(handle: BackendHandler = answerRun): Promise<string> {
+  control = new ConnectControl();
+  system = await startSystem({
+    subnet: SUBNET,
+    instances: 3,
+    endpoints: 3,
+    handle,
+    connect: control.connect,
+  });
+  return `${await system.getKeyPrefix(HOME)}.order-1`;
+}
+
+/** Sends the order under a key through an instance. */
+function order(instance: number, key: string, attempt = 2) {
+  return call(`${system.getUrl(instance)}/orders`, {
+    method: 'POST',
+    body: 'order',
+    headers: {'idempotency-key': key, 'primrose-attempt': String(attempt)},
+  });
+}
+
+const getRuns = () =>
+  system.backends.reduce((sum, {requests}) => sum + requests.length, 0);
+
+const slow: BackendHandler = (req, res, run) =>
+  void setTimeout(() => answerRun(req, res, run), 150);
+
+describe('a request under a key', () => {
+  it('guards against a second run by a repeat through another instance while the first one runs', async () => {
+    const key = await start(slow);
+    const results = await Promise.all(
+      [HOME, OTHER, 2, OTHER].map(instance => order(instance, key)),
+    );
+    expect(results.map(({status}) => status)).toEqual([200, 200, 200, 200]);
+    expect(new Set(results.map(({body}) => body)).size).toBe(1);
+    expect(getRuns()).toBe(1);
+  });
+
+  it('guards against a second run after the first one was answered', async () => {
+    const key = await start();
+    const first = await order(OTHER, key, 1);
+    for (const instance of [HOME, OTHER, 2]) {
+      const repeat = await order(instance, key);
+      expect([repeat.status, repeat.body]).toEqual([200, first.body]);
+    }
+    expect(getRuns()).toBe(1);
+  });
+
+  it('guards against losing the answer of a caller whose connection broke', async () => {
+    const key = await start(slow);
+    const abort = new AbortController();
+    const first = call(`${system.getUrl(OTHER)}/orders`, {
+      method: 'POST',
+      headers: {'idempotency-key': key},
+      body: 'order',
+      signal: abort.signal,
+    });
+    await sleep(50);
+    abort.abort();
+    await first;
+    const repeat = await order(2, key);
+    expect([repeat.status, repeat.body]).toEqual([200, '{"run":1}']);
+    expect(getRuns()).toBe(1);
+  });
+
+  it('guards against a run of a repeat after an end that is unknown', async () => {
+    const key = await start((req, res) => void res.destroy());
+    for (const instance of [OTHER, 2]) {
+      const {status, headers} = await order(instance, key);
+      expect([status, headers['primrose-outcome']]).toEqual([502, 'unknown']);
+    }
+    expect(getRuns()).toBe(1);
+  });
+
+  it('guards against a record that blocks a repeat of a request that did not run', async () => {
+    const refuse: BackendHandler = (req, res) =>
+      void res.writeHead(503, {'primrose-outcome': 'not-run'}).end();
+    const key = await start(refuse);
+    const refused = await order(OTHER, key);
+    expect(refused.headers['primrose-outcome']).toBe('not-run');
+    for (const backend of system.backends) backend.handle = answerRun;
+    expect((await order(2, key)).status).toBe(200);
+  });
+
+  it('guards against a repeat whose answer was too long being run again', async () => {
+    const body = 'x'.repeat(100_000);
+    const key = await start((req, res) => void res.end(body));
+    expect((await order(OTHER, key)).body).toBe(body);
+    const {status, headers} = await order(2, key);
+    expect(status).toBe(410);
+    expect(headers['primrose-outcome']).toBe('answered');
+    expect(headers['primrose-original-status']).toBe('200');
+    expect(getRuns()).toBe(1);
+  });
+
+  it('guards against a run or a false not-run after the home has lost its records', async () => {
+    const key = await start();
+    await order(OTHER, key);
+    // A refused handover loses the records, as the death of the process does.
+    control.refused.add(`127.40.${SUBNET}.2:7001`);
+    control.refused.add(`127.40.${SUBNET}.3:7001`);
+    await system.stop(HOME);
+    control.refused.clear();
+    const unreachable = await order(OTHER, key);
+    expect(unreachable.headers['primrose-outcome']).toBe('unknown');
+    await system.start(HOME);
+    for (const instance of [OTHER, HOME]) {
+      const repeat = await order(instance, key);
+      expect(repeat.headers['primrose-outcome']).toBe('unknown');
+    }
+    expect(getRuns()).toBe(1);
+  });
+
+  it('guards against unknown for a first attempt that reached no home', async () => {
+    const key = await start();
+    control.refused.add(`127.40.${SUBNET}.1:7001`);
+    const first = await order(OTHER, key, 1);
+    expect(first.status).toBe(503);
+    expect(first.headers['primrose-outcome']).toBe('not-run');
+    const repeat = await order(OTHER, key);
+    expect(repeat.headers['primrose-outcome']).toBe('unknown');
+    expect(getRuns()).toBe(0);
+  });
+
+  it('guards against losing records at a planned stop of the home', async () => {
+    const key = await start(slow);
+    const first = order(OTHER, key);
+    await sleep(50);
+    const stopped = system.stop(HOME);
+    const duringStop = order(2, key);
+    const {body} = await first;
+    await stopped;
+    expect((await duringStop).body).toBe(body);
+    for (const instance of [OTHER, 2]) {
+      const repeat = await order(instance, key);
+      expect([repeat.status, repeat.body]).toEqual([200, body]);
+    }
+    await system.start(HOME);
+    expect((await order(HOME, key)).body).toBe(body);
+    expect(getRuns()).toBe(1);
+  });
+});
--- /dev/null
+++ b/packages/instance/test/request_path/relay.test.ts
@@ -0,0 +1,126 @@
+import {mkdtempSync, readFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {afterEach, describe, expect, it} from 'vitest';
+import {call} from '../support/call.js';
+import {ConnectControl} from '../support/connect_control.js';
+import {answerRun, type BackendHandler} from '../support/start_backend.js';
+import {startSystem, type TestSystem} from '../support/start_system.js';
+
+const SUBNET = 6;
+const INTERNAL = [1, 2].map(i => `127.40.${SUBNET}.${i}:7001`);
+
+let system: TestSystem;
+let control: ConnectControl;
+
+afterEach(() => system.stopAll());
+
+/** Starts two instances; the only endpoint belongs to one of them, the caller uses the other. */
+async function start(
+  handle: BackendHandler,
+  traceFile?: string,
+): Promise<{url: string; owner: number}> {
+  control = new ConnectControl();
+  system = await startSystem({
+    subnet: SUBNET,
+    instances: 2,
+    handle,
+    traceFile,
+    timing: {progressTimeoutMs: 400},
+    connect: control.connect,
+  });
+  const urls = [0, 1].map(i => `${system.getUrl(i)}/x`);
+  await call(urls[0]!);
+  const hops = system.backends[0]!.requests.length;
+  expect(hops).toBe(1);
+  const name = 'primrose_queue_wait_seconds_count';
+  const owner = (await system.getMetric(0, name)) > 0 ? 0 : 1;
+  return {url: urls[1 - owner]!, owner};
+}
+
+describe('relay', () => {
+  it('guards against taking a slow endpoint for a silent owner', async () => {
+    let delayMs = 0;
+    const {url} = await start((req, res, run) => {
+      setTimeout(() => answerRun(req, res, run), delayMs);
+    });
+    delayMs = 350;
+    const results = await Promise.all(
+      [1, 2].map(() => call(url, {method: 'POST', body: 'order'})),
+    );
+    expect(results.map(({status}) => status)).toEqual([200, 200]);
+  });
+
+  it('guards against waiting for an owner whose connections went silent', async () => {
+    const {url, owner} = await start(answerRun);
+    expect((await call(url)).status).toBe(200);
+    control.silence(INTERNAL[owner]!);
+    const {status} = await call(url, {
+      headers: {'primrose-deadline-ms': '3000'},
+    });
+    // The request may have run and no other owner exists, so its end is unknown.
+    expect(status).toBe(502);
+    expect((await call(url)).status).toBe(200);
+  });
+
+  it('guards against a false unknown where the owner cannot be reached', async () => {
+    const {url, owner} = await start(answerRun);
+    control.refused.add(INTERNAL[owner]!);
+    control.cut(INTERNAL[owner]!);
+    const {status, headers} = await call(url, {method: 'POST'});
+    expect([status, headers['primrose-outcome']]).toEqual([503, 'not-run']);
+  });
+
+  it('guards against a truncated answer that is whole to the caller after a relay', async () => {
+    let isCut = false;
+    const {url} = await start((req, res, run) => {
+      if (!isCut) return answerRun(req, res, run);
+      res.write('half');
+      setTimeout(() => res.destroy(), 20);
+    });
+    isCut = true;
+    const result = await call(url);
+    expect(result.body).toBe('half');
+    expect(result.err).toBeDefined();
+  });
+
+  it('guards against work that goes on at the endpoint after the caller of a relay has left', async () => {
+    const {url} = await start((req, res, run) => {
+      if (run === 1) answerRun(req, res, run);
+    });
+    const abort = new AbortController();
+    setTimeout(() => abort.abort(), 100);
+    await call(url, {signal: abort.signal});
+    await new Promise(resolve => setTimeout(resolve, 50));
+    expect(system.backends[0]!.inFlight).toBe(0);
+  });
+
+  it('guards against a trace that breaks between the hops', async () => {
+    const dir = mkdtempSync(path.join(tmpdir(), 'primrose-traces-'));
+    const file = path.join(dir, 'spans.jsonl');
+    const {url} = await start(answerRun, file);
+    const traceId = 'a'.repeat(32);
+    const traceparent = `00-${traceId}-${'b'.repeat(16)}-01`;
+    await call(url, {headers: {traceparent}});
+    const spans = readFileSync(file, 'utf8')
+      .trim()
+      .split('\n')
+      .map(
+        line =>
+          JSON.parse(line) as Record<
+            'name' | 'traceId' | 'spanId' | 'parentSpanId',
+            string
+          >,
+      )
+      .filter(span => span.traceId === traceId);
+    const byName = new Map(spans.map(span => [span.name, span]));
+    const chain = ['ingress', 'relay', 'owner', 'backend'];
+    let parent = 'b'.repeat(16);
+    for (const name of chain) {
+      expect(byName.get(name)?.parentSpanId).toBe(parent);
+      parent = byName.get(name)!.spanId;
+    }
+    const arrived = system.backends[0]!.requests.at(-1)!.headers.traceparent;
+    expect(arrived).toBe(`00-${traceId}-${parent}-01`);
+  });
+});
--- /dev/null
+++ b/packages/instance/test/support/connect_control.ts
@@ -0,0 +1,34 @@
+import type {Duplex} from 'node:stream';
+import {type ConnectFunction, connectTcp} from '@primrosestage/common';
+
+/** Refuses or stalls connections by the peer's address. */
+export class ConnectControl {
+  /** Addresses to which no connection opens. */
+  readonly refused = new Set<string>();
+  private readonly open = new Map<string, Set<Duplex>>();
+
+  readonly connect: ConnectFunction = target => {
+    const address = `${target.host}:${target.port}`;
+    // Port 1 of the loopback address has no listener.
+    const socket = this.refused.has(address)
+      ? connectTcp({host: target.host, port: 1})
+      : connectTcp(target);
+    const sockets = this.open.get(address) ?? new Set();
+    this.open.set(address, sockets.add(socket));
+    socket.once('close', () => sockets.delete(socket));
+    return socket;
+  };
+
+  /** Makes established connections to a peer deliver nothing more; new ones work. */
+  silence(address: string): void {
+    for (const socket of this.open.get(address) ?? []) {
+      socket.pause();
+      socket.removeAllListeners('data');
+    }
+  }
+
+  /** Breaks established connections to a peer. */
+  cut(address: string): void {
+    for (const socket of this.open.get(address) ?? []) socket.destroy();
+  }
+}
--- a/packages/instance/test/support/start_system.ts
+++ b/packages/instance/test/support/start_system.ts
@@ -23,6 +23,8 @@
   preset?: Record<string, unknown>;
   handle?: BackendHandler;
   connect?: ConnectFunction;
+  /** File for the spans of all instances. */
+  traceFile?: string;
 }
 
 /** Holds a running system. */
@@ -89,6 +91,9 @@
         system: '',
         id: ids[i],
         log: {level: 'error'},
+        ...(options.traceFile === undefined
+          ? {}
+          : {traces: {exporter: 'json-lines', target: options.traceFile}}),
       }),
     };
     running.set(i, await serve(settings, {connect: options.connect}));
