Create no error and no abort signal for a request that succeeds

Cause: a CPU profile of the instance under 64 connections showed VError at 3 % and DOMException at 1.6 %: every closed exchange built an error, and every attempt a combined abort signal.

Change: the close of an exchange counts as a failure only before its head; an attempt that cannot be hedged uses the caller's signal.

Checked: npx vitest run packages/instance: 65 passed. The machine was busy (load 8 to 12 on 10 cores), so that no rate is claimed.

Conclusion: less work per request; behaviour is unchanged.

--- a/packages/instance/src/exchange/exchange.ts
+++ b/packages/instance/src/exchange/exchange.ts
@@ -108,10 +108,14 @@
       } else this.isConnected = true;
     });
     req.on('information', () => this.touch());
+    let hasHead = false;
     const head = new Promise<ExchangeResult>(resolve => {
       req.on('error', err => resolve({err: this.classify(err)}));
-      req.on('close', () => resolve({err: this.classify('connection closed')}));
+      req.on('close', () => {
+        if (!hasHead) resolve({err: this.classify('connection closed')});
+      });
       req.on('response', res => {
+        hasHead = true;
         this.touch();
         resolve(this.accept(res));
       });
--- a/packages/instance/src/relay/dispatcher.ts
+++ b/packages/instance/src/relay/dispatcher.ts
@@ -105,7 +105,6 @@
   ): Promise<AttemptResult> {
     const {ctx, body} = attempts;
     const {timers, times, retries} = this.options;
-    const first = this.attempt(attempts, target);
     const hedgeDelayMs = getHedgeDelay({
       requestClass: ctx.requestClass,
       priority: ctx.service.priority,
@@ -113,7 +112,11 @@
       remainingMs: ctx.deadlineAt - timers.now(),
       ...times.getPercentiles(getServiceKey(ctx.service)),
     });
-    if (hedgeDelayMs === undefined) return first.result;
+    if (hedgeDelayMs === undefined) {
+      attempts.begin(target);
+      return this.runAttempt(attempts, target, attempts.signal);
+    }
+    const first = this.attempt(attempts, target);
     const early = await raceWithDelay(first.result, hedgeDelayMs, timers);
     if (early) return early;
     if (!retries.takeHedge(ctx)) return first.result;
@@ -123,15 +126,13 @@
   }
 
   private attempt(attempts: Attempts, target: Target): RunningAttempt {
-    const {signal, tried} = attempts;
-    tried.add(target.owner.id);
-    attempts.count++;
+    attempts.begin(target);
     const abort = new AbortController();
     return {
       result: this.runAttempt(
         attempts,
         target,
-        AbortSignal.any([signal, abort.signal]),
+        AbortSignal.any([attempts.signal, abort.signal]),
       ),
       cancel: () => abort.abort(),
     };
@@ -213,6 +214,12 @@
     readonly signal: AbortSignal,
   ) {}
 
+  /** Counts an attempt. */
+  begin(target: Target): void {
+    this.tried.add(target.owner.id);
+    this.count++;
+  }
+
   /** Makes the last refusal true for all attempts together. */
   conclude(last: Refusal): Refusal {
     if (!this.mayHaveRun || last.outcome === Outcome.Unknown) return last;
@@ -237,7 +244,8 @@
       timers.sleep(delayMs, abort.signal).then(() => undefined),
     ]);
   } finally {
-    abort.abort();
+    // A reason of its own spares the stack trace of the default one.
+    abort.abort('done');
   }
 }
 
