--- a/packages/instance/src/cli/main.ts
+++ b/packages/instance/src/cli/main.ts
@@ -64,22 +64,31 @@
     settings,
     options.embeddedStore ? {createStore: createEmbeddedStore(settings)} : {},
   );
-  process.once('SIGTERM', () => {
+  let isStopping = false;
+  // The handler stays in place: without it, a second signal would end the process at once.
+  process.on('SIGTERM', () => {
+    if (isStopping) return;
+    isStopping = true;
     void instance[Symbol.asyncDispose]().then(() => process.exit(0));
   });
 }
 
-/** Creates a store for one process; instances with stores of their own share no changes. */
-function createEmbeddedStore({system}: LoadedSettings) {
-  const {instances} = buildTopology(system);
-  const listed = instances.map(instance => ({
-    id: instance.id,
-    zone: instance.zone,
-    region: instance.region,
-    internal: instance.internalAddress,
-    public: instance.publicAddress,
+/**
+ * Creates a store for one process. Its list of instances names only this one, which therefore
+ * owns the endpoints of its region alone.
+ */
+function createEmbeddedStore({system, instance}: LoadedSettings) {
+  const {id, zone, region, internalAddress, publicAddress} = buildTopology(
+    system,
+  ).getInstanceOrThrow(instance.id);
+  const listed = {
+    id,
+    zone,
+    region,
+    internal: internalAddress,
+    public: publicAddress,
     state: InstanceState.Live,
-  }));
+  };
   return (timers: TimerService) =>
-    new MemoryStore({timers, getInstances: () => listed});
+    new MemoryStore({timers, getInstances: () => [listed]});
 }
--- a/packages/instance/src/http/index.ts
+++ b/packages/instance/src/http/index.ts
@@ -11,3 +11,5 @@
 } from './request_body.js';
 export {sendJson} from './send_json.js';
 export {sendRefusal, type RefusalOptions} from './send_refusal.js';
+export {createAdminHandler} from './create_admin_handler.js';
+export {createPublicHandler} from './create_public_handler.js';
--- a/packages/instance/src/relay/retry_gate.ts
+++ b/packages/instance/src/relay/retry_gate.ts
@@ -7,8 +7,9 @@
   type RetryBudget,
   RetryObstacle,
   takeToken,
+  getServiceKey,
 } from '@primrosestage/steering';
-import {getServiceKey, type RequestContext} from '../request_context.js';
+import type {RequestContext} from '../request_context.js';
 import type {RequestMetrics, ServiceTimes} from '../telemetry/index.js';
 
 /** Configures the retries of an instance. */
--- a/packages/testing/src/bench/process/child_main.ts
+++ b/packages/testing/src/bench/process/child_main.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {loadSettings} from '@primrosestage/control';
 import {serve} from '@primrosestage/instance';
-import {startBackendServer} from '../../standins/backend_server.js';
+import {startBackendServer} from './start_backend_server.js';
 import {startBareRelay} from './bare_relay.js';
 import {ChildRole, type ChildTask, type ChildUsage} from './child_roles.js';
 
--- a/packages/testing/src/faults/run_instance_process.ts
+++ b/packages/testing/src/faults/run_instance_process.ts
@@ -9,7 +9,7 @@
  * @param settingsFile - TOML settings of the instance.
  */
 export async function runInstanceProcess(settingsFile: string): Promise<void> {
-  let shutdown: Promise<unknown> | undefined;
+  let shutdown: PromiseLike<unknown> | undefined;
   const connector = new FaultConnector();
   // The cuts must be known before the first connection is opened.
   await new Promise<void>(resolve =>
