--- a/packages/instance/src/membership/create_membership_config.ts
+++ b/packages/instance/src/membership/create_membership_config.ts
@@ -29,7 +29,7 @@
   return {
     self,
     members,
-    endpoints,
+    endpoints: new Map(endpoints.map(e => [e.id, e])),
     ownership: {
       selfId: self.id,
       incarnation: options.incarnation,
@@ -53,7 +53,10 @@
         additions,
         hash,
       }),
-    getInFlight: options.getInFlight ?? (() => []),
+    getInFlight: () =>
+      endpoints
+        .map(e => [e.id, options.getInFlight?.(e) ?? 0] as const)
+        .filter(([, inFlight]) => inFlight > 0),
     random: options.random ?? Math.random,
   };
 }
--- a/packages/instance/src/membership/index.ts
+++ b/packages/instance/src/membership/index.ts
@@ -2,6 +2,7 @@
   createMembershipRouter,
   type MembershipCalls,
 } from './create_membership_router.js';
+export {type HeartbeatPayload, PeerPayloads} from './heartbeat_payload.js';
 export {type ContactView, MembershipTask} from './membership_task.js';
 export type {
   ListedInstance,
--- a/packages/instance/src/membership/membership_task.ts
+++ b/packages/instance/src/membership/membership_task.ts
@@ -7,6 +7,7 @@
   getLimit,
   getStanding,
   type InstanceInfo,
+  Liveness,
   type Member,
   type MembershipAction,
   MembershipActionType,
@@ -129,6 +130,31 @@
     return this.members.filter(member => member.status === status);
   }
 
+  /**
+   * Gets the liveness of an instance, for lookups and selection.
+   * @param id - Id of the instance.
+   * @returns The liveness; a removed or unknown instance counts as suspected.
+   */
+  getLiveness(id: string): Liveness {
+    if (id === this.config.self.id) {
+      return this.state.isLeaving ? Liveness.Leaving : Liveness.Live;
+    }
+    const member = this.state.members.get(id);
+    if (member?.status === MemberStatus.Gone) return Liveness.Gone;
+    if (member?.status !== MemberStatus.Alive) return Liveness.Suspected;
+    return member.isLeaving ? Liveness.Leaving : Liveness.Live;
+  }
+
+  /**
+   * Gets the incarnation of an instance.
+   * @param id - Id of the instance.
+   * @returns The incarnation, or undefined where it was never heard of.
+   */
+  getIncarnation(id: string): number | undefined {
+    if (id === this.config.self.id) return this.options.incarnation;
+    return this.state.members.get(id)?.incarnation || undefined;
+  }
+
   /** Gets the contact with every other instance of the region, for status pages. */
   getContacts(): ContactView[] {
     const now = this.now();
--- a/packages/instance/src/membership/membership_task_options.ts
+++ b/packages/instance/src/membership/membership_task_options.ts
@@ -3,7 +3,12 @@
   Logger,
   TimerService,
 } from '@primrosestage/common';
-import type {Hash64, InstanceInfo, Topology} from '@primrosestage/steering';
+import type {
+  Endpoint,
+  Hash64,
+  InstanceInfo,
+  Topology,
+} from '@primrosestage/steering';
 
 /** Names an instance in the platform's list; addresses are `host:port`. */
 export interface ListedInstance {
@@ -46,8 +51,8 @@
   getPayload?: () => unknown;
   /** Takes the payload of another instance. */
   receivePayload?: (peerId: string, payload: unknown) => void;
-  /** Gives the requests in flight from this instance by endpoint id, those above 0. */
-  getInFlight?: () => Iterable<readonly [string, number]>;
+  /** Gives the requests in flight from this instance at an endpoint of its region. */
+  getInFlight?: (endpoint: Endpoint) => number;
   /** Gives a number from 0 to 1, 1 excluded. */
   random?: () => number;
 }
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -2,18 +2,36 @@
 import {
   type ConnectFunction,
   connectTcp,
+  createAgent,
   createLogger,
+  createTracing,
   InvariantMonitor,
   RealTimerService,
 } from '@primrosestage/common';
-import {buildTopology, type LoadedSettings} from '@primrosestage/control';
-import {createHash64} from '@primrosestage/steering';
+import {
+  buildTopology,
+  type ConfigurationView,
+  type LoadedSettings,
+} from '@primrosestage/control';
+import {
+  BlockTable,
+  createHash64,
+  getServiceKey,
+  Liveness,
+} from '@primrosestage/steering';
 import {Registry} from 'prom-client';
+import {SettingsConfiguration} from './defaults/index.js';
 import {listen, sendJson} from './http/index.js';
-import {IngressTask} from './ingress/index.js';
 import {LookupTask} from './lookup/index.js';
-import {MembershipTask} from './membership/index.js';
-import {OwnerTask} from './owner/index.js';
+import {MembershipTask, PeerPayloads} from './membership/index.js';
+import {createRequestPath, type RequestPath} from './request_path/index.js';
+import {
+  createLinkPacer,
+  createRoutingRouter,
+  fetchRoutingReport,
+  registerRoutingMetrics,
+  RoutingTask,
+} from './routing/index.js';
 import {createRpcHandler, router, RPC_PATH} from './rpc/index.js';
 
 /** Replaces parts of an instance, for failure tests. */
@@ -45,8 +63,19 @@
   const registry = new Registry();
   const monitor = new InvariantMonitor(logger, registry);
   const hash = await createHash64();
-  const incarnation = timers.wallNow();
-  const membership = stack.use(
+  const tracing = stack.use(
+    createTracing({...instance.traces, instance: self.id}),
+  );
+  const incarnation = Math.floor(timers.wallNow());
+  const payloads = new PeerPayloads(timers, logger);
+  const getFreeSlots = () =>
+    Object.fromEntries(
+      topology.services.map(service => [
+        getServiceKey(service),
+        requestPath.owner.getFreeSlots(service),
+      ]),
+    );
+  const membership: MembershipTask = stack.use(
     new MembershipTask({
       topology,
       self,
@@ -56,53 +85,85 @@
       timers,
       logger,
       connect,
+      getPayload: () => ({
+        keyPrefix: requestPath.homes.getKeyPrefix(),
+        freeSlots: getFreeSlots(),
+      }),
+      receivePayload: (peer, payload) => payloads.receive(peer, payload),
+      getInFlight: endpoint => requestPath.owner.getInFlight(endpoint),
     }),
   );
-  const owner = stack.use(
-    new OwnerTask({
+  const configuration: ConfigurationView = new SettingsConfiguration(system);
+  const controlAgent = createAgent({connect});
+  stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
+  const routing = stack.use(
+    new RoutingTask({
       topology,
       self,
-      hash,
+      ownership: membership,
+      configuration,
       timers,
-      progressTimeoutMs: system.timing.progressTimeoutMs,
-      connect,
+      monitor,
+      random: Math.random,
+      getLiveness: peer => membership.getLiveness(peer),
+      getReportedFree: (peer, service) => payloads.getFreeSlots(peer, service),
+      getMemberCount: region => topology.getInstancesOfRegion(region).length,
+      fetchReport: peer => fetchRoutingReport(peer, controlAgent),
     }),
   );
-  const ingress = stack.use(
-    new IngressTask({
-      parse: {
-        topology,
-        self,
-        timers,
-        defaultDeadlineMs: system.timing.defaultDeadlineMs,
-        maxRequestMs: system.timing.maxRequestMs,
-      },
+  registerRoutingMetrics(routing, registry);
+  await routing.loadPeerShares();
+  const requestPath: RequestPath = stack.use(
+    createRequestPath({
       topology,
       self,
+      incarnation,
+      timing: system.timing,
+      ownership: membership,
+      selector: routing,
+      configuration,
       hash,
-      owner,
       timers,
       logger,
-      progressTimeoutMs: system.timing.progressTimeoutMs,
+      registry,
+      monitor,
+      tracer: tracing.tracer,
       connect,
+      getLiveInstances: () =>
+        topology.instances.filter(
+          ({id}) => membership.getLiveness(id) === Liveness.Live,
+        ),
+      pace: createLinkPacer({links: routing.links, self, timers}),
     }),
   );
+  const {ingress, homes} = requestPath;
   const lookup = new LookupTask({
     topology,
     self,
-    incarnation,
-    blocks: system.blocks,
+    timers,
+    blocks: BlockTable.build(system.blocks),
     trustedPeers: system.trustedPeers,
-    getTtlSeconds: () => 10,
+    getTtlSeconds: team =>
+      configuration.getPreset(team)?.lookupTtlSeconds ?? 10,
+    getLiveness: peer => membership.getLiveness(peer),
+    isDrained: peer => routing.isInstanceDrained(peer),
+    getIncarnation: id => membership.getIncarnation(id),
+    getKeyPrefix: id =>
+      id === self.id ? homes.getKeyPrefix() : payloads.getKeyPrefix(id),
   });
   const handleRpc = createRpcHandler(
-    router({membership: membership.createRouter()}),
+    router({
+      membership: membership.createRouter(),
+      routing: createRoutingRouter(routing),
+      keys: homes.createRouter(),
+    }),
   );
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
-    else if (url.startsWith('/v1/requests/')) void ingress.handle(req, res);
-    else if (url === '/healthz') sendJson(res, 200, {healthy: true});
+    else if (url.startsWith('/v1/requests/')) {
+      void ingress.handle(req, res, false);
+    } else if (url === '/healthz') sendJson(res, 200, {healthy: true});
     else if (url === '/readyz') sendJson(res, 200, {ready: true});
     else sendJson(res, 404, {message: `no resource ${url}`});
   };
@@ -120,7 +181,7 @@
       address: self.internalAddress,
       handle: (req, res) => {
         if (req.url?.startsWith(RPC_PATH)) handleRpc(req, res);
-        else void ingress.handle(req, res);
+        else void ingress.handle(req, res, true);
       },
     }),
   );
--- a/packages/steering/src/membership/create_message.ts
+++ b/packages/steering/src/membership/create_message.ts
@@ -102,7 +102,7 @@
   now: number,
   config: MembershipConfig,
 ): number {
-  const slots = config.endpoints.find(({id}) => id === endpointId)?.slots ?? 0;
+  const slots = config.endpoints.get(endpointId)?.slots ?? 0;
   const order = state.orders.get(endpointId) ?? [];
   return getEndpointLimit(
     state.ownership,
--- a/packages/steering/src/membership/select_targets.ts
+++ b/packages/steering/src/membership/select_targets.ts
@@ -136,7 +136,7 @@
     standings.set(id, found);
     return found;
   };
-  for (const {id} of config.endpoints) {
+  for (const id of config.endpoints.keys()) {
     const order = state.orders.get(id) ?? [];
     const split = splitOrder(state.ownership, order, config.ownership);
     if (!split) continue;
