Lower the cost of membership at 4,400 members

Cause: a trial with one process that knows 26 zones of 169 instances and 3 endpoints each (node, 80 ticks) took 8.0 ms per tick and 1.2 ms per message: every event copied all maps, and every candidate order was split again although this instance is far down most of them. Ruled out: mutable state in place of the reducer. Change: maps are copied at their first change, orders end at two candidates that may act, the owner pings the next candidate only, addresses are sent until the peer knows them, and orders of other regions keep six candidates.

--- a/packages/instance/src/membership/create_membership_config.ts
+++ b/packages/instance/src/membership/create_membership_config.ts
@@ -52,6 +52,7 @@
         members,
         additions,
         hash,
+        region: self.region,
       }),
     getInFlight: () =>
       endpoints
--- a/packages/instance/src/membership/membership_schema.ts
+++ b/packages/instance/src/membership/membership_schema.ts
@@ -14,7 +14,7 @@
 
 /** Checks a heartbeat, its acknowledgement or a goodbye. */
 export const MESSAGE_SCHEMA = z.object({
-  info: INSTANCE_INFO_SCHEMA,
+  info: INSTANCE_INFO_SCHEMA.optional(),
   statement: z.object({
     id: z.string(),
     incarnation: z.number(),
--- a/packages/instance/src/membership/membership_task.ts
+++ b/packages/instance/src/membership/membership_task.ts
@@ -233,7 +233,7 @@
   }
 
   private receive({message, payload}: Envelope): Envelope {
-    const {id} = message.info;
+    const {id} = message.statement;
     const event = {type: MembershipEventType.Received, message} as const;
     const {state, actions} = reduceMembership(
       this.state,
--- a/packages/steering/src/membership/create_message.ts
+++ b/packages/steering/src/membership/create_message.ts
@@ -28,11 +28,14 @@
   const {state} = draft;
   const contact = state.ownership.contacts.get(receiverId);
   return {
-    info: config.self,
+    info: contact?.knowsSelf ? undefined : config.self,
     statement: createStatement(state, now, config),
     refutation: state.refutation,
     isLeaving: state.isLeaving,
-    stamp: {incarnation: config.ownership.incarnation, at: now},
+    stamp: {
+      incarnation: config.ownership.incarnation,
+      at: Math.floor(now),
+    },
     echo: state.stamps.get(receiverId),
     receiverIncarnation: contact?.isGone ? undefined : contact?.incarnation,
     uncleanMs: Math.max(0, (contact?.uncleanUntil ?? -Infinity) - now),
@@ -67,7 +70,7 @@
     incarnation: config.ownership.incarnation,
     phase: ownership.phase,
     digest: config.ownership.digest,
-    ageMs: now - ownership.startedAt,
+    ageMs: Math.floor(now - ownership.startedAt),
     excess: getExcess(state, now, config),
     additions: [...ownership.contacts]
       .filter(([id, {isGone}]) => !isGone && !inSettings.has(id))
@@ -124,8 +127,8 @@
     .sort(([, a], [, b]) => b.sendsLeft - a.sendsLeft)
     .slice(0, MAX_UPDATES - accusation.length);
   for (const [id, {update, sendsLeft}] of chosen) {
-    if (sendsLeft <= 1) draft.updates.delete(id);
-    else draft.updates.set(id, {update, sendsLeft: sendsLeft - 1});
+    const left = sendsLeft - 1;
+    draft.setUpdate(id, left > 0 ? {update, sendsLeft: left} : undefined);
   }
   const updates = [...accusation, ...chosen.map(([, {update}]) => update)];
   const named = new Set([receiverId, ...updates.map(({id}) => id)]);
@@ -139,9 +142,6 @@
   updateCount: number,
 ): MemberUpdate[] {
   const {state, config} = draft;
-  const members = [...draft.members.values()].filter(
-    ({info, incarnation}) => incarnation > 0 && !named.has(info.id),
-  );
   const [receiverId = ''] = named;
   const isJoining =
     (state.members.get(receiverId)?.phase ?? Phase.Joining) === Phase.Joining;
@@ -149,8 +149,14 @@
     MAX_UPDATES - updateCount,
     isJoining ? MAX_UPDATES : REPEATED_UPDATES,
   );
-  const start = Math.floor(config.random() * members.length);
-  return [...members.slice(start), ...members.slice(0, start)]
-    .slice(0, count)
-    .map(createUpdate);
+  const ids = [...draft.members.keys()];
+  const repeated: MemberUpdate[] = [];
+  const start = Math.floor(config.random() * ids.length);
+  for (let i = 0; i < ids.length && repeated.length < count; i++) {
+    const id = ids[(start + i) % ids.length] ?? '';
+    const member = draft.members.get(id);
+    if (!member || member.incarnation === 0 || named.has(id)) continue;
+    repeated.push(createUpdate(member));
+  }
+  return repeated;
 }
--- a/packages/steering/src/membership/draft.ts
+++ b/packages/steering/src/membership/draft.ts
@@ -29,25 +29,33 @@
 
 /** Collects the changes that one event makes to a membership state, which stays unchanged. */
 export class Draft {
-  readonly members: Map<string, Member>;
-  readonly updates: Map<string, QueuedUpdate>;
-  readonly pending: Map<number, PendingPing>;
   private changes: Partial<MembershipState> = {};
+  private readonly copied = new Set<unknown>();
 
   constructor(
     private readonly base: MembershipState,
     readonly now: number,
     readonly config: MembershipConfig,
-  ) {
-    this.members = new Map(base.members);
-    this.updates = new Map(base.updates);
-    this.pending = new Map(base.pending);
+  ) {}
+
+  /** The members with the changes so far. */
+  get members(): ReadonlyMap<string, Member> {
+    return this.changes.members ?? this.base.members;
+  }
+
+  /** The queued updates with the changes so far. */
+  get updates(): ReadonlyMap<string, QueuedUpdate> {
+    return this.changes.updates ?? this.base.updates;
+  }
+
+  /** The heartbeats without an answer, with the changes so far. */
+  get pending(): ReadonlyMap<number, PendingPing> {
+    return this.changes.pending ?? this.base.pending;
   }
 
   /** The state with the changes so far. */
   get state(): MembershipState {
-    const {members, updates, pending} = this;
-    return {...this.base, ...this.changes, members, updates, pending};
+    return {...this.base, ...this.changes};
   }
 
   /** Replaces fields of the state. */
@@ -55,6 +63,35 @@
     this.changes = {...this.changes, ...changes};
   }
 
+  /** Replaces a member without telling others. */
+  setMember(id: string, member: Member): void {
+    this.set({members: this.copy(this.members).set(id, member)});
+  }
+
+  /** Queues an update, or removes it from the queue where it is undefined. */
+  setUpdate(id: string, update: QueuedUpdate | undefined): void {
+    const updates = this.copy(this.updates);
+    if (update) updates.set(id, update);
+    else updates.delete(id);
+    this.set({updates});
+  }
+
+  /** Records a heartbeat without an answer, or removes it where it is undefined. */
+  setPending(id: number, ping: PendingPing | undefined): void {
+    const pending = this.copy(this.pending);
+    if (ping) pending.set(id, ping);
+    else pending.delete(id);
+    this.set({pending});
+  }
+
+  /** Copies a map at its first change; an event changes few of the maps. */
+  private copy<K, V>(map: ReadonlyMap<K, V>): Map<K, V> {
+    if (this.copied.has(map)) return map as Map<K, V>;
+    const copy = new Map(map);
+    this.copied.add(copy);
+    return copy;
+  }
+
   /** Applies an event to the ownership part. */
   applyOwnership(event: OwnershipEvent): void {
     const {ownership} = this.state;
@@ -72,7 +109,7 @@
   addMember(info: InstanceInfo): void {
     if (info.id === this.config.self.id) return;
     const old = this.members.get(info.id);
-    this.members.set(
+    this.setMember(
       info.id,
       old ? {...old, info} : createMember(info, this.now),
     );
@@ -89,7 +126,7 @@
       changes.status !== undefined && changes.status !== old.status;
     const statusAt = hasStatus ? this.now : old.statusAt;
     const member = {...old, ...changes, statusAt};
-    this.members.set(id, member);
+    this.setMember(id, member);
     this.queueUpdate(createUpdate(member));
   }
 
@@ -97,7 +134,7 @@
   queueUpdate(update: MemberUpdate): void {
     const sendsLeft =
       SENDS_FACTOR * Math.ceil(Math.log2(this.members.size + 2));
-    this.updates.set(update.id, {update, sendsLeft});
+    this.setUpdate(update.id, {update, sendsLeft});
   }
 
   /** Applies what another instance believes of a member. */
--- a/packages/steering/src/membership/handle_tick.ts
+++ b/packages/steering/src/membership/handle_tick.ts
@@ -39,10 +39,10 @@
   const {config, now, state} = draft;
   const gapMs = now - state.lastTickAt;
   if (gapMs <= PAUSE_HEARTBEATS * config.heartbeatMs) return;
-  draft.pending.clear();
+  draft.set({pending: new Map()});
   for (const [id, member] of draft.members) {
     if (member.status !== MemberStatus.Suspected) continue;
-    draft.members.set(id, {...member, statusAt: member.statusAt + gapMs});
+    draft.setMember(id, {...member, statusAt: member.statusAt + gapMs});
   }
 }
 
@@ -61,12 +61,12 @@
   for (const [pingId, ping] of draft.pending) {
     const ageMs = now - ping.sentAt;
     if (ageMs >= SUSPECT_AFTER_HEARTBEATS * config.heartbeatMs) {
-      draft.pending.delete(pingId);
+      draft.setPending(pingId, undefined);
       if (draft.members.get(ping.targetId)?.status === MemberStatus.Alive) {
         draft.changeMember(ping.targetId, {status: MemberStatus.Suspected});
       }
     } else if (ageMs >= config.heartbeatMs / 2 && !ping.isIndirect) {
-      draft.pending.set(pingId, {...ping, isIndirect: true});
+      draft.setPending(pingId, {...ping, isIndirect: true});
       actions.push(...askOthers(draft, pingId, ping.targetId));
     }
   }
@@ -111,7 +111,7 @@
     if (!target) continue;
     const pingId = draft.state.pingCount + 1;
     draft.set({pingCount: pingId});
-    draft.pending.set(pingId, {targetId: id, sentAt: now, isIndirect: false});
+    draft.setPending(pingId, {targetId: id, sentAt: now, isIndirect: false});
     const message = createMessage(draft, id);
     actions.push({
       type: MembershipActionType.Ping,
--- a/packages/steering/src/membership/membership_message.ts
+++ b/packages/steering/src/membership/membership_message.ts
@@ -11,7 +11,8 @@
 
 /** Carries a heartbeat or its acknowledgement. */
 export interface MembershipMessage {
-  info: InstanceInfo;
+  /** The sender; absent where the receiver has acknowledged an earlier message. */
+  info?: InstanceInfo;
   statement: PeerStatement;
   refutation: number;
   isLeaving: boolean;
--- a/packages/steering/src/membership/reduce_membership.ts
+++ b/packages/steering/src/membership/reduce_membership.ts
@@ -75,7 +75,7 @@
       handleAcknowledged(draft, event);
       return [];
     case MembershipEventType.IndirectlyAcknowledged:
-      draft.pending.delete(event.pingId);
+      draft.setPending(event.pingId, undefined);
       return [];
     case MembershipEventType.ListRead:
       handleList(draft, event);
@@ -96,9 +96,9 @@
   draft: Draft,
   message: MembershipMessage,
 ): MembershipAction[] {
-  const {id, region} = message.info;
+  const {id} = message.statement;
   applySender(draft, message);
-  if (region === draft.config.self.region) {
+  if (isOfRegion(draft, id)) {
     const isOwnStamp =
       message.echo?.incarnation === draft.config.ownership.incarnation;
     const aliveAt = isOwnStamp ? message.echo?.at : undefined;
@@ -121,9 +121,9 @@
 
 function handleAcknowledged(draft: Draft, event: AcknowledgedEvent): void {
   const {message, pingId, sentAt, sentPhase} = event;
-  draft.pending.delete(pingId);
+  draft.setPending(pingId, undefined);
   applySender(draft, message);
-  if (message.info.region !== draft.config.self.region) return;
+  if (!isOfRegion(draft, message.statement.id)) return;
   const peer = message.statement;
   // A receiver that counts another process of this id as the living one ignores this one.
   if (message.receiverIncarnation !== draft.config.ownership.incarnation) {
@@ -139,13 +139,17 @@
   });
 }
 
+function isOfRegion(draft: Draft, id: string): boolean {
+  return draft.members.get(id)?.info.region === draft.config.self.region;
+}
+
 /** Applies what a direct message says of its sender and of others. */
 function applySender(draft: Draft, message: MembershipMessage): void {
   const {info, statement, refutation, isLeaving, goodbye, stamp} = message;
-  const old = draft.members.get(info.id);
-  if (!old) draft.addMember(info);
+  const {id} = statement;
+  if (info && !draft.members.has(id)) draft.addMember(info);
   draft.applyUpdate({
-    id: info.id,
+    id: id,
     incarnation: statement.incarnation,
     refutation,
     status: goodbye ? MemberStatus.Gone : MemberStatus.Alive,
@@ -153,36 +157,49 @@
     isLeaving,
   });
   for (const update of message.updates) draft.applyUpdate(update);
-  const lastStamp = draft.state.stamps.get(info.id);
+  const lastStamp = draft.state.stamps.get(id);
   const isNewer =
     !lastStamp ||
     stamp.incarnation > lastStamp.incarnation ||
     (stamp.incarnation === lastStamp.incarnation && stamp.at > lastStamp.at);
   if (!isNewer) return;
-  draft.set({stamps: new Map(draft.state.stamps).set(info.id, stamp)});
+  draft.set({stamps: new Map(draft.state.stamps).set(id, stamp)});
 }
 
 /** Takes addresses from the list, and evidence that processes ended. */
 function handleList(draft: Draft, event: ListReadEvent): void {
   const {config, now} = draft;
   const ids = new Set(event.instances.map(({id}) => id));
-  for (const info of event.instances) draft.addMember(info);
+  for (const info of event.instances) {
+    if (!isSameInfo(draft.members.get(info.id)?.info, info)) {
+      draft.addMember(info);
+    }
+  }
   for (const [id, member] of draft.members) {
     if (ids.has(id)) {
-      draft.members.set(id, {...member, seenAt: now});
+      draft.setMember(id, {...member, seenAt: now});
     } else if (hasVanished(member, event.requestedAt, config)) {
       draft.changeMember(id, {status: MemberStatus.Gone});
     }
   }
-  const isOfRegion = ({region}: {region: string}) =>
-    region === config.self.region;
   draft.applyOwnership({
     type: OwnershipEventType.ListRead,
     requestedAt: event.requestedAt,
-    ids: new Set(event.instances.filter(isOfRegion).map(({id}) => id)),
+    ids: new Set(
+      event.instances
+        .filter(({region}) => region === config.self.region)
+        .map(({id}) => id),
+    ),
   });
 }
 
+function isSameInfo(a: InstanceInfo | undefined, b: InstanceInfo): boolean {
+  return (
+    a?.internalAddress === b.internalAddress &&
+    a.publicAddress === b.publicAddress
+  );
+}
+
 /** An absence is evidence only in a list asked for later than the lag after the last sight. */
 function hasVanished(
   member: Member,
--- a/packages/steering/src/membership/select_targets.ts
+++ b/packages/steering/src/membership/select_targets.ts
@@ -10,8 +10,6 @@
 
 /** Members of a zone that exchange heartbeats with other zones. */
 const REPRESENTATIVES = 2;
-/** Candidates behind the owner that hear it directly; only the next one can act beside it. */
-const WATCHERS = 2;
 /** Peers per heartbeat that have yet to acknowledge the present phase of this instance. */
 const INTRODUCTIONS = 3;
 /** Heartbeats between attempts to reach a removed member. */
@@ -138,6 +136,7 @@
   };
   for (const id of config.endpoints.keys()) {
     const order = state.orders.get(id) ?? [];
+    if (isBehindTwo(draft, order, getStandingOf)) continue;
     const split = splitOrder(state.ownership, order, config.ownership);
     if (!split) continue;
     const waiting: string[] = [];
@@ -151,17 +150,29 @@
       if (getStandingOf(first) === Standing.Present) continue;
       neighbours.add(first);
     }
-    let watchers = 0;
-    for (const other of split.behind) {
-      if (watchers === WATCHERS) break;
-      if (isClear(getStandingOf(other))) continue;
-      neighbours.add(other);
-      watchers++;
-    }
+    // Only the next candidate can act beside the owner, so it alone must hear the owner.
+    const next = split.behind.find(other => !isClear(getStandingOf(other)));
+    if (next !== undefined) neighbours.add(next);
   }
   return neighbours;
 }
 
+/** Says whether two candidates that may act come first; this instance is far down most orders. */
+function isBehindTwo(
+  draft: Draft,
+  order: readonly string[],
+  getStandingOf: (id: string) => Standing,
+): boolean {
+  if (draft.state.ownership.hasOtherDigest) return false;
+  let count = 0;
+  for (const id of order) {
+    if (id === draft.config.self.id) return false;
+    if (!isClear(getStandingOf(id))) count++;
+    if (count > 1) return true;
+  }
+  return true;
+}
+
 /** Gets peers that have yet to learn that this process exists, or that it is active. */
 function getIntroductions(draft: Draft): string[] {
   const {config, now, state} = draft;
--- a/packages/steering/src/ownership/get_candidate_orders.ts
+++ b/packages/steering/src/ownership/get_candidate_orders.ts
@@ -5,6 +5,9 @@
 /** Bounds the endpoints that one instance owns, as a factor of the mean of its zone. */
 const LOAD_FACTOR = 1.25;
 
+/** Candidates kept for an endpoint of another region, whose owner is only a hint. */
+const REMOTE_CANDIDATES = 6;
+
 /** Lists what the candidate orders are computed from. */
 export interface CandidateOrderOptions {
   endpoints: readonly Endpoint[];
@@ -16,6 +19,8 @@
    */
   additions?: readonly InstanceInfo[];
   hash: Hash64;
+  /** Region whose orders are complete; those of others keep the first `REMOTE_CANDIDATES`. */
+  region?: string;
 }
 
 /**
@@ -26,7 +31,7 @@
 export function getCandidateOrders(
   options: CandidateOrderOptions,
 ): Map<string, readonly string[]> {
-  const {endpoints, members, additions = [], hash} = options;
+  const {endpoints, members, additions = [], hash, region} = options;
   const orders = new Map<string, readonly string[]>();
   const owned = new Map<string, number>();
   const bounds = getZoneBounds(endpoints, members);
@@ -42,7 +47,11 @@
     if (owner?.zone === endpoint.zone) {
       owned.set(owner.id, (owned.get(owner.id) ?? 0) + 1);
     }
-    const ids = [...order, ...getCandidates(endpoint, additions, hash)];
+    const isRemote = region !== undefined && region !== endpoint.region;
+    const ids = [...order, ...getCandidates(endpoint, additions, hash)].slice(
+      0,
+      isRemote ? REMOTE_CANDIDATES : undefined,
+    );
     orders.set(
       endpoint.id,
       ids.map(({id}) => id),
--- a/packages/steering/src/ownership/get_endpoint_limit.ts
+++ b/packages/steering/src/ownership/get_endpoint_limit.ts
@@ -61,7 +61,7 @@
   if (index < 0) return undefined;
   const ahead = order.slice(0, index);
   const behind = order.slice(index + 1);
-  if (!hasOtherDigest(state, config)) return {ahead, behind};
+  if (!state.hasOtherDigest) return {ahead, behind};
   // Instances with other settings compute other orders; between two such, the older is ahead.
   const isAhead = (id: string, byOrder: boolean) => {
     const contact = state.contacts.get(id);
@@ -77,16 +77,6 @@
   };
 }
 
-function hasOtherDigest(
-  state: OwnershipState,
-  config: OwnershipConfig,
-): boolean {
-  for (const contact of state.contacts.values()) {
-    if (!contact.isGone && contact.digest !== config.digest) return true;
-  }
-  return false;
-}
-
 function getBaseLimit(
   state: OwnershipState,
   options: EndpointLimitOptions,
--- a/packages/steering/src/ownership/hear_peer.ts
+++ b/packages/steering/src/ownership/hear_peer.ts
@@ -73,6 +73,7 @@
     ...state,
     peers: addPeers(state.peers, [peer.id, ...peer.additions], config.selfId),
     contacts: new Map(state.contacts).set(peer.id, contact),
+    hasOtherDigest: state.hasOtherDigest || peer.digest !== config.digest,
   };
 }
 
--- a/packages/steering/src/ownership/ownership_state.ts
+++ b/packages/steering/src/ownership/ownership_state.ts
@@ -33,6 +33,8 @@
   readonly lastListedAt: ReadonlyMap<string, number>;
   /** Time at which the first of the last lists without a peer arrived, by id. */
   readonly absentSince: ReadonlyMap<string, number>;
+  /** Whether a peer was heard whose candidate orders come from other settings. */
+  readonly hasOtherDigest: boolean;
   /** Time until which requests of an earlier process of this id may run. */
   readonly predecessorUntil: number;
 }
@@ -54,6 +56,7 @@
     contacts: new Map(),
     lastListedAt: new Map(),
     absentSince: new Map(),
+    hasOtherDigest: false,
     predecessorUntil: -Infinity,
   };
 }
--- /dev/null
+++ b/packages/steering/test/ownership/get_candidate_orders.test.ts
@@ -0,0 +1,72 @@
+import {createHash64, getCandidateOrders} from '@primrosestage/steering';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {createEndpoint, createInstanceInfo} from '../membership/simulation.js';
+
+const hash = await createHash64();
+
+function createParts(zones: number, perZone: number, endpointCount: number) {
+  const members = Array.from({length: zones * perZone}, (_, i) =>
+    createInstanceInfo(`n${i}`, `z${i % zones}`, 'r'),
+  );
+  const endpoints = Array.from({length: endpointCount}, (_, i) =>
+    createEndpoint(`e${i}`, `z${i % zones}`, 'r', 4),
+  );
+  return {members, endpoints};
+}
+
+describe('getCandidateOrders', () => {
+  // Guards against instances that compute different owners from the same sets.
+  it('does not depend on the order of its inputs', () => {
+    const {members, endpoints} = createParts(3, 4, 60);
+    const orders = getCandidateOrders({members, endpoints, hash});
+    const reversed = getCandidateOrders({
+      members: [...members].reverse(),
+      endpoints: [...endpoints].reverse(),
+      hash,
+    });
+    expect(reversed).toEqual(orders);
+  });
+
+  // Guards against an instance that owns far more than its part of a zone.
+  it('gives no instance more than 1.25 times the mean of its zone', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 3}),
+        fc.integer({min: 1, max: 12}),
+        fc.integer({min: 1, max: 80}),
+        (zones, perZone, endpointCount) => {
+          const parts = createParts(zones, perZone, endpointCount);
+          const orders = getCandidateOrders({...parts, hash});
+          const owned = new Map<string, number>();
+          for (const {id, zone} of parts.endpoints) {
+            const [owner = ''] = orders.get(id)!;
+            const info = parts.members.find(m => m.id === owner);
+            expect(info?.zone).toBe(zone);
+            owned.set(owner, (owned.get(owner) ?? 0) + 1);
+          }
+          const perZoneCount = Math.ceil(endpointCount / zones);
+          const bound = Math.ceil((1.25 * perZoneCount) / perZone);
+          expect(Math.max(...owned.values())).toBeLessThanOrEqual(bound);
+        },
+      ),
+      {seed: 4_117, numRuns: 100},
+    );
+  });
+
+  // Guards against orders that lists with different lags make different between instances.
+  it('keeps the order of the settings when instances are added', () => {
+    const {members, endpoints} = createParts(2, 3, 20);
+    const added = createInstanceInfo('new', 'z0', 'r');
+    const before = getCandidateOrders({members, endpoints, hash});
+    const after = getCandidateOrders({
+      members,
+      endpoints,
+      hash,
+      additions: [added],
+    });
+    for (const {id} of endpoints) {
+      expect(after.get(id)).toEqual([...before.get(id)!, 'new']);
+    }
+  });
+});
