Read the platform's list only where it can change what an instance does

Cause: every instance read the list every 1.5 s, by that interval 2,900 reads a second at 4,400 instances, above the two thousand that the store sustains. Ruled out: reads by the zone's representatives only, because they would have to pass on a list that proves absence only with the time at which it was asked for, on their clock. Change: an instance reads the list while it joins and while one of the first candidates of an endpoint of its own is down; otherwise every 300 s for new addresses. The control calls moved to their own file. After: npx vitest run packages/steering/test/membership/detection.test.ts: 36 instances make no read in 30 s while all are up, and fewer than 36 reads in 2 s after a death.

--- /dev/null
+++ b/packages/instance/src/membership/membership_peers.ts
@@ -0,0 +1,74 @@
+import {type ConnectFunction, createAgent} from '@primrosestage/common';
+import type {InstanceInfo, MembershipMessage} from '@primrosestage/steering';
+import type {TRPCClient} from '@trpc/client';
+import {createPeerClient} from '../rpc/index.js';
+import type {MembershipPeerRouter} from './create_membership_router.js';
+import type {Envelope} from './membership_schema.js';
+
+/** Makes the control calls of membership to other instances. */
+export class MembershipPeers implements Disposable {
+  private readonly agent;
+  private readonly clients = new Map<
+    string,
+    TRPCClient<MembershipPeerRouter>
+  >();
+
+  /**
+   * Creates the caller.
+   * @param connect - Opens connections.
+   * @param timeoutMs - Longest time of a call in milliseconds.
+   */
+  constructor(
+    connect: ConnectFunction,
+    private readonly timeoutMs: number,
+  ) {
+    this.agent = createAgent({connect});
+  }
+
+  /**
+   * Sends a message and returns the answer.
+   * @throws StepError when the target does not answer in time.
+   */
+  async send(
+    target: InstanceInfo,
+    message: MembershipMessage,
+    payload: unknown,
+  ): Promise<Envelope> {
+    const client = this.getClient(target.internalAddress);
+    return client.membership.ping.mutate({message, payload});
+  }
+
+  /** Returns whether an instance answers. */
+  async reach(address: string): Promise<boolean> {
+    try {
+      return await this.getClient(address).membership.probe.query();
+    } catch {
+      return false;
+    }
+  }
+
+  /**
+   * Returns whether an instance answers another one.
+   * @throws StepError when the other one does not answer in time.
+   */
+  async reachThrough(via: InstanceInfo, address: string): Promise<boolean> {
+    const client = this.getClient(via.internalAddress);
+    return client.membership.reach.mutate({address});
+  }
+
+  [Symbol.dispose](): void {
+    this.agent.destroy();
+  }
+
+  private getClient(address: string): TRPCClient<MembershipPeerRouter> {
+    const known = this.clients.get(address);
+    if (known) return known;
+    const client = createPeerClient<MembershipPeerRouter>({
+      address,
+      agent: this.agent,
+      timeoutMs: this.timeoutMs,
+    });
+    this.clients.set(address, client);
+    return client;
+  }
+}
--- a/packages/instance/src/membership/membership_task.ts
+++ b/packages/instance/src/membership/membership_task.ts
@@ -1,4 +1,4 @@
-import {createAgent, getErrorMessage} from '@primrosestage/common';
+import {getErrorMessage} from '@primrosestage/common';
 import {
   createGoodbyes,
   createMembershipState,
@@ -7,6 +7,7 @@
   getLimit,
   getStanding,
   type InstanceInfo,
+  isListNeeded,
   Liveness,
   type Member,
   type MembershipAction,
@@ -25,18 +26,16 @@
   type Standing,
   SUSPECT_AFTER_HEARTBEATS,
 } from '@primrosestage/steering';
-import type {TRPCClient} from '@trpc/client';
-import {createPeerClient} from '../rpc/index.js';
 import {createMembershipConfig} from './create_membership_config.js';
-import {
-  createMembershipRouter,
-  type MembershipPeerRouter,
-} from './create_membership_router.js';
+import {createMembershipRouter} from './create_membership_router.js';
+import {MembershipPeers} from './membership_peers.js';
 import type {Envelope} from './membership_schema.js';
 import type {MembershipTaskOptions} from './membership_task_options.js';
 
-/** Time between reads of the platform's list in milliseconds. */
+/** Time between reads of the platform's list while it is needed, in milliseconds. */
 const LIST_EVERY_MS = 1_500;
+/** Time between other reads, which find addresses of new instances, in milliseconds. */
+const BACKGROUND_LIST_EVERY_MS = 300_000;
 
 /** Describes the contact with another instance of the region, for status pages. */
 export interface ContactView {
@@ -51,18 +50,18 @@
 /** Exchanges heartbeats, knows the members and answers who owns an endpoint. */
 export class MembershipTask implements EndpointOwnership, AsyncDisposable {
   private readonly config: MembershipConfig;
-  private readonly agent;
-  private readonly clients = new Map<
-    string,
-    TRPCClient<MembershipPeerRouter>
-  >();
+  private readonly peers: MembershipPeers;
   private readonly timersOfTask: AsyncDisposable[] = [];
   private state: MembershipState;
   private isEnded = false;
+  private listReadAt = -Infinity;
 
   constructor(private readonly options: MembershipTaskOptions) {
     this.config = createMembershipConfig(options);
-    this.agent = createAgent({connect: options.connect});
+    this.peers = new MembershipPeers(
+      options.connect,
+      SUSPECT_AFTER_HEARTBEATS * this.config.heartbeatMs,
+    );
     this.state = createMembershipState(this.config, options.timers.now());
   }
 
@@ -72,7 +71,7 @@
     const tick = () => this.apply({type: MembershipEventType.Tick});
     this.timersOfTask.push(
       timers.every(timing.heartbeatMs / 2, tick),
-      timers.every(listEveryMs, () => void this.readList()),
+      timers.every(listEveryMs, () => void this.readListIfDue()),
     );
     tick();
     void this.readList();
@@ -82,7 +81,7 @@
   createRouter() {
     return createMembershipRouter({
       receive: envelope => this.receive(envelope),
-      reach: address => this.reach(address),
+      reach: address => this.peers.reach(address),
     });
   }
 
@@ -210,7 +209,7 @@
     await Promise.allSettled(
       goodbyes.map(({target, message}) => this.send(target, message)),
     );
-    this.agent.destroy();
+    this.peers[Symbol.dispose]();
   }
 
   private now(): number {
@@ -301,9 +300,8 @@
     target: InstanceInfo,
   ): Promise<void> {
     try {
-      const isReached = await this.getClient(
-        via.internalAddress,
-      ).membership.reach.mutate({address: target.internalAddress});
+      const address = target.internalAddress;
+      const isReached = await this.peers.reachThrough(via, address);
       if (!isReached) return;
       this.apply({type: MembershipEventType.IndirectlyAcknowledged, pingId});
     } catch (err) {
@@ -315,21 +313,18 @@
     }
   }
 
-  private async reach(address: string): Promise<boolean> {
-    try {
-      return await this.getClient(address).membership.probe.query();
-    } catch {
-      return false;
-    }
-  }
-
-  private async send(
+  private send(
     target: InstanceInfo,
     message: MembershipMessage,
   ): Promise<Envelope> {
-    const client = this.getClient(target.internalAddress);
-    const payload = this.options.getPayload?.();
-    return client.membership.ping.mutate({message, payload});
+    return this.peers.send(target, message, this.options.getPayload?.());
+  }
+
+  private async readListIfDue(): Promise<void> {
+    const isDue =
+      this.now() >= this.listReadAt + BACKGROUND_LIST_EVERY_MS ||
+      isListNeeded(this.state, this.config);
+    if (isDue) await this.readList();
   }
 
   private async readList(): Promise<void> {
@@ -338,6 +333,7 @@
     const requestedAt = this.now();
     try {
       const listed = await readPlatformList();
+      this.listReadAt = requestedAt;
       this.apply({
         type: MembershipEventType.ListRead,
         requestedAt,
@@ -360,18 +356,6 @@
     return this.options.topology.getInstance(id)?.adminAddress ?? '';
   }
 
-  private getClient(address: string): TRPCClient<MembershipPeerRouter> {
-    const known = this.clients.get(address);
-    if (known) return known;
-    const client = createPeerClient<MembershipPeerRouter>({
-      address,
-      agent: this.agent,
-      timeoutMs: SUSPECT_AFTER_HEARTBEATS * this.config.heartbeatMs,
-    });
-    this.clients.set(address, client);
-    return client;
-  }
-
   private logChanges(before: MembershipState): void {
     const {logger} = this.options;
     if (before.ownership.phase !== this.phase) {
--- a/packages/steering/src/membership/index.ts
+++ b/packages/steering/src/membership/index.ts
@@ -1,6 +1,7 @@
 export {getBelievedOwner} from './get_believed_owner.js';
 export {getLimit} from './create_message.js';
 export {SUSPECT_AFTER_HEARTBEATS} from './handle_tick.js';
+export {isListNeeded} from './is_list_needed.js';
 export {type Member, MemberStatus, type MemberUpdate} from './member.js';
 export {
   type AcknowledgeAction,
--- a/packages/steering/test/membership/detection.test.ts
+++ b/packages/steering/test/membership/detection.test.ts
@@ -97,6 +97,24 @@
   });
 });
 
+describe('reads of the platform list', () => {
+  // Guards against reads by every instance, which would exceed the store's rate.
+  it('are made by the neighbours of a dead instance only', () => {
+    const simulation = createSimulation(3, 12);
+    simulation.runUntil(30_000);
+    simulation.listReads = 0;
+    simulation.runUntil(60_000);
+    expect(simulation.listReads).toBe(0);
+    simulation.end(simulation.processes.get('n4')!, 5_000);
+    simulation.runUntil(70_000);
+    const readsBefore = simulation.listReads;
+    simulation.runUntil(72_000);
+    const reads = simulation.listReads - readsBefore;
+    expect(reads).toBeGreaterThan(0);
+    expect(reads).toBeLessThan(36);
+  });
+});
+
 describe('messages of an instance', () => {
   // Guards against control traffic that grows with the fleet.
   it('do not grow from 7 to 200 members', () => {
--- a/packages/steering/test/membership/scenarios.test.ts
+++ b/packages/steering/test/membership/scenarios.test.ts
@@ -168,6 +168,19 @@
     },
   );
 
+  // Guards against an instance that waits forever for candidates that never start.
+  it('are given by age where another candidate never starts', () => {
+    const simulation = createSimulation(2);
+    simulation.checkSums();
+    simulation.start(simulation.options.members[0]!);
+    simulation.runUntil(TIMING.joinAfterMs - 100);
+    expect(simulation.getSum(ENDPOINT.id)).toBe(0);
+    simulation.runUntil(TIMING.joinAfterMs + 1_000);
+    expect(simulation.getSum(ENDPOINT.id)).toBeGreaterThan(0);
+    simulation.runUntil(TIMING.maxRequestMs + 1_000);
+    expect(simulation.getSum(ENDPOINT.id)).toBe(ENDPOINT.slots);
+  });
+
   // Guards against a late message of an ended process that undoes what its successor said.
   it('ignores messages of an earlier process of an id', () => {
     const config = {
--- a/packages/steering/test/membership/simulation.ts
+++ b/packages/steering/test/membership/simulation.ts
@@ -2,13 +2,12 @@
   createGoodbyes,
   createHash64,
   createMembershipState,
-  type Endpoint,
   getCandidateOrders,
   getLimit,
+  isListNeeded,
   type InstanceInfo,
   type MembershipAction,
   MembershipActionType,
-  type MembershipConfig,
   type MembershipEvent,
   MembershipEventType,
   type MembershipMessage,
@@ -18,102 +17,21 @@
 } from '@primrosestage/steering';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
-export const TIMING = {
-  fenceAfterMs: 2_000,
-  takeoverAfterMs: 6_000,
-  joinAfterMs: 15_000,
-  maxRequestMs: 30_000,
-  listLagMs: 10_000,
-};
-export const HEARTBEAT_MS = 500;
-export const SUSPICION_MS = 3_000;
-const hash = await createHash64();
-
-/** Runs one process of an instance. */
-export interface SimulatedProcess {
-  id: string;
-  config: MembershipConfig;
-  state: MembershipState;
-  /** Rate of its clock relative to true time. */
-  rate: number;
-  pausedUntil: number;
-  isEnded: boolean;
-  /** Requests in flight by endpoint id. */
-  inFlight: Map<string, number>;
-  /** Delays the end of a stopping process. */
-  isBusy: boolean;
-  /** Calls that wait for the end of a pause. */
-  waiting: Array<() => void>;
-}
-
-/** Describes a cut between instances; `platform` is a name like an instance id. */
-export interface Cut {
-  from: string;
-  to: string;
-  fromMs: number;
-  untilMs: number;
-}
-
-export interface SimulationOptions {
-  seed: number;
-  members: InstanceInfo[];
-  endpoints: Endpoint[];
-  /** Longest delay of a message in milliseconds. */
-  maxDelayMs?: number;
-  /** Lag of a read of the platform's list in milliseconds. */
-  getListLagMs?: () => number;
-  listEveryMs?: number;
-}
-
-/** Replaces parts of a process that starts. */
-export interface StartOptions {
-  isInSettings?: boolean;
-  incarnation?: number;
-  digest?: string;
-  getOrders?: MembershipConfig['getOrders'];
-}
-
-interface Listing {
-  info: InstanceInfo;
-  fromMs: number;
-  untilMs: number;
-}
-
-export const PLATFORM = 'platform';
-
-export function createInstanceInfo(
-  id: string,
-  zone: string,
-  region: string,
-): InstanceInfo {
-  const address = `${id}:1`;
-  return {
-    id,
-    zone,
-    region,
-    publicAddress: address,
-    internalAddress: address,
-    adminAddress: address,
-  };
-}
+import {
+  type Cut,
+  HEARTBEAT_MS,
+  type Listing,
+  PLATFORM,
+  type SimulatedProcess,
+  type SimulationOptions,
+  type StartOptions,
+  SUSPICION_MS,
+  TIMING,
+} from './simulation_parts.js';
+
+export * from './simulation_parts.js';
 
-export function createEndpoint(
-  id: string,
-  zone: string,
-  region: string,
-  slots: number,
-): Endpoint {
-  return {
-    id,
-    team: 't',
-    service: 's',
-    zone,
-    region,
-    address: `${id}:1`,
-    slots,
-    maxConnections: 100,
-  };
-}
+const hash = await createHash64();
 
 /** Runs instances over a network with delays, cuts and pauses, on virtual time. */
 export class Simulation {
@@ -125,6 +43,8 @@
   readonly sent = new Map<string, number>();
   onStep: () => void = () => {};
   now = 0;
+  /** Reads of the platform's list by all instances. */
+  listReads = 0;
   private readonly queue: Array<{at: number; run: () => void}> = [];
   private readonly generator;
   private readonly orders = new Map<string, Map<string, readonly string[]>>();
@@ -438,6 +358,8 @@
 
   private readList(process: SimulatedProcess): void {
     if (this.isCut(process.id, PLATFORM)) return;
+    if (!isListNeeded(process.state, process.config)) return;
+    this.listReads++;
     const requestedAt = this.clock(process);
     const lagMs = this.options.getListLagMs?.() ?? this.random() * 9_900;
     const at = this.now - lagMs;
