--- a/packages/instance/src/heartbeat/peer_book.ts
+++ b/packages/instance/src/heartbeat/peer_book.ts
@@ -2,9 +2,6 @@
 import {
   getServiceKey,
   KEY_EPOCH_MS,
-  Liveness,
-  type Member,
-  MemberStatus,
   type Service,
 } from '@primrosestage/steering';
 import type {FreeSlotsReport} from '../routing/index.js';
@@ -15,10 +12,9 @@
 
 /** Configures the book. */
 export interface PeerBookOptions {
-  selfId: string;
   timers: TimerService;
-  /** Gets the other members. */
-  getMembers(): readonly Member[];
+  /** Gets the start time of an instance, or undefined where it was never heard of. */
+  getIncarnation(instanceId: string): number | undefined;
   /** Handles the digest of a peer's documents. */
   handleDigest(peerId: string, digest: string): void;
 }
@@ -47,17 +43,6 @@
     handleDigest(peerId, payload.digest);
   }
 
-  /** Gets what is believed of an instance; one that was never heard of counts as live. */
-  getLiveness(instanceId: string): Liveness {
-    const member = this.getMember(instanceId);
-    if (!member) return Liveness.Live;
-    if (member.status === MemberStatus.Gone) return Liveness.Gone;
-    if (member.isLeaving) return Liveness.Leaving;
-    return member.status === MemberStatus.Alive
-      ? Liveness.Live
-      : Liveness.Suspected;
-  }
-
   /** Gets the free slots that an instance reported in its last heartbeat. */
   getReportedFree(
     instanceId: string,
@@ -69,11 +54,6 @@
     return {freeSlots, ageMs: this.options.timers.now() - entry.receivedAt};
   }
 
-  /** Gets the start time of an instance, or undefined where it was never heard of. */
-  getIncarnation(instanceId: string): number | undefined {
-    return this.getMember(instanceId)?.incarnation || undefined;
-  }
-
   /**
    * Gets the prefix of an instance's idempotency keys. Without a heartbeat of its own it follows
    * from the incarnation that other members passed on, one epoch back because clocks differ.
@@ -81,7 +61,7 @@
    * @returns The prefix, or undefined where the instance was never heard of.
    */
   getKeyPrefix(instanceId: string): string | undefined {
-    const incarnation = this.getIncarnation(instanceId);
+    const incarnation = this.options.getIncarnation(instanceId);
     if (incarnation === undefined) return undefined;
     const prefix = `${instanceId}.${incarnation}.`;
     const reported = this.entries.get(instanceId)?.payload.keyPrefix;
@@ -89,8 +69,4 @@
     const ageMs = this.options.timers.wallNow() - incarnation;
     return `${prefix}${Math.max(0, Math.floor(ageMs / KEY_EPOCH_MS) - 1)}`;
   }
-
-  private getMember(instanceId: string): Member | undefined {
-    return this.options.getMembers().find(({info}) => info.id === instanceId);
-  }
 }
--- a/packages/instance/src/owner/owner_task.ts
+++ b/packages/instance/src/owner/owner_task.ts
@@ -152,14 +152,6 @@
     return this.getQueue(service).getInFlight(endpoint.id);
   }
 
-  /** Gets the requests that this instance has in flight, by endpoint id where there are any. */
-  getAllInFlight(): Array<readonly [string, number]> {
-    return this.options.topology.endpoints
-      .filter(({region}) => region === this.options.self.region)
-      .map(endpoint => [endpoint.id, this.getInFlight(endpoint)] as const)
-      .filter(([, inFlight]) => inFlight > 0);
-  }
-
   /**
    * Gets the last load report of an owned endpoint.
    * @param endpointId - Id of the endpoint.
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -20,6 +20,7 @@
   createHash64,
   getServiceKey,
   Liveness,
+  Phase,
 } from '@primrosestage/steering';
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {ADMIN_PATH, AdminTask, fetchInstanceStatus} from './admin/index.js';
@@ -115,13 +116,12 @@
       readPlatformList: () => store.listInstances(),
       getPayload,
       receivePayload: (peerId, payload) => peers.receive(peerId, payload),
-      getInFlight: () => requestPath.owner.getAllInFlight(),
+      getInFlight: endpoint => requestPath.owner.getInFlight(endpoint),
     }),
   );
   const peers: PeerBook = new PeerBook({
-    selfId: self.id,
     timers,
-    getMembers: () => membership.members,
+    getIncarnation: id => membership.getIncarnation(id),
     handleDigest: (peerId, digest) =>
       configuration.handleDigest(peerId, digest),
   });
@@ -129,7 +129,7 @@
     self,
     ...membership.members
       .map(({info}) => info)
-      .filter(({id}) => peers.getLiveness(id) === Liveness.Live),
+      .filter(({id}) => membership.getLiveness(id) === Liveness.Live),
   ];
   const configuration: ConfigurationTask = stack.use(
     new ConfigurationTask({
@@ -164,7 +164,7 @@
       timers,
       monitor,
       random: Math.random,
-      getLiveness: id => peers.getLiveness(id),
+      getLiveness: id => membership.getLiveness(id),
       getReportedFree: (id, service) => peers.getReportedFree(id, service),
       getMemberCount: region => topology.getInstancesOfRegion(region).length,
       fetchReport: peer => fetchRoutingReport(peer, controlAgent),
@@ -202,16 +202,16 @@
       configuration.getPreset(team)?.lookupTtlSeconds ??
       DEFAULT_LOOKUP_TTL_SECONDS,
     getLiveness: id => {
-      if (id !== self.id) return peers.getLiveness(id);
+      if (id !== self.id) return membership.getLiveness(id);
       return isLeaving ? Liveness.Leaving : Liveness.Live;
     },
     isDrained: peer => routing.isInstanceDrained(peer),
-    getIncarnation: id =>
-      id === self.id ? incarnation : peers.getIncarnation(id),
+    getIncarnation: id => membership.getIncarnation(id),
     getKeyPrefix: id =>
       id === self.id ? homes.getKeyPrefix() : peers.getKeyPrefix(id),
   });
-  const isReady = () => configuration.isReady() && !isLeaving;
+  const isReady = () =>
+    configuration.isReady() && membership.phase === Phase.Active && !isLeaving;
   const admin = new AdminTask({
     self,
     topology,
--- a/packages/instance/test/support/start_system.ts
+++ b/packages/instance/test/support/start_system.ts
@@ -1,7 +1,10 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {ConnectFunction} from '@primrosestage/common';
 import {
   INSTANCE_SETTINGS_SCHEMA,
+  InstanceState,
   type LoadedSettings,
+  MemoryStore,
   SYSTEM_SETTINGS_SCHEMA,
 } from '@primrosestage/control';
 import {serve} from '@primrosestage/instance';
@@ -81,6 +84,18 @@
     timing: {drainNoticeMs: 0, ...options.timing},
   });
   const running = new Map<number, AsyncDisposable>();
+  const listed = new Set<number>();
+  const listInstances = () =>
+    system.instances
+      .filter((_, i) => listed.has(i))
+      .map(({id, zone, internal, public: address}) => ({
+        id,
+        zone,
+        region: 'r',
+        internal,
+        public: address,
+        state: InstanceState.Live,
+      }));
   const backends = await Promise.all(
     addresses.map(address => startBackend(address, options.handle)),
   );
@@ -96,17 +111,38 @@
           : {traces: {exporter: 'json-lines', target: options.traceFile}}),
       }),
     };
-    running.set(i, await serve(settings, {connect: options.connect}));
+    listed.add(i);
+    running.set(
+      i,
+      await serve(settings, {
+        connect: options.connect,
+        createStore: timers =>
+          new MemoryStore({timers, getInstances: () => listInstances()}),
+      }),
+    );
   };
   const stop = async (i: number) => {
     const instance = running.get(i);
     running.delete(i);
     await instance?.[Symbol.asyncDispose]();
+    listed.delete(i);
+  };
+  const waitUntilReady = async (i: number) => {
+    const {public: address} = system.instances[i]!;
+    for (;;) {
+      const {status} = await call(`http://${address}/readyz`);
+      if (status === 200) return;
+      await sleep(20);
+    }
   };
   for (const i of range(instances)) await start(i);
+  await Promise.all(range(instances).map(waitUntilReady));
   return {
     backends,
-    start,
+    async start(i) {
+      await start(i);
+      await waitUntilReady(i);
+    },
     stop,
     getUrl: i => `http://${net}.${i + 1}:7000/v1/requests/t/s`,
     async getKeyPrefix(i) {
--- a/packages/steering/src/membership/membership_state.ts
+++ b/packages/steering/src/membership/membership_state.ts
@@ -13,8 +13,8 @@
   self: InstanceInfo;
   /** Instances of the settings. */
   members: readonly InstanceInfo[];
-  /** Endpoints whose candidates include instances of this region. */
-  endpoints: readonly Endpoint[];
+  /** Endpoints of this region by id. */
+  endpoints: ReadonlyMap<string, Endpoint>;
   ownership: OwnershipConfig;
   heartbeatMs: number;
   suspicionMs: number;
--- a/packages/steering/test/membership/simulation.ts
+++ b/packages/steering/test/membership/simulation.ts
@@ -2,13 +2,12 @@
   createGoodbyes,
   createHash64,
   createMembershipState,
-  type Endpoint,
   getCandidateOrders,
   getLimit,
+  isListNeeded,
   type InstanceInfo,
   type MembershipAction,
   MembershipActionType,
-  type MembershipConfig,
   type MembershipEvent,
   MembershipEventType,
   type MembershipMessage,
@@ -18,90 +17,21 @@
 } from '@primrosestage/steering';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
-export const TIMING = {
-  fenceAfterMs: 2_000,
-  takeoverAfterMs: 6_000,
-  joinAfterMs: 15_000,
-  maxRequestMs: 30_000,
-  listLagMs: 10_000,
-};
-export const HEARTBEAT_MS = 500;
-export const SUSPICION_MS = 3_000;
-const hash = await createHash64();
-
-/** Runs one process of an instance. */
-export interface SimulatedProcess {
-  id: string;
-  config: MembershipConfig;
-  state: MembershipState;
-  /** Rate of its clock relative to true time. */
-  rate: number;
-  pausedUntil: number;
-  isEnded: boolean;
-  /** Calls that wait for the end of a pause. */
-  waiting: Array<() => void>;
-}
-
-/** Describes a cut between instances; `platform` is a name like an instance id. */
-export interface Cut {
-  from: string;
-  to: string;
-  fromMs: number;
-  untilMs: number;
-}
-
-export interface SimulationOptions {
-  seed: number;
-  members: InstanceInfo[];
-  endpoints: Endpoint[];
-  /** Longest delay of a message in milliseconds. */
-  maxDelayMs?: number;
-  /** Lag of a read of the platform's list in milliseconds. */
-  getListLagMs?: () => number;
-  listEveryMs?: number;
-}
-
-interface Listing {
-  info: InstanceInfo;
-  fromMs: number;
-  untilMs: number;
-}
-
-export const PLATFORM = 'platform';
+import {
+  type Cut,
+  HEARTBEAT_MS,
+  type Listing,
+  PLATFORM,
+  type SimulatedProcess,
+  type SimulationOptions,
+  type StartOptions,
+  SUSPICION_MS,
+  TIMING,
+} from './simulation_parts.js';
 
-export function createInstanceInfo(
-  id: string,
-  zone: string,
-  region: string,
-): InstanceInfo {
-  const address = `${id}:1`;
-  return {
-    id,
-    zone,
-    region,
-    publicAddress: address,
-    internalAddress: address,
-    adminAddress: address,
-  };
-}
+export * from './simulation_parts.js';
 
-export function createEndpoint(
-  id: string,
-  zone: string,
-  region: string,
-  slots: number,
-): Endpoint {
-  return {
-    id,
-    team: 't',
-    service: 's',
-    zone,
-    region,
-    address: `${id}:1`,
-    slots,
-    maxConnections: 100,
-  };
-}
+const hash = await createHash64();
 
 /** Runs instances over a network with delays, cuts and pauses, on virtual time. */
 export class Simulation {
@@ -113,6 +43,8 @@
   readonly sent = new Map<string, number>();
   onStep: () => void = () => {};
   now = 0;
+  /** Reads of the platform's list by all instances. */
+  listReads = 0;
   private readonly queue: Array<{at: number; run: () => void}> = [];
   private readonly generator;
   private readonly orders = new Map<string, Map<string, readonly string[]>>();
@@ -152,7 +84,7 @@
   }
 
   /** Starts a process; one of the same id must have ended. */
-  start(info: InstanceInfo, isInSettings = true): SimulatedProcess {
+  start(info: InstanceInfo, options: StartOptions = {}): SimulatedProcess {
     const {members, endpoints} = this.options;
     const rate = 1 + (this.random() - 0.5) * 2e-4;
     const process: SimulatedProcess = {
@@ -160,27 +92,34 @@
       config: {
         self: info,
         members,
-        endpoints: endpoints.filter(({region}) => region === info.region),
+        endpoints: new Map(
+          endpoints
+            .filter(({region}) => region === info.region)
+            .map(e => [e.id, e]),
+        ),
         ownership: {
           selfId: info.id,
-          incarnation: Math.round(this.now) + 1,
-          digest: 'same',
+          incarnation: options.incarnation ?? Math.round(this.now) + 1,
+          digest: options.digest ?? 'same',
           peers: members
             .filter(m => m.region === info.region && m.id !== info.id)
             .map(({id}) => id),
-          isInSettings,
+          isInSettings: options.isInSettings ?? true,
           timing: TIMING,
         },
         heartbeatMs: HEARTBEAT_MS,
         suspicionMs: SUSPICION_MS,
-        getOrders: additions => this.getOrders(additions),
-        getInFlight: () => [],
+        getOrders:
+          options.getOrders ?? (additions => this.getOrders(additions)),
+        getInFlight: () => process.inFlight,
         random: this.random,
       },
       state: undefined as unknown as MembershipState,
       rate,
       pausedUntil: 0,
       isEnded: false,
+      inFlight: new Map(),
+      isBusy: false,
       waiting: [],
     };
     process.state = createMembershipState(process.config, this.clock(process));
@@ -216,8 +155,16 @@
     if (process.isEnded) return;
     this.log(`${process.id} releases`);
     this.apply(process, {type: MembershipEventType.Release});
+    this.sayGoodbye(process);
+  }
+
+  private sayGoodbye(process: SimulatedProcess): void {
     this.schedule(this.now + 1_000, () => {
       if (process.isEnded) return;
+      if (process.isBusy) {
+        this.sayGoodbye(process);
+        return;
+      }
       const now = this.clock(process);
       const {state, config} = process;
       for (const {target, message} of createGoodbyes(
@@ -261,6 +208,37 @@
     for (const action of actions) this.act(process, action);
   }
 
+  /** Cuts two instances, or an instance and the platform, in both directions. */
+  cutBoth(a: string, b: string, untilMs: number): void {
+    this.cuts.push({from: a, to: b, fromMs: this.now, untilMs});
+    this.cuts.push({from: b, to: a, fromMs: this.now, untilMs});
+  }
+
+  /** Gets the sum of the limits of all processes for an endpoint. */
+  getSum(endpointId: string): number {
+    let sum = 0;
+    for (const process of this.processes.values()) {
+      sum += this.limit(process, endpointId);
+    }
+    return sum;
+  }
+
+  /** Checks after every step that no sum of limits exceeds the slots. */
+  checkSums(): void {
+    this.onStep = () => {
+      for (const {id, slots} of this.options.endpoints) {
+        if (this.getSum(id) <= slots) continue;
+        const limits = [...this.processes.values()].map(
+          process => `${process.id}=${this.limit(process, id)}`,
+        );
+        throw new RangeError(
+          `${Math.round(this.now)} ${id} of ${slots} slots: ` +
+            `${limits.join(' ')}\n${this.trace.slice(-40).join('\n')}`,
+        );
+      }
+    };
+  }
+
   limit(process: SimulatedProcess, endpointId: string): number {
     if (process.isEnded) return 0;
     const now = this.clock(process);
@@ -271,7 +249,7 @@
     this.trace.push(`${Math.round(this.now)} ${text}`);
   }
 
-  private getOrders(additions: readonly InstanceInfo[]) {
+  getOrders(additions: readonly InstanceInfo[]) {
     const key = additions.map(({id}) => id).join();
     const {members, endpoints} = this.options;
     let orders = this.orders.get(key);
@@ -380,6 +358,8 @@
 
   private readList(process: SimulatedProcess): void {
     if (this.isCut(process.id, PLATFORM)) return;
+    if (!isListNeeded(process.state, process.config)) return;
+    this.listReads++;
     const requestedAt = this.clock(process);
     const lagMs = this.options.getListLagMs?.() ?? this.random() * 9_900;
     const at = this.now - lagMs;
