Give each test process its own ports

Cause: 7 tests of failures.test.ts hung for 60 s at 05:40.

Ruled out: a fault of the request path; the same file alone passed 24 of 24 in 4.7 s immediately afterwards.

Change: ports derive from the process id, and stand-ins reject when they cannot listen.

--- a/packages/instance/test/exchange/peer_pool.test.ts
+++ b/packages/instance/test/exchange/peer_pool.test.ts
@@ -3,9 +3,10 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {FailureKind, PeerPool} from '../../src/exchange/index.js';
 import {createKeptBody} from '../../src/http/index.js';
+import {getTestPort} from '../support/get_test_port.js';
 import {type RawServer, startRawServer} from '../support/start_raw_server.js';
 
-const ADDRESS = '127.40.2.1:8080';
+const ADDRESS = `127.40.2.1:${getTestPort(0)}`;
 const PROGRESS_TIMEOUT_MS = 200;
 const timers = new RealTimerService();
 const sleep = (ms: number) => timers.sleep(ms);
--- a/packages/instance/test/idempotency/home_router.test.ts
+++ b/packages/instance/test/idempotency/home_router.test.ts
@@ -2,6 +2,7 @@
 import {call} from '../support/call.js';
 import {ConnectControl} from '../support/connect_control.js';
 import {answerRun, type BackendHandler} from '../support/start_backend.js';
+import {getTestPort} from '../support/get_test_port.js';
 import {startSystem, type TestSystem} from '../support/start_system.js';
 
 const SUBNET = 4;
@@ -9,6 +10,9 @@
 const OTHER = 1;
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
+const getInternal = (host: number) =>
+  `127.40.${SUBNET}.${host}:${getTestPort(1)}`;
+
 let system: TestSystem;
 let control: ConnectControl;
 
@@ -118,8 +122,8 @@
     const key = await start();
     await order(OTHER, key);
     // A refused handover loses the records, as the death of the process does.
-    control.refused.add(`127.40.${SUBNET}.2:7001`);
-    control.refused.add(`127.40.${SUBNET}.3:7001`);
+    control.refused.add(getInternal(2));
+    control.refused.add(getInternal(3));
     await system.stop(HOME);
     control.refused.clear();
     const unreachable = await order(OTHER, key);
@@ -134,7 +138,7 @@
 
   it('guards against unknown for a first attempt that reached no home', async () => {
     const key = await start();
-    control.refused.add(`127.40.${SUBNET}.1:7001`);
+    control.refused.add(getInternal(1));
     const first = await order(OTHER, key, 1);
     expect(first.status).toBe(503);
     expect(first.headers['primrose-outcome']).toBe('not-run');
--- a/packages/instance/test/request_path/relay.test.ts
+++ b/packages/instance/test/request_path/relay.test.ts
@@ -6,10 +6,11 @@
 import {call} from '../support/call.js';
 import {ConnectControl} from '../support/connect_control.js';
 import {answerRun, type BackendHandler} from '../support/start_backend.js';
+import {getTestPort} from '../support/get_test_port.js';
 import {startSystem, type TestSystem} from '../support/start_system.js';
 
 const SUBNET = 6;
-const INTERNAL = [1, 2].map(i => `127.40.${SUBNET}.${i}:7001`);
+const INTERNAL = [1, 2].map(i => `127.40.${SUBNET}.${i}:${getTestPort(1)}`);
 
 let system: TestSystem;
 let control: ConnectControl;
--- a/packages/instance/test/support/start_backend.ts
+++ b/packages/instance/test/support/start_backend.ts
@@ -64,8 +64,9 @@
         server.closeAllConnections();
       }),
   };
-  await new Promise<void>(resolve =>
-    server.listen(Number(port), host, resolve),
-  );
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, resolve);
+  });
   return backend;
 }
--- a/packages/instance/test/support/start_raw_server.ts
+++ b/packages/instance/test/support/start_raw_server.ts
@@ -30,9 +30,10 @@
       handle(socket, heads.length);
     });
   });
-  await new Promise<void>(resolve =>
-    server.listen(Number(port), host, resolve),
-  );
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, resolve);
+  });
   return {
     address,
     sockets,
--- a/packages/instance/test/support/start_system.ts
+++ b/packages/instance/test/support/start_system.ts
@@ -11,6 +11,7 @@
   type TestBackend,
 } from './start_backend.js';
 import {call} from './call.js';
+import {getTestPort} from './get_test_port.js';
 
 /** Configures a system of one region and zone. */
 export interface SystemOptions {
@@ -46,7 +47,9 @@
 export async function startSystem(options: SystemOptions): Promise<TestSystem> {
   const net = `127.40.${options.subnet}`;
   const {instances = 1, endpoints = 1} = options;
-  const addresses = range(endpoints).map(i => `${net}.${100 + i}:8080`);
+  const addresses = range(endpoints).map(
+    i => `${net}.${100 + i}:${getTestPort(3)}`,
+  );
   const ids = range(instances).map(i => `r-a-${i}`);
   const system = SYSTEM_SETTINGS_SCHEMA.parse({
     regions: ['r'],
@@ -56,9 +59,9 @@
     instances: ids.map((id, i) => ({
       id,
       zone: 'r-a',
-      public: `${net}.${i + 1}:7000`,
-      internal: `${net}.${i + 1}:7001`,
-      admin: `${net}.${i + 1}:7002`,
+      public: `${net}.${i + 1}:${getTestPort(0)}`,
+      internal: `${net}.${i + 1}:${getTestPort(1)}`,
+      admin: `${net}.${i + 1}:${getTestPort(2)}`,
     })),
     teams: [
       {
@@ -108,16 +111,18 @@
     backends,
     start,
     stop,
-    getUrl: i => `http://${net}.${i + 1}:7000/v1/requests/t/s`,
+    getUrl: i => `http://${net}.${i + 1}:${getTestPort(0)}/v1/requests/t/s`,
     async getKeyPrefix(i) {
-      const url = `http://${net}.${i + 1}:7000/v1/lookup?team=t&service=s`;
+      const url = `http://${net}.${i + 1}:${getTestPort(0)}/v1/lookup?team=t&service=s`;
       const answer = JSON.parse((await call(url)).body) as {
         instances: {id: string; keyPrefix: string}[];
       };
       return answer.instances.find(({id}) => id === ids[i])!.keyPrefix;
     },
     async getMetric(i, name) {
-      const {body} = await call(`http://${net}.${i + 1}:7002/metrics`);
+      const {body} = await call(
+        `http://${net}.${i + 1}:${getTestPort(2)}/metrics`,
+      );
       return body
         .split('\n')
         .filter(
