--- a/packages/instance/test/support/start_system.ts
+++ b/packages/instance/test/support/start_system.ts
@@ -14,6 +14,7 @@
   type TestBackend,
 } from './start_backend.js';
 import {call} from './call.js';
+import {getTestPort} from './get_test_port.js';
 
 /** Configures a system of one region and zone. */
 export interface SystemOptions {
@@ -49,7 +50,9 @@
 export async function startSystem(options: SystemOptions): Promise<TestSystem> {
   const net = `127.40.${options.subnet}`;
   const {instances = 1, endpoints = 1} = options;
-  const addresses = range(endpoints).map(i => `${net}.${100 + i}:8080`);
+  const addresses = range(endpoints).map(
+    i => `${net}.${100 + i}:${getTestPort(3)}`,
+  );
   const ids = range(instances).map(i => `r-a-${i}`);
   const system = SYSTEM_SETTINGS_SCHEMA.parse({
     regions: ['r'],
@@ -59,9 +62,9 @@
     instances: ids.map((id, i) => ({
       id,
       zone: 'r-a',
-      public: `${net}.${i + 1}:7000`,
-      internal: `${net}.${i + 1}:7001`,
-      admin: `${net}.${i + 1}:7002`,
+      public: `${net}.${i + 1}:${getTestPort(0)}`,
+      internal: `${net}.${i + 1}:${getTestPort(1)}`,
+      admin: `${net}.${i + 1}:${getTestPort(2)}`,
     })),
     teams: [
       {
@@ -144,16 +147,18 @@
       await waitUntilReady(i);
     },
     stop,
-    getUrl: i => `http://${net}.${i + 1}:7000/v1/requests/t/s`,
+    getUrl: i => `http://${net}.${i + 1}:${getTestPort(0)}/v1/requests/t/s`,
     async getKeyPrefix(i) {
-      const url = `http://${net}.${i + 1}:7000/v1/lookup?team=t&service=s`;
+      const url = `http://${net}.${i + 1}:${getTestPort(0)}/v1/lookup?team=t&service=s`;
       const answer = JSON.parse((await call(url)).body) as {
         instances: {id: string; keyPrefix: string}[];
       };
       return answer.instances.find(({id}) => id === ids[i])!.keyPrefix;
     },
     async getMetric(i, name) {
-      const {body} = await call(`http://${net}.${i + 1}:7002/metrics`);
+      const {body} = await call(
+        `http://${net}.${i + 1}:${getTestPort(2)}/metrics`,
+      );
       return body
         .split('\n')
         .filter(
