--- a/packages/steering/test/membership/detection.test.ts
+++ b/packages/steering/test/membership/detection.test.ts
@@ -1,4 +1,10 @@
-import {MemberStatus, SUSPECT_AFTER_HEARTBEATS} from '@primrosestage/steering';
+import {
+  MembershipEventType,
+  type MembershipState,
+  MemberStatus,
+  reduceMembership,
+  SUSPECT_AFTER_HEARTBEATS,
+} from '@primrosestage/steering';
 import {describe, expect, it} from 'vitest';
 import {
   createEndpoint,
@@ -75,6 +81,23 @@
     simulation.runUntil(50_000);
   });
 
+  // Guards against an instance that resumes after a pause and suspects everyone at once.
+  it('does not count the time of a pause of its own as silence of others', () => {
+    const simulation = createSimulation(1, 3);
+    simulation.runUntil(20_000);
+    const {config, state} = simulation.processes.get('n0')!;
+    const tick = (before: MembershipState, now: number) =>
+      reduceMembership(before, {type: MembershipEventType.Tick}, now, config)
+        .state;
+    const startMs = state.lastTickAt + HEARTBEAT_MS;
+    const waiting = tick(state, startMs);
+    expect(waiting.pending.size).toBeGreaterThan(0);
+    const resumed = tick(waiting, startMs + 20_000);
+    for (const {status} of resumed.members.values()) {
+      expect(status).toBe(MemberStatus.Alive);
+    }
+  });
+
   // Guards against members that stay removed after a partition or a pause ends.
   it('takes members back after a partition and after a pause', () => {
     const simulation = createSimulation(3, 2);
