--- a/packages/steering/test/membership/detection.test.ts
+++ b/packages/steering/test/membership/detection.test.ts
@@ -1,4 +1,10 @@
-import {MemberStatus, SUSPECT_AFTER_HEARTBEATS} from '@primrosestage/steering';
+import {
+  MembershipEventType,
+  type MembershipState,
+  MemberStatus,
+  reduceMembership,
+  SUSPECT_AFTER_HEARTBEATS,
+} from '@primrosestage/steering';
 import {describe, expect, it} from 'vitest';
 import {
   createEndpoint,
