--- a/packages/control/src/store/http_store.ts
+++ b/packages/control/src/store/http_store.ts
@@ -76,7 +76,7 @@
   constructor(private readonly options: HttpStoreOptions) {
     const {connect} = options;
     this.agents = {
-      calls: createAgent({connect, maxSockets: MAX_CONCURRENT_CALLS}),
+      calls: createAgent({connect}),
       watches: createAgent({connect}),
     };
   }
@@ -224,10 +224,7 @@
    */
   private replaceAgent(pool: CallOptions['pool']): void {
     const old = this.agents[pool];
-    this.agents[pool] = createAgent({
-      connect: this.options.connect,
-      maxSockets: old.maxSockets,
-    });
+    this.agents[pool] = createAgent({connect: this.options.connect});
     for (const sockets of Object.values(old.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
--- a/packages/control/src/validation/convert_schema_issues.ts
+++ b/packages/control/src/validation/convert_schema_issues.ts
@@ -61,7 +61,5 @@
 }
 
 function formatExpectation(message: string): string {
-  return message
-    .replace(/^Invalid input: expected /, '')
-    .replace(/^Too (small|big): expected /, '');
+  return message.replace(/^(Invalid \w+|Too small|Too big): expected /, '');
 }
--- /dev/null
+++ b/packages/control/test/store/http_store.test.ts
@@ -0,0 +1,152 @@
+import http from 'node:http';
+import net from 'node:net';
+import {connectTcp, RealTimerService} from '@primrosestage/common';
+import {HttpStore, StoreFailure} from '@primrosestage/control';
+import {afterEach, describe, expect, it} from 'vitest';
+
+const HOST = '127.50.7.1';
+const PORT = 7900;
+const cleanups: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+});
+
+/** Starts a client and a server that counts its connections. */
+async function setUp(handle: http.RequestListener) {
+  const stats = {connections: 0, inProgress: 0, mostInProgress: 0};
+  const server = http.createServer((req, res) => {
+    stats.inProgress++;
+    stats.mostInProgress = Math.max(stats.mostInProgress, stats.inProgress);
+    res.on('close', () => stats.inProgress--);
+    handle(req, res);
+  });
+  server.on('connection', (socket: net.Socket) => {
+    stats.connections++;
+    cleanups.push(() => socket.destroy());
+  });
+  cleanups.push(() => server.close());
+  await new Promise<void>(resolve => server.listen(PORT, HOST, resolve));
+  return {stats, store: createStore()};
+}
+
+function createStore(timeoutMs = 200): HttpStore {
+  const store = new HttpStore({
+    address: `${HOST}:${PORT}`,
+    timeoutMs,
+    connect: connectTcp,
+    timers: new RealTimerService(),
+  });
+  cleanups.push(() => store[Symbol.asyncDispose]());
+  return store;
+}
+
+function answer(res: http.ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status).end(JSON.stringify(body));
+}
+
+describe('HttpStore', () => {
+  it('speaks the store API (guards against a client that no store understands)', async () => {
+    const seen: string[] = [];
+    const {store} = await setUp((req, res) => {
+      let text = '';
+      req.on('data', chunk => (text += chunk));
+      req.on('end', () => {
+        seen.push(`${req.method} ${req.url} ${text}`.trim());
+        if (req.url === '/kv/missing') answer(res, 404, {});
+        else if (text.includes('"expectedVersion":9')) answer(res, 409, {});
+        else if (req.url === '/instances') answer(res, 200, {instances: []});
+        else answer(res, 200, {value: 5, version: 2, entries: [], fence: 3});
+      });
+    });
+    expect(await store.get('teams/a')).toEqual({
+      key: 'teams/a',
+      value: 5,
+      version: 2,
+    });
+    expect(await store.get('missing')).toBeUndefined();
+    expect(await store.put('teams/a', 6, 2)).toBe(2);
+    expect(await store.put('teams/a', 6, 9)).toBeUndefined();
+    expect(await store.acquireLease('l', 'me', 50)).toBe(3);
+    expect(await store.listInstances()).toEqual([]);
+    expect(
+      (await store.watch({prefix: 'teams/', after: 2, timeoutMs: 9})).version,
+    ).toBe(2);
+    expect(seen).toEqual([
+      'GET /kv/teams/a',
+      'GET /kv/missing',
+      'PUT /kv/teams/a {"value":6,"expectedVersion":2}',
+      'PUT /kv/teams/a {"value":6,"expectedVersion":9}',
+      'PUT /leases/l {"holder":"me","ttlMs":50}',
+      'GET /instances',
+      'GET /watch?prefix=teams%2F&after=2&timeoutMs=9',
+    ]);
+  });
+
+  it.each([
+    [StoreFailure.Refused, 400],
+    [StoreFailure.ReplyLost, 500],
+  ])(
+    'reports %s on status %i (guards against writes taken for refused ones)',
+    async (failure, status) => {
+      const {store} = await setUp((_, res) => answer(res, status, {}));
+      await expect(store.put('k', 1, 0)).rejects.toMatchObject({failure});
+    },
+  );
+
+  it('reports a refused connection as not sent, a silent or cut one as a lost reply (guards against false refusals)', async () => {
+    await expect(createStore().put('k', 1, 0)).rejects.toMatchObject({
+      failure: StoreFailure.NotSent,
+    });
+    const {store} = await setUp(
+      req => void (req.method === 'GET' && req.socket.destroy()),
+    );
+    const failure = StoreFailure.ReplyLost;
+    await expect(store.put('k', 1, 0)).rejects.toMatchObject({failure});
+    await expect(store.get('k')).rejects.toMatchObject({failure});
+  });
+
+  it('opens a new connection after a silent watch (guards against a connection that stays silent)', async () => {
+    let calls = 0;
+    const {store, stats} = await setUp((_, res) => {
+      if (++calls !== 2) answer(res, 200, {entries: [], version: 1});
+    });
+    const watch = () =>
+      store.watch({
+        prefix: 't',
+        after: 0,
+        timeoutMs: 10,
+        signal: AbortSignal.timeout(100),
+      });
+    await watch();
+    const late = new Promise(resolve => setTimeout(resolve, 700, 'late'));
+    await expect(Promise.race([watch(), late])).rejects.toMatchObject({
+      failure: StoreFailure.ReplyLost,
+    });
+    await watch();
+    expect(stats.connections).toBe(2);
+  });
+
+  it('leaves all idle connections after one was silent (guards against one timeout per silent connection)', async () => {
+    const silent = new Set<unknown>();
+    const {store} = await setUp((req, res) => {
+      if (!silent.has(req.socket)) answer(res, 200, {value: 1, version: 1});
+      cleanups.push(() => silent.delete(req.socket));
+      if (req.url === '/kv/last') silent.add(req.socket);
+    });
+    await Promise.all(['last', 'last', 'last'].map(key => store.get(key)));
+    await expect(store.get('k')).rejects.toMatchObject({
+      failure: StoreFailure.ReplyLost,
+    });
+    expect(await store.get('k')).toMatchObject({value: 1});
+  });
+
+  it('bounds the calls in progress (guards against a burst that overloads the store)', async () => {
+    const {store, stats} = await setUp((_, res) =>
+      setTimeout(() => answer(res, 200, {value: 1, version: 1}), 5),
+    );
+    await Promise.all(Array.from({length: 40}, () => store.get('k')));
+    expect(stats.mostInProgress).toBeGreaterThan(1);
+    expect(stats.mostInProgress).toBeLessThanOrEqual(4);
+  });
+});
--- a/packages/instance/src/rpc/create_peer_client.ts
+++ b/packages/instance/src/rpc/create_peer_client.ts
@@ -40,36 +40,48 @@
   options: PeerClientOptions,
 ): Promise<Response> {
   return new Promise((resolve, reject) => {
-    const fail = (cause: unknown) =>
+    const fail = (cause: unknown) => {
+      clearTimeout(deadline);
       reject(
         new StepError(
           {step: Step.Membership, peer: options.address, cause},
           `control call to ${options.address} failed`,
         ),
       );
+    };
+    // On Node.js 20 a signal made by AbortSignal.any can be collected before it fires, so that
+    // the call to a silent peer would never end.
+    const deadline = setTimeout(
+      () =>
+        req.destroy(
+          new StepError(
+            {step: Step.Membership, peer: options.address},
+            `no answer within ${options.timeoutMs} ms`,
+          ),
+        ),
+      options.timeoutMs,
+    );
     const req = http.request(
       url,
       {
         method: init.method ?? 'GET',
         headers: init.headers as http.OutgoingHttpHeaders,
         agent: options.agent,
-        signal: AbortSignal.any([
-          AbortSignal.timeout(options.timeoutMs),
-          ...(init.signal ? [init.signal] : []),
-        ]),
+        signal: init.signal ?? undefined,
       },
       res => {
         const chunks: Buffer[] = [];
         res.on('data', (chunk: Buffer) => chunks.push(chunk));
         res.on('error', fail);
-        res.on('end', () =>
+        res.on('end', () => {
+          clearTimeout(deadline);
           resolve(
             new Response(Buffer.concat(chunks), {
               status: res.statusCode ?? 500,
               headers: {'content-type': 'application/json'},
             }),
-          ),
-        );
+          );
+        });
       },
     );
     req.on('error', fail);
