--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -1,33 +1,31 @@
-import {randomInt} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   type ConnectFunction,
   connectTcp,
   createAgent,
   createLogger,
+  createTracing,
   InvariantMonitor,
   RealTimerService,
-  type TimerService,
 } from '@primrosestage/common';
 import {
   buildTopology,
-  HttpStore,
+  type ConfigurationView,
   type LoadedSettings,
-  type Store,
 } from '@primrosestage/control';
-import {createHash64, getCandidates, Liveness} from '@primrosestage/steering';
-import {Registry} from 'prom-client';
-import {ADMIN_PATH, AdminTask, fetchInstanceStatus} from './admin/index.js';
 import {
-  ConfigurationTask,
-  createRpcPeers,
-  registerConfigurationMetrics,
-} from './configuration/index.js';
+  BlockTable,
+  createHash64,
+  type EndpointOwnership,
+  Liveness,
+} from '@primrosestage/steering';
+import {Registry} from 'prom-client';
+import {SettingsConfiguration, StaticOwnership} from './defaults/index.js';
 import {listen, sendJson} from './http/index.js';
-import {IngressTask} from './ingress/index.js';
 import {LookupTask} from './lookup/index.js';
-import {OwnerTask} from './owner/index.js';
+import {createRequestPath} from './request_path/index.js';
 import {
+  createLinkPacer,
   createRoutingRouter,
   fetchRoutingReport,
   registerRoutingMetrics,
@@ -39,8 +37,6 @@
 export interface ServeOptions {
   /** Opens all outgoing connections. */
   connect?: ConnectFunction;
-  /** Creates the store; the platform's one where absent. */
-  createStore?: (timers: TimerService) => Store;
 }
 
 /**
@@ -66,50 +62,23 @@
   const registry = new Registry();
   const monitor = new InvariantMonitor(logger, registry);
   const hash = await createHash64();
-  const owner = stack.use(
-    new OwnerTask({
-      topology,
-      self,
-      hash,
-      timers,
-      progressTimeoutMs: system.timing.progressTimeoutMs,
-      connect,
-    }),
+  const tracing = stack.use(
+    createTracing({...instance.traces, instance: self.id}),
+  );
+  const incarnation = Math.floor(timers.wallNow());
+  const ownership: EndpointOwnership = new StaticOwnership(
+    topology,
+    self,
+    hash,
   );
+  const configuration: ConfigurationView = new SettingsConfiguration(system);
   const controlAgent = createAgent({connect});
   stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
-  const store =
-    options.createStore?.(timers) ??
-    stack.use(new HttpStore({...system.store, connect, timers}));
-  const configuration = stack.use(
-    new ConfigurationTask({
-      self,
-      topology,
-      teams: system.teams,
-      store,
-      peers: createRpcPeers({topology, agent: controlAgent}),
-      timers,
-      hash,
-      monitor,
-      logger,
-      getLiveInstances: () => topology.instances,
-      drawInt: bound => randomInt(bound),
-    }),
-  );
-  registerConfigurationMetrics(configuration, system.teams, registry);
-  await configuration.start();
   const routing = stack.use(
     new RoutingTask({
       topology,
       self,
-      ownership: {
-        getOwner: id => {
-          const endpoint = topology.getEndpoint(id);
-          if (!endpoint) return undefined;
-          return getCandidates(endpoint, topology.instances, hash)[0];
-        },
-        getLimit: id => topology.getEndpoint(id)?.slots ?? 0,
-      },
+      ownership,
       configuration,
       timers,
       monitor,
@@ -122,67 +91,55 @@
   );
   registerRoutingMetrics(routing, registry);
   await routing.loadPeerShares();
-  const ingress = stack.use(
-    new IngressTask({
-      parse: {
-        topology,
-        self,
-        timers,
-        defaultDeadlineMs: system.timing.defaultDeadlineMs,
-        maxRequestMs: system.timing.maxRequestMs,
-      },
+  const requestPath = stack.use(
+    createRequestPath({
       topology,
       self,
+      incarnation,
+      timing: system.timing,
+      ownership,
+      selector: routing,
+      configuration,
       hash,
-      owner,
       timers,
       logger,
-      progressTimeoutMs: system.timing.progressTimeoutMs,
+      registry,
+      monitor,
+      tracer: tracing.tracer,
       connect,
+      pace: createLinkPacer({links: routing.links, self, timers}),
     }),
   );
+  const {ingress, homes} = requestPath;
   const lookup = new LookupTask({
     topology,
     self,
-    incarnation: timers.wallNow(),
-    blocks: system.blocks,
+    timers,
+    blocks: BlockTable.build(system.blocks),
     trustedPeers: system.trustedPeers,
     getTtlSeconds: team =>
       configuration.getPreset(team)?.lookupTtlSeconds ?? 10,
-  });
-  const isReady = () => configuration.isReady();
-  const admin = new AdminTask({
-    self,
-    topology,
-    teams: system.teams,
-    configuration,
-    timers,
-    logger,
-    isReady,
-    getShares: name =>
-      routing.getStatus().shares.filter(({team}) => team === name),
-    getHeadroom: name =>
-      routing.getStatus().headroom.filter(({team}) => team === name),
-    fetchStatus: (peer, team) => fetchInstanceStatus(peer, team, controlAgent),
+    getLiveness: () => Liveness.Live,
+    isDrained: peer => routing.isInstanceDrained(peer),
+    getIncarnation: () => incarnation,
+    getKeyPrefix: id => `${id}.${incarnation}.0`,
   });
   const handleRpc = createRpcHandler(
     router({
       routing: createRoutingRouter(routing),
-      configuration: configuration.createRouter(),
-      admin: admin.createRouter(),
+      keys: homes.createRouter(),
     }),
   );
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
     const url = req.url ?? '/';
     if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
-    else if (url.startsWith('/v1/requests/')) void ingress.handle(req, res);
-    else if (url === '/healthz') sendJson(res, 200, {healthy: true});
-    else if (url === '/readyz')
-      sendJson(res, isReady() ? 200 : 503, {ready: isReady()});
+    else if (url.startsWith('/v1/requests/')) {
+      void ingress.handle(req, res, false);
+    } else if (url === '/healthz') sendJson(res, 200, {healthy: true});
+    else if (url === '/readyz') sendJson(res, 200, {ready: true});
     else sendJson(res, 404, {message: `no resource ${url}`});
   };
   const handleAdmin = async (req: IncomingMessage, res: ServerResponse) => {
-    if (req.url?.startsWith(ADMIN_PATH)) return admin.handle(req, res);
     if (req.url !== '/metrics') {
       sendJson(res, 404, {message: `no resource ${req.url}`});
       return;
@@ -196,7 +153,7 @@
       address: self.internalAddress,
       handle: (req, res) => {
         if (req.url?.startsWith(RPC_PATH)) handleRpc(req, res);
-        else void ingress.handle(req, res);
+        else void ingress.handle(req, res, true);
       },
     }),
   );
