Wire the configuration and the administration into the merged request path

Ruled out: wiring the parts one by one in serve.ts; startConfiguration holds the store client, the task and its metrics, so that serve.ts has one call. Change: serve.ts starts the configuration after the agent of control calls; presets of the settings serve only as the first document. Conclusion: an instance takes its configuration from the store again.

--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -8,11 +8,7 @@
   InvariantMonitor,
   RealTimerService,
 } from '@primrosestage/common';
-import {
-  buildTopology,
-  type ConfigurationView,
-  type LoadedSettings,
-} from '@primrosestage/control';
+import {buildTopology, type LoadedSettings} from '@primrosestage/control';
 import {
   BlockTable,
   createHash64,
@@ -20,7 +16,9 @@
   Liveness,
 } from '@primrosestage/steering';
 import {Registry} from 'prom-client';
-import {SettingsConfiguration, StaticOwnership} from './defaults/index.js';
+import {ADMIN_PATH, AdminTask, fetchInstanceStatus} from './admin/index.js';
+import {type CreateStore, startConfiguration} from './configuration/index.js';
+import {StaticOwnership} from './defaults/index.js';
 import {listen, sendJson} from './http/index.js';
 import {LookupTask} from './lookup/index.js';
 import {createRequestPath} from './request_path/index.js';
@@ -37,6 +35,8 @@
 export interface ServeOptions {
   /** Opens all outgoing connections. */
   connect?: ConnectFunction;
+  /** Creates the store; the platform's one where absent. */
+  createStore?: CreateStore;
 }
 
 /**
@@ -71,9 +71,24 @@
     self,
     hash,
   );
-  const configuration: ConfigurationView = new SettingsConfiguration(system);
   const controlAgent = createAgent({connect});
   stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
+  const {configuration} = stack.use(
+    await startConfiguration({
+      ...options,
+      system,
+      self,
+      topology,
+      hash,
+      timers,
+      logger,
+      registry,
+      monitor,
+      connect,
+      agent: controlAgent,
+      getLiveInstances: () => topology.instances,
+    }),
+  );
   const routing = stack.use(
     new RoutingTask({
       topology,
@@ -124,10 +139,27 @@
     getIncarnation: () => incarnation,
     getKeyPrefix: id => `${id}.${incarnation}.0`,
   });
+  const isReady = () => configuration.isReady();
+  const admin = new AdminTask({
+    self,
+    topology,
+    teams: system.teams,
+    configuration,
+    timers,
+    logger,
+    isReady,
+    getShares: name =>
+      routing.getStatus().shares.filter(({team}) => team === name),
+    getHeadroom: name =>
+      routing.getStatus().headroom.filter(({team}) => team === name),
+    fetchStatus: (peer, team) => fetchInstanceStatus(peer, team, controlAgent),
+  });
   const handleRpc = createRpcHandler(
     router({
       routing: createRoutingRouter(routing),
       keys: homes.createRouter(),
+      configuration: configuration.createRouter(),
+      admin: admin.createRouter(),
     }),
   );
   const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
@@ -136,10 +168,12 @@
     else if (url.startsWith('/v1/requests/')) {
       void ingress.handle(req, res, false);
     } else if (url === '/healthz') sendJson(res, 200, {healthy: true});
-    else if (url === '/readyz') sendJson(res, 200, {ready: true});
-    else sendJson(res, 404, {message: `no resource ${url}`});
+    else if (url === '/readyz') {
+      sendJson(res, isReady() ? 200 : 503, {ready: isReady()});
+    } else sendJson(res, 404, {message: `no resource ${url}`});
   };
   const handleAdmin = async (req: IncomingMessage, res: ServerResponse) => {
+    if (req.url?.startsWith(ADMIN_PATH)) return admin.handle(req, res);
     if (req.url !== '/metrics') {
       sendJson(res, 404, {message: `no resource ${req.url}`});
       return;
