Add the command line client of the administration API

Cause: operators had no tool for presets, drains and status. Ruled out: one attempt per command: an operator would repeat by hand under a new identifier, and a change could be made twice. The committer gives up after 4.5 s, so that the answer comes within 6 s. Conclusion: the client's verbs equal the API's.

--- a/packages/control/src/documents/change_committer.ts
+++ b/packages/control/src/documents/change_committer.ts
@@ -15,7 +15,7 @@
 /** Time for which a write without a reply is looked for before it is fenced (design 4.6). */
 const FENCE_WRITE_AFTER_MS = 2_000;
 /** Time after which the outcome is given up as unknown: one fence with its own reply lost fits in. */
-const GIVE_UP_AFTER_MS = 6_000;
+const GIVE_UP_AFTER_MS = 4_500;
 /** Time for which reads and unsent writes are repeated. */
 const REPEAT_FOR_MS = 1_000;
 const PAUSE_MS = 100;
--- /dev/null
+++ b/packages/ctl/src/admin_client.ts
@@ -0,0 +1,144 @@
+import {randomUUID} from 'node:crypto';
+import type {TimerService} from '@primrosestage/common';
+import type {ValueIssue} from '@primrosestage/control';
+import {CommandError} from './command_error.js';
+import {ExitCode} from './exit_code.js';
+import {type RequestResult, sendRequest} from './send_request.js';
+
+/** Attempts of one request; each goes to the next of the given instances. */
+const MAX_ATTEMPTS = 5;
+const PAUSE_MS = 500;
+
+/** Configures the client of the administration API. */
+export interface AdminClientOptions {
+  /** Base URLs of administration listeners, tried in turn. */
+  urls: readonly string[];
+  team: string;
+  token: string;
+  timers: TimerService;
+  /** Revision that changes are based on; the current one where absent. */
+  basedOn?: number;
+  /** Identifier of a change that is repeated by hand. */
+  changeId?: string;
+}
+
+/** Calls the administration API and repeats what has no known outcome. */
+export class AdminClient {
+  constructor(private readonly options: AdminClientOptions) {}
+
+  /** Says whether a change is a repeat by hand, whose effect may already be in force. */
+  get isRepeat(): boolean {
+    return this.options.changeId !== undefined;
+  }
+
+  /**
+   * Reads a resource.
+   * @param path - Path below the team.
+   * @returns The answer.
+   * @throws CommandError when it is refused or no instance answers.
+   */
+  async get(path: string): Promise<Record<string, unknown>> {
+    return this.read('GET', path);
+  }
+
+  /** Checks a preset without changing anything. */
+  async validate(
+    name: string,
+    preset: unknown,
+  ): Promise<Record<string, unknown>> {
+    return this.read('POST', `presets/${name}/validate`, {preset});
+  }
+
+  /**
+   * Makes a change; an unknown outcome is repeated under the same identifier.
+   * @param method - HTTP method.
+   * @param path - Path below the team.
+   * @param fields - What is changed.
+   * @returns The answer to the accepted change.
+   * @throws CommandError when it is refused or its outcome stays unknown.
+   */
+  async change(
+    method: string,
+    path: string,
+    fields: Record<string, unknown>,
+  ): Promise<Record<string, unknown>> {
+    const changeId = this.options.changeId ?? randomUUID();
+    const basedOn = this.options.basedOn ?? (await this.getRevision());
+    const body = {...fields, basedOn, changeId};
+    let isUnknown = this.isRepeat;
+    let message = '';
+    for (let i = 0; i < MAX_ATTEMPTS; i++) {
+      if (i > 0) await this.options.timers.sleep(PAUSE_MS);
+      const result = await this.send(i, method, path, body);
+      message = getMessage(result);
+      if (result.status === 200) return result.body;
+      if (result.status === 503 && !isUnknown) throw createRefusal(result);
+      // 503 excludes this attempt only; an earlier one may still take effect.
+      if (result.status === 503) continue;
+      if (result.status !== undefined && result.status < 500) {
+        throw createRefusal(result);
+      }
+      isUnknown = true;
+    }
+    throw new CommandError(
+      ExitCode.Unreachable,
+      `the outcome is unknown: ${message}\nrepeat with --change-id ${changeId} --based-on ${basedOn}`,
+    );
+  }
+
+  private async getRevision(): Promise<number> {
+    return (await this.get('presets')).revision as number;
+  }
+
+  private async read(
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<Record<string, unknown>> {
+    let message = '';
+    for (let i = 0; i < MAX_ATTEMPTS; i++) {
+      if (i > 0) await this.options.timers.sleep(PAUSE_MS);
+      const result = await this.send(i, method, path, body);
+      if (result.status === 200) return result.body;
+      if (result.status !== undefined && result.status < 500) {
+        throw createRefusal(result);
+      }
+      message = getMessage(result);
+    }
+    throw new CommandError(ExitCode.Unreachable, message);
+  }
+
+  private send(
+    attempt: number,
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<RequestResult> {
+    const {urls, team, token} = this.options;
+    const base = urls[attempt % urls.length]!.replace(/\/$/, '');
+    const url = `${base}/admin/v1/teams/${encodeURIComponent(team)}/${path}`;
+    return sendRequest({method, url, token, body});
+  }
+}
+
+function getMessage(result: RequestResult): string {
+  if (result.status === undefined) return result.message;
+  return `${result.status} ${String(result.body.message ?? '')}`.trim();
+}
+
+function createRefusal(result: RequestResult): CommandError {
+  const issues =
+    result.status === undefined
+      ? []
+      : ((result.body.issues ?? []) as ValueIssue[]);
+  const lines = issues.map(formatIssue);
+  return new CommandError(
+    ExitCode.Refused,
+    [`refused: ${getMessage(result)}`, ...lines].join('\n'),
+  );
+}
+
+/** Formats a fault of a preset. */
+export function formatIssue({key, value, expected}: ValueIssue): string {
+  return `${key}: found ${value}, expected ${expected}`;
+}
--- /dev/null
+++ b/packages/ctl/src/commands/index.ts
@@ -0,0 +1,4 @@
+export type {CommandContext, CommandOutput} from './command_context.js';
+export {runDrain} from './run_drain.js';
+export {runPresets} from './run_presets.js';
+export {runStatus} from './run_status.js';
--- /dev/null
+++ b/packages/ctl/src/main.ts
@@ -0,0 +1,146 @@
+import {getErrorMessage, RealTimerService} from '@primrosestage/common';
+import {cac} from 'cac';
+import {AdminClient} from './admin_client.js';
+import {CommandError} from './command_error.js';
+import {
+  type CommandContext,
+  type CommandOutput,
+  runDrain,
+  runPresets,
+  runStatus,
+} from './commands/index.js';
+import {ExitCode} from './exit_code.js';
+
+/** Environment variable that holds the token; an option shows in the list of processes. */
+const TOKEN_VARIABLE = 'PRIMROSE_TOKEN';
+
+interface CommandOptions {
+  admin?: string | string[];
+  team?: string;
+  token?: string | number;
+  json?: boolean;
+  basedOn?: number;
+  changeId?: string | number;
+  file?: string;
+  from?: string;
+  set?: string | string[];
+}
+
+/**
+ * Runs the `primrosectl` command line and sets the exit code of the process.
+ * @param argv - Arguments as in `process.argv`.
+ */
+export async function main(argv: string[]): Promise<void> {
+  const cli = cac('primrosectl');
+  cli.option(
+    '--admin <url>',
+    'Administration URL; repeat it for several instances',
+  );
+  cli.option('--team <name>', 'Name of the team');
+  cli.option('--token <token>', `Token; by default from ${TOKEN_VARIABLE}`);
+  cli.option('--json', 'Print JSON instead of tables');
+  cli.option(
+    '--based-on <revision>',
+    'Revision of the change; by default the current one',
+  );
+  cli.option('--change-id <id>', 'Identifier of a change that is repeated');
+  cli
+    .command(
+      'presets <verb> [...names]',
+      'list, show, create, edit, validate, diff or activate presets',
+    )
+    .option(
+      '--file <file>',
+      'Preset in TOML, or in JSON where the name ends in .json',
+    )
+    .option('--from <preset>', 'Preset to copy')
+    .option('--set <key=value>', 'Key to set; repeat it for several keys')
+    .action((verb: string, names: string[], options: CommandOptions) =>
+      run(options, context => runPresets(context, verb, names)),
+    );
+  for (const action of ['drain', 'undrain']) {
+    cli
+      .command(
+        `${action} <kind> <target>`,
+        `${action} an instance, endpoint, zone or region`,
+      )
+      .action((kind: string, target: string, options: CommandOptions) =>
+        run(options, context => runDrain(context, action, kind, target)),
+      );
+  }
+  cli
+    .command('status', 'Show shares, headroom, drains and revisions')
+    .action((options: CommandOptions) => run(options, runStatus));
+  cli.help();
+  try {
+    cli.parse(argv, {run: false});
+    if (cli.options.help) return;
+    if (!cli.matchedCommand) {
+      cli.outputHelp();
+      process.exitCode = ExitCode.Usage;
+      return;
+    }
+    await cli.runMatchedCommand();
+  } catch (err) {
+    process.stderr.write(`${getErrorMessage(err)}\n`);
+    process.exitCode =
+      err instanceof CommandError
+        ? err.exitCode
+        : err instanceof Error && err.name === 'CACError'
+          ? ExitCode.Usage
+          : ExitCode.Unreachable;
+  }
+}
+
+async function run(
+  options: CommandOptions,
+  command: (context: CommandContext) => Promise<CommandOutput>,
+): Promise<void> {
+  const {json, text, exitCode} = await command(createContext(options));
+  process.stdout.write(options.json ? `${JSON.stringify(json)}\n` : text);
+  process.exitCode = exitCode ?? ExitCode.Success;
+}
+
+function createContext(options: CommandOptions): CommandContext {
+  const urls = toList(options.admin);
+  const token = String(options.token ?? process.env[TOKEN_VARIABLE] ?? '');
+  const {basedOn, changeId} = options;
+  if (urls.length === 0)
+    fail('--admin', 'the URL of an administration listener');
+  if (urls.some(url => !URL.canParse(url) || !/^https?:/.test(url))) {
+    fail('--admin', 'a URL such as http://127.0.0.1:7002', urls.join(' '));
+  }
+  if (!options.team) fail('--team', 'the name of a team');
+  if (token === '') fail('--token', `a token, or one in ${TOKEN_VARIABLE}`);
+  if (basedOn !== undefined && !Number.isInteger(basedOn)) {
+    fail('--based-on', 'a revision', String(basedOn));
+  }
+  // Another basis under the same identifier would be another change.
+  if (changeId !== undefined && basedOn === undefined) {
+    fail('--based-on', 'the revision of the change that is repeated');
+  }
+  return {
+    client: new AdminClient({
+      urls,
+      team: options.team ?? '',
+      token,
+      timers: new RealTimerService(),
+      basedOn,
+      changeId: changeId === undefined ? undefined : String(changeId),
+    }),
+    file: options.file,
+    from: options.from,
+    assignments: toList(options.set),
+  };
+}
+
+function toList(value: string | string[] | undefined): string[] {
+  return value === undefined ? [] : [value].flat().map(String);
+}
+
+function fail(option: string, expected: string, found = 'nothing'): never {
+  throw new CommandError(
+    ExitCode.Usage,
+    `option ${option}: found ${found}, expected ${expected}`,
+  );
+}
--- a/packages/instance/test/admin/admin_task.test.ts
+++ b/packages/instance/test/admin/admin_task.test.ts
@@ -34,7 +34,7 @@
 
 beforeAll(async () => {
   silent = await startSilentListener('127.50.3.1', 7001);
-  instances = await startInstances('127.50', 2, store => {
+  instances = await startInstances(0, 2, store => {
     const put = store.put.bind(store);
     const get = store.get.bind(store);
     const lose = () =>
--- a/packages/instance/test/admin/start_instances.ts
+++ b/packages/instance/test/admin/start_instances.ts
@@ -11,16 +11,22 @@
   urls: string[];
 }
 
-/** Starts the first instances of the Tesfaye example, with a second team and one shared store. */
+/**
+ * Starts the first instances of the Tesfaye example, with a second team and one shared store.
+ * The third number of their addresses, 1 to 6, is raised by the given offset.
+ */
 export async function startInstances(
-  network: string,
+  offset: number,
   count: number,
   wrapStore: (store: MemoryStore) => Store = store => store,
 ): Promise<RunningInstances> {
-  const text = JSON.stringify(SYSTEM).replaceAll('127.20.', `${network}.`);
+  const text = JSON.stringify(SYSTEM).replaceAll(
+    /127\.20\.(\d+)/g,
+    (_, zone) => `127.50.${Number(zone) + offset}`,
+  );
   const system = JSON.parse(text) as typeof SYSTEM;
   const [team] = system.teams;
-  const group = {zone: 'addis-a', addresses: [`${network}.9.9:8080`]};
+  const group = {zone: 'addis-a', addresses: [`127.50.${offset}.9:8080`]};
   system.teams.push({
     ...team!,
     name: 'other',
