--- a/packages/control/test/store/http_store.test.ts
+++ b/packages/control/test/store/http_store.test.ts
@@ -5,7 +5,8 @@
 import {afterEach, describe, expect, it} from 'vitest';
 
 const HOST = '127.50.7.1';
-const PORT = 7900;
+// Each test process has a port of its own, as several work trees may run at a time.
+const PORT = 10_000 + (process.pid % 20_000);
 const cleanups: Array<() => unknown> = [];
 
 afterEach(async () => {
--- a/packages/instance/test/admin/start_instances.ts
+++ b/packages/instance/test/admin/start_instances.ts
@@ -11,6 +11,11 @@
   urls: string[];
 }
 
+/** Gives each test process ports of its own, as several work trees may run at a time. */
+export function choosePort(port: number): number {
+  return 10_000 + (process.pid % 2_000) * 10 + (port % 10);
+}
+
 /**
  * Starts the first instances of the Tesfaye example, with a second team and one shared store.
  * The third number of their addresses, 1 to 6, is raised by the given offset.
@@ -21,8 +26,9 @@
   wrapStore: (store: MemoryStore) => Store = store => store,
 ): Promise<RunningInstances> {
   const text = JSON.stringify(SYSTEM).replaceAll(
-    /127\.20\.(\d+)/g,
-    (_, zone) => `127.50.${Number(zone) + offset}`,
+    /127\.20\.(\d+)\.(\d+):(\d+)/g,
+    (_, zone, host, port) =>
+      `127.50.${Number(zone) + offset}.${host}:${choosePort(Number(port))}`,
   );
   const system = JSON.parse(text) as typeof SYSTEM;
   const [team] = system.teams;
--- a/packages/instance/test/configuration/configuration_task.test.ts
+++ b/packages/instance/test/configuration/configuration_task.test.ts
@@ -144,4 +144,31 @@
     for (let i = 0; i < 5; i++) task.handleDigest('addis-b-1', 'other');
     expect(cluster.peerCalls.pull).toBe(before + 1);
   });
+
+  it('makes W/2 watches a second when idle and W + 2 calls per change, W = 7 watchers in 6 zones (guards against load that grows with the instances)', async () => {
+    await startCluster();
+    const count = () => {
+      const sum = {get: 0, put: 0, watch: 0};
+      for (const {store} of cluster.members.values()) {
+        for (const name of ['get', 'put', 'watch'] as const) {
+          sum[name] += store.calls[name];
+        }
+      }
+      return sum;
+    };
+    const start = count();
+    await cluster.run(60_000);
+    const idle = count();
+    expect(idle).toMatchObject({get: start.get, put: start.put});
+    expect((idle.watch - start.watch) / 60).toBeLessThanOrEqual(7 / 2);
+    expect((idle.watch - start.watch) / 60).toBeGreaterThan(3.4);
+    for (let i = 0; i < 10; i++) {
+      await measureSpreadMs(cluster.ids[i % 7]!);
+      await cluster.run(1_000);
+    }
+    const changed = count();
+    expect(changed.get - idle.get).toBe(10);
+    expect(changed.put - idle.put).toBe(10);
+    expect(changed.watch - idle.watch).toBe(70);
+  });
 });
