--- a/packages/steering/src/ownership/contact.ts
+++ b/packages/steering/src/ownership/contact.ts
@@ -13,7 +13,7 @@
   /** Requests in flight above the sender's limit, by endpoint id. */
   excess: Readonly<Record<string, number>>;
   /** Instances of the region that the sender knows and that its settings do not name. */
-  additions: readonly string[];
+  additions: string[];
 }
 
 /** Holds what this instance knows of one other instance; times are on its monotonic clock. */
@@ -38,6 +38,8 @@
   readonly joiningUntil: number;
   /** Time until which no process of this id can act: it released or said goodbye. */
   readonly clearUntil: number;
+  /** Time at which its release or goodbye arrived; Infinity before. */
+  readonly releasedAt: number;
   /** Time until which requests of an incarnation that ended may run. */
   readonly uncleanUntil: number;
   readonly excess: Readonly<Record<string, number>>;
