Benchmark the decisions on virtual time against other policies and an oracle

Cause: whether shares, choice and admission together keep latency and headroom was not known. Ruled out: a copy of the decisions in the benchmark; it runs RoutingTask, the admission reducer, retries and candidate orders of the program. Change: the part policy of npm run bench: the sizes of both examples, loads of 50, 70 and 90 %, a skewed load, a lost zone, a cold zone and a drained region.

--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,2 +1,3 @@
 export {main} from './cli/main.js';
 export {serve} from './serve.js';
+export {RoutingTask, type RoutingTaskOptions} from './routing/index.js';
--- a/packages/testing/src/bench/create_random.ts
+++ b/packages/testing/src/bench/create_random.ts
@@ -1,5 +1,4 @@
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {SeededRandom} from '../random/index.js';
 
 /** Gives a number of at least 0 and below 1. */
 export type Random = () => number;
@@ -10,6 +9,6 @@
  * @returns The source.
  */
 export function createRandom(seed: number): Random {
-  const generator = xoroshiro128plus(seed);
-  return () => uniformFloat64(generator);
+  const random = new SeededRandom(seed);
+  return () => random.float();
 }
--- a/packages/testing/src/bench/main.ts
+++ b/packages/testing/src/bench/main.ts
@@ -2,6 +2,7 @@
 import {cac} from 'cac';
 import type {Figure, FigureSink} from './figure.js';
 import {runLookupBench} from './lookup/index.js';
+import {runPolicyBench} from './policy/index.js';
 import {formatTable} from './report/format_table.js';
 import {writeReport} from './report/write_report.js';
 
@@ -13,6 +14,7 @@
 
 const PARTS: Record<string, BenchPart> = {
   lookup: runLookupBench,
+  policy: runPolicyBench,
 };
 
 async function main(argv: string[]): Promise<void> {
--- /dev/null
+++ b/packages/testing/src/bench/policy/baselines.ts
@@ -0,0 +1,66 @@
+import {EndpointPolicy} from './endpoint_policy.js';
+import type {SimEndpoint} from './sim_endpoint.js';
+import {getDelayMs, type SimPolicy, type SimWorld} from './sim_world.js';
+
+/**
+ * Creates the policies that the project's steering is compared with. All but the oracle use the
+ * caller's region while one of its endpoints is known to work.
+ * @param world - The simulated system.
+ * @param zoneMs - One-way time between zones of a region, in milliseconds.
+ * @returns The policies; the last one is the oracle.
+ */
+export function createBaselines(world: SimWorld, zoneMs: number): SimPolicy[] {
+  const {random, topology} = world;
+  const common = {world, zoneMs};
+  const pick = (list: readonly SimEndpoint[]) =>
+    list[Math.floor(random() * list.length)];
+  const turns = new Map<string, number>();
+  return [
+    new EndpointPolicy({...common, name: 'random', choose: pick}),
+    new EndpointPolicy({
+      ...common,
+      name: 'round-robin',
+      choose: (list, {ingress, service}) => {
+        const key = `${ingress.id}/${service.name}`;
+        const turn = turns.get(key) ?? 0;
+        turns.set(key, turn + 1);
+        return list[turn % list.length];
+      },
+    }),
+    new EndpointPolicy({
+      ...common,
+      name: 'least-reported-load',
+      choose: list => {
+        const least = Math.min(...list.map(({reportedLoad}) => reportedLoad));
+        return pick(list.filter(({reportedLoad}) => reportedLoad === least));
+      },
+    }),
+    new EndpointPolicy({
+      ...common,
+      name: 'power-of-two',
+      choose: (list, _, getInFlight) => {
+        const [a, b] = [pick(list), pick(list)];
+        return a && b && getInFlight(b) < getInFlight(a) ? b : a;
+      },
+    }),
+    new EndpointPolicy({
+      ...common,
+      name: 'oracle',
+      isGlobal: true,
+      choose: (list, {ingress, serviceMs}) => {
+        let best: SimEndpoint | undefined;
+        let bestMs = Infinity;
+        for (const endpoint of list) {
+          const delayMs = getDelayMs(topology, zoneMs, ingress, endpoint.info);
+          const runMs = serviceMs * endpoint.getFactor();
+          const totalMs = 2 * delayMs + endpoint.getWaitMs() + runMs;
+          if (totalMs < bestMs) {
+            best = endpoint;
+            bestMs = totalMs;
+          }
+        }
+        return best;
+      },
+    }),
+  ];
+}
--- /dev/null
+++ b/packages/testing/src/bench/policy/index.ts
@@ -0,0 +1,175 @@
+import {createHash64} from '@primrosestage/steering';
+import {type FigureSink, GoalKind} from '../figure.js';
+import {createBaselines} from './baselines.js';
+import {ProjectPolicy} from './project_policy.js';
+import {
+  type CreatePolicy,
+  runScenario,
+  SIM_USERS,
+  type SimResult,
+  type SimUser,
+} from './run_scenario.js';
+import {type Scenario, SCENARIOS, SimIncident} from './scenario.js';
+
+const BASELINES = [
+  'random',
+  'round-robin',
+  'least-reported-load',
+  'power-of-two',
+  'oracle',
+];
+
+/** Ratio of the project's 99th percentile to the oracle's that is the goal. */
+const ORACLE_GOAL = 1.2;
+
+/**
+ * Measures the decisions on virtual time against other policies.
+ * @param sink - Takes the figures.
+ */
+export async function runPolicyBench(sink: FigureSink): Promise<void> {
+  const hash = await createHash64();
+  for (const user of SIM_USERS) {
+    for (const scenario of SCENARIOS) {
+      const results = new Map<string, SimResult>();
+      const run = async (name: string, createPolicy: CreatePolicy) => {
+        const result = await runScenario(
+          user,
+          scenario,
+          createPolicy,
+          sink.seed,
+        );
+        results.set(name, result);
+      };
+      await run(
+        'primrosestage',
+        (world, zoneMs) => new ProjectPolicy(world, zoneMs, hash),
+      );
+      for (const [i, name] of BASELINES.entries()) {
+        await run(name, (world, zoneMs) => {
+          const policy = createBaselines(world, zoneMs)[i];
+          if (!policy) throw new TypeError(name);
+          return policy;
+        });
+      }
+      recordScenario(sink, user, scenario, results);
+    }
+  }
+}
+
+function recordScenario(
+  sink: FigureSink,
+  user: SimUser,
+  scenario: Scenario,
+  results: ReadonlyMap<string, SimResult>,
+): void {
+  const own = results.get('primrosestage');
+  const oracle = results.get('oracle');
+  if (!own || !oracle) return;
+  const prefix = `policy.${user.name}.${scenario.name}`;
+  const n = own.metrics.sent;
+  const others = BASELINES.filter(name => name !== 'oracle').map(name => ({
+    name,
+    result: results.get(name) as SimResult,
+  }));
+  const getP99 = ({metrics}: SimResult) => getPercentile(metrics, 99);
+  const fastest = others.reduce((best, other) =>
+    getP99(other.result) < getP99(best.result) ? other : best,
+  );
+  const isSteady = scenario.incident === SimIncident.None;
+  const isLoaded = isSteady && scenario.load >= 0.7;
+  for (const percentile of [50, 99, 99.9]) {
+    sink.record({
+      name: `${prefix}.p${percentile}`,
+      value: getPercentile(own.metrics, percentile),
+      unit: 'ms',
+      n,
+      baseline: {
+        name: 'oracle',
+        value: getPercentile(oracle.metrics, percentile),
+      },
+      ...(percentile === 99 && isSteady
+        ? {
+            goal: {
+              kind: GoalKind.AtMost,
+              bound: ORACLE_GOAL,
+              isRatio: true,
+            },
+          }
+        : {}),
+    });
+  }
+  sink.record({
+    name: `${prefix}.p99-to-best`,
+    value: getP99(own),
+    unit: 'ms',
+    n,
+    baseline: {name: fastest.name, value: getP99(fastest.result)},
+    ...(isLoaded
+      ? {goal: {kind: GoalKind.AtMost, bound: 1, isRatio: true}}
+      : {}),
+  });
+  recordAll(sink, prefix, n, results);
+  if (scenario.incident !== SimIncident.RegionDrained) return;
+  const region = own.policy instanceof ProjectPolicy ? getFirstRegion(own) : '';
+  sink.record({
+    name: `${prefix}.drain-time`,
+    value: own.metrics.getDrainSeconds(region, scenario.incidentMs),
+    unit: 's',
+    n,
+    baseline: {
+      name: fastest.name,
+      value: fastest.result.metrics.getDrainSeconds(
+        region,
+        scenario.incidentMs,
+      ),
+    },
+  });
+}
+
+function recordAll(
+  sink: FigureSink,
+  prefix: string,
+  n: number,
+  results: ReadonlyMap<string, SimResult>,
+): void {
+  for (const [name, {metrics, exceeded, policy}] of results) {
+    const isOwn = policy instanceof ProjectPolicy;
+    const record = (metric: string, value: number, unit: string) =>
+      sink.record({name: `${prefix}.${name}.${metric}`, value, unit, n});
+    record('p99', getPercentile(metrics, 99), 'ms');
+    record('lowest-headroom', metrics.lowestHeadroom, 'fraction');
+    record('refused', metrics.refused / metrics.sent, 'fraction');
+    record('failed', metrics.failed / metrics.sent, 'fraction');
+    record('bulk-shed', metrics.shedBulk / metrics.sentBulk, 'fraction');
+    record('largest-shift', metrics.getLargestShift(), 'fraction');
+    sink.record({
+      name: `${prefix}.${name}.slots-exceeded`,
+      value: exceeded,
+      unit: 'fraction',
+      n,
+      ...(isOwn
+        ? {goal: {kind: GoalKind.AtMost, bound: 0, isRatio: false}}
+        : {}),
+    });
+    sink.record({
+      name: `${prefix}.${name}.peak-use`,
+      value: metrics.peakUse,
+      unit: 'fraction',
+      n,
+      ...(isOwn
+        ? {goal: {kind: GoalKind.AtMost, bound: 1, isRatio: false}}
+        : {}),
+    });
+    if (isOwn) record('violations', policy.violationCount, 'count');
+  }
+}
+
+function getFirstRegion({policy}: SimResult): string {
+  const [status] =
+    policy instanceof ProjectPolicy ? [...policy.routing.values()] : [];
+  return status?.getReport().region ?? '';
+}
+
+function getPercentile(metrics: SimResult['metrics'], percentile: number) {
+  return metrics.latencies.getValueAtPercentile(percentile) / 1000;
+}
--- /dev/null
+++ b/packages/testing/src/bench/policy/sim_endpoint.ts
@@ -0,0 +1,101 @@
+import type {Endpoint} from '@primrosestage/steering';
+import type {SimClock} from './sim_clock.js';
+
+/** Time in which a started endpoint becomes warm, in milliseconds. */
+const COLD_MS = 10_000;
+
+/** Factor of service times right after a start. */
+const COLD_FACTOR = 4;
+
+/** Time between two load reports, which is also their delay, in milliseconds. */
+const REPORT_MS = 1_000;
+
+interface Job {
+  serviceMs: number;
+  done: () => void;
+}
+
+/** Fakes a backend server: slots, a queue before them, and load reports that lag or lie. */
+export class SimEndpoint {
+  /** Requests that found all slots busy. */
+  exceeded = 0;
+  /** Requests that arrived. */
+  arrived = 0;
+  /** Load by the last report that has arrived. */
+  reportedLoad = 0;
+  private readonly queue: Job[] = [];
+  private readonly endsMs: number[] = [];
+  private running = 0;
+  private coldSinceMs = -Infinity;
+
+  constructor(
+    readonly info: Endpoint,
+    private readonly clock: SimClock,
+    readonly isLiar: boolean,
+  ) {
+    clock.every(REPORT_MS, () => {
+      const load = this.isLiar ? 0 : this.outstanding;
+      clock.at(clock.now() + REPORT_MS, () => (this.reportedLoad = load));
+    });
+  }
+
+  /** Requests that run or wait. */
+  get outstanding(): number {
+    return this.running + this.queue.length;
+  }
+
+  /** Requests that run. */
+  get busy(): number {
+    return this.running;
+  }
+
+  /** Takes a request and calls back when it has run. */
+  run(serviceMs: number, done: () => void): void {
+    this.arrived++;
+    const job = {serviceMs: serviceMs * this.getFactor(), done};
+    if (this.running >= this.info.slots) {
+      this.exceeded++;
+      this.queue.push(job);
+    } else {
+      this.start(job);
+    }
+  }
+
+  /** Loses the caches. */
+  restart(): void {
+    this.coldSinceMs = this.clock.now();
+  }
+
+  /** Gets the exact time until a new request would start, in milliseconds. */
+  getWaitMs(): number {
+    if (this.running < this.info.slots) return 0;
+    const nowMs = this.clock.now();
+    const ends = this.endsMs.filter(end => end > nowMs).sort((a, b) => a - b);
+    for (const {serviceMs} of this.queue) {
+      const first = ends.shift() ?? nowMs;
+      ends.push(first + serviceMs);
+      ends.sort((a, b) => a - b);
+    }
+    return Math.max(0, (ends[0] ?? nowMs) - nowMs);
+  }
+
+  /** Gets the factor of the service time at present. */
+  getFactor(): number {
+    const ageMs = this.clock.now() - this.coldSinceMs;
+    if (ageMs >= COLD_MS) return 1;
+    return COLD_FACTOR - ((COLD_FACTOR - 1) * ageMs) / COLD_MS;
+  }
+
+  private start(job: Job): void {
+    this.running++;
+    const endMs = this.clock.now() + job.serviceMs;
+    this.endsMs.push(endMs);
+    this.clock.at(endMs, () => {
+      this.running--;
+      this.endsMs.splice(this.endsMs.indexOf(endMs), 1);
+      job.done();
+      const next = this.queue.shift();
+      if (next) this.start(next);
+    });
+  }
+}
--- /dev/null
+++ b/packages/testing/src/bench/policy/sim_metrics.ts
@@ -0,0 +1,149 @@
+import {Priority} from '@primrosestage/common';
+import type {Topology} from '@primrosestage/steering';
+import {build, type Histogram} from 'hdr-histogram-js';
+import type {SimEndpoint} from './sim_endpoint.js';
+import {SimEnd, type SimRequest} from './sim_world.js';
+
+/** Time between two samples of the slots in use, in milliseconds. */
+export const SAMPLE_MS = 100;
+
+/** Samples that are averaged before the lowest headroom is taken. */
+const SAMPLES_PER_MEAN = 10;
+
+/** Length of the windows in which shifts are measured, in milliseconds. */
+const SHIFT_WINDOW_MS = 10_000;
+
+/** Part of the traffic below which a region counts as drained. */
+const DRAINED_PART = 0.01;
+
+/** Collects what a run of a policy shows. */
+export class SimMetrics {
+  /** Latencies of answered requests that are not bulk, in microseconds. */
+  readonly latencies: Histogram = build({highestTrackableValue: 600_000_000});
+  sent = 0;
+  refused = 0;
+  failed = 0;
+  sentBulk = 0;
+  shedBulk = 0;
+  /** Lowest mean free part of a region's slots over one second. */
+  lowestHeadroom = 1;
+  /** Highest ratio of requests at a region's endpoints to its slots over one second. */
+  peakUse = 0;
+  private readonly sums = new Map<string, {free: number; use: number}>();
+  private samples = 0;
+  /** Requests by source region and second, by target region. */
+  private readonly flows = new Map<string, Map<string, number>[]>();
+
+  constructor(
+    private readonly topology: Topology,
+    private readonly beginMs: number,
+  ) {}
+
+  /** Records the end of a request. */
+  recordEnd(
+    request: SimRequest,
+    end: SimEnd,
+    nowMs: number,
+    latencyMs: number,
+    region: string | undefined,
+  ): void {
+    const isBulk = request.service.priority === Priority.Bulk;
+    if (isBulk) {
+      this.sentBulk++;
+      if (end !== SimEnd.Answered) this.shedBulk++;
+    } else {
+      this.sent++;
+      if (end === SimEnd.Answered) {
+        this.latencies.recordValue(Math.max(1, latencyMs * 1000));
+      } else if (end === SimEnd.Refused) this.refused++;
+      else this.failed++;
+    }
+    if (region === undefined || isBulk) return;
+    const flow = this.flows.get(request.region) ?? [];
+    this.flows.set(request.region, flow);
+    const second = Math.floor((nowMs - this.beginMs) / 1000);
+    const counts = (flow[second] ??= new Map<string, number>());
+    counts.set(region, (counts.get(region) ?? 0) + 1);
+  }
+
+  /** Records the slots in use at present. */
+  sample(
+    endpoints: Iterable<SimEndpoint>,
+    isOut: (endpoint: SimEndpoint) => boolean,
+  ): void {
+    const now = new Map<string, {slots: number; outstanding: number}>();
+    for (const endpoint of endpoints) {
+      if (isOut(endpoint)) continue;
+      const {region, slots, service, team} = endpoint.info;
+      const priority = this.topology.getService(team, service)?.priority;
+      if (priority === Priority.Bulk) continue;
+      const sum = now.get(region) ?? {slots: 0, outstanding: 0};
+      now.set(region, {
+        slots: sum.slots + slots,
+        outstanding: sum.outstanding + endpoint.outstanding,
+      });
+    }
+    for (const [region, {slots, outstanding}] of now) {
+      const sum = this.sums.get(region) ?? {free: 0, use: 0};
+      sum.free += Math.max(0, 1 - outstanding / slots) / SAMPLES_PER_MEAN;
+      sum.use += outstanding / slots / SAMPLES_PER_MEAN;
+      this.sums.set(region, sum);
+    }
+    if (++this.samples % SAMPLES_PER_MEAN !== 0) return;
+    for (const {free, use} of this.sums.values()) {
+      this.lowestHeadroom = Math.min(this.lowestHeadroom, free);
+      this.peakUse = Math.max(this.peakUse, use);
+    }
+    this.sums.clear();
+  }
+
+  /** Gets the largest movement of a source region's answered traffic between adjacent windows. */
+  getLargestShift(): number {
+    const size = SHIFT_WINDOW_MS / 1000;
+    let largest = 0;
+    for (const flow of this.flows.values()) {
+      for (let second = size; second + size <= flow.length; second++) {
+        const before = sumFlows(flow.slice(second - size, second));
+        const after = sumFlows(flow.slice(second, second + size));
+        const distance = this.topology.regions.reduce(
+          (sum, region) =>
+            sum +
+            Math.abs((before.get(region) ?? 0) - (after.get(region) ?? 0)),
+          0,
+        );
+        largest = Math.max(largest, distance / 2);
+      }
+    }
+    return largest;
+  }
+
+  /**
+   * Gets the time from an incident until a region's own traffic has left it.
+   * @param region - The region.
+   * @param incidentMs - Time of the incident after the begin of the measurement.
+   * @returns The time in seconds; Infinity where traffic remained.
+   */
+  getDrainSeconds(region: string, incidentMs: number): number {
+    const flow = this.flows.get(region) ?? [];
+    const isDrained = (counts: Map<string, number> | undefined) =>
+      (sumFlows([counts]).get(region) ?? 0) < DRAINED_PART;
+    let second = flow.length;
+    while (second > 0 && isDrained(flow[second - 1])) second--;
+    return second === flow.length ? Infinity : second - incidentMs / 1000;
+  }
+}
+
+/** Sums counts and scales them to parts of the whole. */
+function sumFlows(
+  flows: readonly (Map<string, number> | undefined)[],
+): Map<string, number> {
+  const sum = new Map<string, number>();
+  let total = 0;
+  for (const counts of flows) {
+    for (const [region, count] of counts ?? []) {
+      sum.set(region, (sum.get(region) ?? 0) + count);
+      total += count;
+    }
+  }
+  return new Map([...sum].map(([region, count]) => [region, count / total]));
+}
--- /dev/null
+++ b/packages/testing/src/bench/policy/sim_world.ts
@@ -0,0 +1,88 @@
+import type {Drain, Preset} from '@primrosestage/control';
+import type {
+  Endpoint,
+  InstanceInfo,
+  Service,
+  Topology,
+} from '@primrosestage/steering';
+import type {Random} from '../create_random.js';
+import type {SimClock} from './sim_clock.js';
+import {SimEndpoint} from './sim_endpoint.js';
+
+/** Time that an instance takes to pass a request on, in milliseconds. */
+export const INSTANCE_MS = 0.2;
+
+/** One-way time within a zone, in milliseconds. */
+const ZONE_MS = 0.1;
+
+/** Names how a request of the simulation ended. */
+export enum SimEnd {
+  Answered = 'answered',
+  /** It was refused without running. */
+  Refused = 'refused',
+  /** It was sent to an endpoint that did not answer. */
+  Failed = 'failed',
+}
+
+/** Describes a request; its service time is the same for all policies. */
+export interface SimRequest {
+  service: Service;
+  /** Instance at which it enters the system. */
+  ingress: InstanceInfo;
+  /** Region of the caller. */
+  region: string;
+  serviceMs: number;
+  /** Reports the end and, where it ran, the region that it ran in. */
+  finish(end: SimEnd, region?: string): void;
+}
+
+/** Sends requests to endpoints. */
+export interface SimPolicy {
+  readonly name: string;
+  send(request: SimRequest): void;
+}
+
+/** Holds the parts of a simulated system that all policies share. */
+export interface SimWorld {
+  clock: SimClock;
+  topology: Topology;
+  endpoints: ReadonlyMap<string, SimEndpoint>;
+  /** Source of the policies' own random numbers. */
+  random: Random;
+  preset: Preset;
+  /** Drains in force; a change replaces the list. */
+  getDrains(): readonly Drain[];
+  /** Says whether a zone has lost power. */
+  isDown(zone: string): boolean;
+  /** Says whether the loss of a zone is known to the health checks and the membership. */
+  isKnownDown(zone: string): boolean;
+}
+
+/** Gets the fake endpoints of a service. */
+export function getSimEndpoints(
+  {topology, endpoints}: SimWorld,
+  {team, name}: Service,
+): SimEndpoint[] {
+  return topology
+    .getEndpoints(team, name)
+    .map(({id}) => endpoints.get(id))
+    .filter(endpoint => endpoint instanceof SimEndpoint);
+}
+
+/**
+ * Gets the one-way time between two parts.
+ * @param topology - The topology.
+ * @param zoneMs - One-way time between zones of a region, in milliseconds.
+ * @param from - A part.
+ * @param to - A part.
+ */
+export function getDelayMs(
+  topology: Topology,
+  zoneMs: number,
+  from: Pick<Endpoint, 'zone' | 'region'>,
+  to: Pick<Endpoint, 'zone' | 'region'>,
+): number {
+  if (from.zone === to.zone) return ZONE_MS;
+  if (from.region === to.region) return zoneMs;
+  return topology.getLink(from.region, to.region)?.oneWayLatencyMs ?? 0;
+}
--- a/packages/testing/src/bench/process/child_main.ts
+++ b/packages/testing/src/bench/process/child_main.ts
@@ -2,7 +2,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {loadSettings} from '@primrosestage/control';
 import {serve} from '@primrosestage/instance';
-import {startBackendServer} from '../../standins/backend_server.js';
 import {startBareRelay} from './bare_relay.js';
 import {ChildRole, type ChildTask, type ChildUsage} from './child_roles.js';
 
@@ -16,14 +15,6 @@
   case ChildRole.BareRelay:
     await startBareRelay(host, Number(port), task.target ?? '');
     break;
-  case ChildRole.Backend:
-    await startBackendServer({
-      host,
-      port: Number(port),
-      endpointId: task.endpointId ?? '',
-      serviceMs: 0,
-    });
-    break;
   case ChildRole.Instance:
     await serve(loadSettings(task.settings ?? ''));
     break;
--- a/packages/testing/src/bench/process/child_roles.ts
+++ b/packages/testing/src/bench/process/child_roles.ts
@@ -1,11 +1,9 @@
 /** Names what a child process of the benchmark runs. */
 export enum ChildRole {
-  /** Answers every request with a fixed answer. */
+  /** Answers every request with a fixed answer, as a backend server stand-in too. */
   FixedServer = 'fixed-server',
   /** Passes every request on to one address. */
   BareRelay = 'bare-relay',
-  /** Runs the stand-in of a backend server. */
-  Backend = 'backend',
   /** Runs an entry instance from its settings. */
   Instance = 'instance',
 }
@@ -21,8 +19,6 @@
   body?: string;
   /** Path of an instance's settings. */
   settings?: string;
-  /** Id of the backend server. */
-  endpointId?: string;
 }
 
 /** Reports what a child process used so far. */
