Average headroom, report queues and measure a hop

Shares moved between equally loaded regions on single measurements; near owners were preferred until nothing was free; an owner with a queue looked like one without. Change: shares use the mean of the free slots and move beyond the baseline only for a difference of 0.15; a near owner is preferred while a quarter of its slots is free; primrose-free is less the waiting requests, also in service_queue.ts and relay_task.ts; the part hop of the benchmark.

--- a/packages/instance/src/owner/service_queue.ts
+++ b/packages/instance/src/owner/service_queue.ts
@@ -40,10 +40,11 @@
     );
   }
 
-  /** Free slots of the service at this owner. */
+  /** Free slots of the service at this owner, less the requests that wait; below 0 it tells the length of the queue. */
   get freeSlots(): number {
     const {timers, getRules} = this.options;
-    return getServiceFreeSlots(this.state, timers.now(), getRules());
+    const free = getServiceFreeSlots(this.state, timers.now(), getRules());
+    return free - this.state.waiting.length;
   }
 
   /** Requests that wait for a slot. */
--- a/packages/instance/src/relay/relay_task.ts
+++ b/packages/instance/src/relay/relay_task.ts
@@ -161,7 +161,7 @@
 
 function getFreeSlots(res: IncomingMessage): number | undefined {
   const text = getHeader(res.headers, HeaderName.FreeSlots);
-  return text !== undefined && /^\d{1,9}$/.test(text)
+  return text !== undefined && /^-?\d{1,9}$/.test(text)
     ? Number(text)
     : undefined;
 }
--- a/packages/instance/src/routing/share_book.ts
+++ b/packages/instance/src/routing/share_book.ts
@@ -21,6 +21,12 @@
 /** Window over which the demand of a service is averaged, in milliseconds. */
 const DEMAND_WINDOW_MS = 3_000;
 
+/**
+ * Weight of a new measurement in the mean of free slots; with an update each 500 ms it covers
+ * about 3 s. Single measurements vary by several slots even where the load is constant.
+ */
+const MEAN_WEIGHT = 0.15;
+
 /** Holds the shares and the demand of one service and source region. */
 export interface ShareEntry {
   service: Service;
@@ -28,6 +34,8 @@
   state: ShareState;
   /** Sum of the latencies of the requests that ended in the window, in milliseconds. */
   busyMs: SlidingCount;
+  /** Mean free part of the slots by region. */
+  meanFree: (number | undefined)[];
 }
 
 /** Configures the book. */
@@ -78,6 +86,7 @@
         sourceRegion,
         state: new ShareState(start, this.getPreset(service), nowMs),
         busyMs: new SlidingCount(DEMAND_WINDOW_MS),
+        meanFree: [],
       };
       this.entries.set(key, entry);
     }
@@ -102,10 +111,11 @@
   update(nowMs: number): Set<string> {
     const {topology, getMemberCount, measure} = this.options;
     const unmeasured = new Set<string>();
-    for (const {service, sourceRegion, state, busyMs} of this.getEntries()) {
+    for (const entry of this.getEntries()) {
+      const {service, sourceRegion, state, busyMs} = entry;
       const preset = this.getPreset(service);
-      const measurements = topology.regions.map(region =>
-        measure(service, region, nowMs),
+      const measurements = topology.regions.map((region, i) =>
+        average(entry, i, measure(service, region, nowMs)),
       );
       state.update(
         {
@@ -138,3 +148,21 @@
     );
   }
 }
+
+/** Replaces the free slots of a fresh measurement by their mean over the last seconds. */
+function average(
+  {meanFree}: ShareEntry,
+  region: number,
+  measurement: RegionMeasurement,
+): RegionMeasurement {
+  const {slots, freeSlots, ageMs} = measurement;
+  if (slots === 0 || ageMs > FRESH_FOR_MS) {
+    meanFree[region] = undefined;
+    return measurement;
+  }
+  const free = freeSlots / slots;
+  const before = meanFree[region] ?? free;
+  const mean = before + MEAN_WEIGHT * (free - before);
+  meanFree[region] = mean;
+  return {...measurement, freeSlots: mean * slots};
+}
--- a/packages/steering/src/choice/choose_owner.ts
+++ b/packages/steering/src/choice/choose_owner.ts
@@ -1,5 +1,11 @@
 import type {OwnerLoads} from './owner_loads.js';
 
+/**
+ * Free part of a near owner's slots for which it is preferred. Below it the estimate of its free
+ * slots is too uncertain, and a wait in its queue costs more than the way to another zone.
+ */
+const NEAR_FREE_PART = 0.25;
+
 /** Orders owners by the way that a request takes to them. */
 export enum Locality {
   Self = 0,
@@ -29,8 +35,8 @@
 }
 
 /**
- * Chooses the owner of a request: the nearest one with a free slot, at equal distance the one with
- * the most; where none is free, the one with the shortest queue for its slots.
+ * Chooses the owner of a request: the nearest one with many free slots, at equal distance the one
+ * with the most for its size; where none is free, the one with the shortest queue for its size.
  * @param candidates - Owners that may be used.
  * @param options - Loads, instances tried and time.
  * @returns The owner, or undefined where all were tried or have no slots.
@@ -62,6 +68,7 @@
 
 function getScore({slots, locality}: OwnerCandidate, free: number): number {
   if (free < 1) return (free - 1) / slots;
-  const preference = Locality.Region - locality;
+  const isWide = free / slots >= NEAR_FREE_PART;
+  const preference = isWide ? Locality.Region - locality : 0;
   return 1 + 2 * preference + free / slots;
 }
--- a/packages/steering/src/shares/compute_target.ts
+++ b/packages/steering/src/shares/compute_target.ts
@@ -7,6 +7,13 @@
  */
 const SPARE_GAIN = 0.5;
 
+/**
+ * Least difference of free parts for which traffic moves to a region beyond its baseline. Between
+ * regions that are equally loaded, chance alone makes smaller differences, and every move costs
+ * the latency of the link.
+ */
+const LEAST_GAIN = 0.15;
+
 /** Lists what a target depends on. */
 export interface ComputeTargetOptions {
   /** The vector in force. */
@@ -34,7 +41,7 @@
   const wanted = getUsableBaseline(options);
   if (!wanted) return current;
   const limits = measurements.map((measurement, i) =>
-    getWeightLimit(measurement, current[i] ?? 0, options),
+    getWeightLimit(measurement, i, options),
   );
   const target = wanted.map((weight, i) => Math.min(weight, limits[i] ?? 0));
   const excess = 1 - target.reduce((sum, weight) => sum + weight, 0);
@@ -67,17 +74,36 @@
 
 function getWeightLimit(
   measurement: RegionMeasurement,
-  weight: number,
+  region: number,
   options: ComputeTargetOptions,
 ): number {
-  const {headroom, demandSlots, freshForMs} = options;
+  const {current, baseline, headroom, demandSlots, freshForMs} = options;
   const {slots, freeSlots, ageMs, isDrained, isFailed} = measurement;
-  if (isDrained || isFailed) return 0;
+  const weight = current[region] ?? 0;
+  if (isDrained || isFailed || slots === 0) return 0;
   if (ageMs > freshForMs) return 1;
   const spare = freeSlots - headroom * slots;
-  if (spare >= 0) {
-    return demandSlots > 0 ? weight + (SPARE_GAIN * spare) / demandSlots : 1;
+  if (spare < 0) {
+    const used = Math.max(slots - freeSlots, 1e-9);
+    return weight * Math.max(0, 1 + spare / used);
   }
-  const used = Math.max(slots - freeSlots, 1e-9);
-  return weight * Math.max(0, 1 + spare / used);
+  if (demandSlots <= 0) return 1;
+  const gain = freeSlots / slots - getLowestFree(options) - LEAST_GAIN;
+  const beyond = Math.max(0, Math.min(spare, gain * slots));
+  const toLimit = (room: number) => weight + (SPARE_GAIN * room) / demandSlots;
+  return Math.max(
+    Math.min(baseline[region] ?? 0, toLimit(spare)),
+    toLimit(beyond),
+  );
+}
+
+/** Gets the lowest free part of the regions that take traffic and still can. */
+function getLowestFree(options: ComputeTargetOptions): number {
+  return options.measurements.reduce((lowest, measurement, i) => {
+    const {slots, freeSlots, ageMs, isDrained, isFailed} = measurement;
+    const takesTraffic = (options.current[i] ?? 0) > 0;
+    if (!takesTraffic || ageMs > options.freshForMs) return lowest;
+    if (isDrained || isFailed || slots === 0) return -LEAST_GAIN;
+    return Math.min(lowest, freeSlots / slots);
+  }, 1);
 }
--- a/packages/testing/src/bench/main.ts
+++ b/packages/testing/src/bench/main.ts
@@ -1,6 +1,7 @@
 import {getErrorMessage} from '@primrosestage/common';
 import {cac} from 'cac';
 import type {Figure, FigureSink} from './figure.js';
+import {runHopBench} from './hop/index.js';
 import {runLookupBench} from './lookup/index.js';
 import {runPolicyBench} from './policy/index.js';
 import {formatTable} from './report/format_table.js';
@@ -15,6 +16,7 @@
 const PARTS: Record<string, BenchPart> = {
   lookup: runLookupBench,
   policy: runPolicyBench,
+  hop: runHopBench,
 };
 
 async function main(argv: string[]): Promise<void> {
--- a/packages/testing/src/bench/policy/sim_owner.ts
+++ b/packages/testing/src/bench/policy/sim_owner.ts
@@ -71,7 +71,8 @@
   /** The free slots that it reports. */
   get freeSlots(): number {
     const {clock} = this.options.world;
-    return getServiceFreeSlots(this.state, clock.now(), this.rules);
+    const free = getServiceFreeSlots(this.state, clock.now(), this.rules);
+    return free - this.state.waiting.length;
   }
 
   /** Admits a request, lets it wait, or refuses it. */
