Measure control cost per instance and two published assignment rules

Ruled out: using either rule in the program; moved ownership halves limits for seconds, and exact service times are not known. Change: the parts assignment and control of the benchmark; control has one file per source of cost.

--- /dev/null
+++ b/packages/testing/src/bench/assignment/assign_heaviest_first.ts
@@ -0,0 +1,28 @@
+/** Describes a part to be assigned. */
+export interface WeightedItem {
+  id: string;
+  weight: number;
+}
+
+/**
+ * Assigns parts to bins, the heaviest first, each to the least filled bin.
+ * @param items - The parts.
+ * @param bins - Names of the bins.
+ * @returns The bin of each part.
+ */
+export function assignHeaviestFirst(
+  items: readonly WeightedItem[],
+  bins: readonly string[],
+): Map<string, string> {
+  const filled = new Map(bins.map(bin => [bin, 0]));
+  const sorted = [...items].sort((a, b) => b.weight - a.weight);
+  return new Map(
+    sorted.map(({id, weight}) => {
+      const [bin, sum] = [...filled].reduce((least, entry) =>
+        entry[1] < least[1] ? entry : least,
+      );
+      filled.set(bin, sum + weight);
+      return [id, bin];
+    }),
+  );
+}
--- a/packages/testing/src/bench/main.ts
+++ b/packages/testing/src/bench/main.ts
@@ -1,6 +1,8 @@
 import {getErrorMessage} from '@primrosestage/common';
 import {cac} from 'cac';
 import type {Figure, FigureSink} from './figure.js';
+import {runAssignmentBench} from './assignment/index.js';
+import {runControlBench} from './control/index.js';
 import {runHopBench} from './hop/index.js';
 import {runLookupBench} from './lookup/index.js';
 import {runPolicyBench} from './policy/index.js';
@@ -16,7 +18,9 @@
 const PARTS: Record<string, BenchPart> = {
   lookup: runLookupBench,
   policy: runPolicyBench,
+  assignment: runAssignmentBench,
   hop: runHopBench,
+  control: runControlBench,
 };
 
 async function main(argv: string[]): Promise<void> {
--- a/packages/testing/src/bench/process/child_main.ts
+++ b/packages/testing/src/bench/process/child_main.ts
@@ -21,9 +21,10 @@
 }
 
 process.on('message', async () => {
+  // The processor time is read first, so that the collection does not count.
+  const {user, system} = process.cpuUsage();
   globalThis.gc?.();
   await sleep(20);
-  const {user, system} = process.cpuUsage();
   const {rss, heapUsed, external} = process.memoryUsage();
   const usage: ChildUsage = {
     cpuMs: (user + system) / 1000,
