--- a/packages/instance/src/owner/owner_task.ts
+++ b/packages/instance/src/owner/owner_task.ts
@@ -20,10 +20,11 @@
   RefusalReason,
   RequestOrigin,
   type Topology,
+  getServiceKey,
 } from '@primrosestage/steering';
 import type {AttemptResult, Refusal} from '../exchange/index.js';
 import type {RequestBody} from '../http/index.js';
-import {getServiceKey, type RequestContext} from '../request_context.js';
+import type {RequestContext} from '../request_context.js';
 import type {RetryGate} from '../relay/index.js';
 import {
   type RequestMetrics,
@@ -151,6 +152,14 @@
     return this.getQueue(service).getInFlight(endpoint.id);
   }
 
+  /** Gets the requests that this instance has in flight, by endpoint id where there are any. */
+  getAllInFlight(): Array<readonly [string, number]> {
+    return this.options.topology.endpoints
+      .filter(({region}) => region === this.options.self.region)
+      .map(endpoint => [endpoint.id, this.getInFlight(endpoint)] as const)
+      .filter(([, inFlight]) => inFlight > 0);
+  }
+
   /**
    * Gets the last load report of an owned endpoint.
    * @param endpointId - Id of the endpoint.
@@ -235,7 +244,8 @@
     return {
       answer: {
         ...answer,
-        freeSlots: queue.freeSlots,
+        // The slot of the answered request is free by the time the report is used.
+        freeSlots: queue.freeSlots + (queue.waitingCount === 0 ? 1 : 0),
         chunks: endAfter(answer.chunks, end),
         cancel: () => {
           answer.cancel();
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -1,4 +1,4 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {randomInt} from 'node:crypto';
 import {
   type ConnectFunction,
   connectTcp,
@@ -7,36 +7,53 @@
   createTracing,
   InvariantMonitor,
   RealTimerService,
+  type TimerService,
 } from '@primrosestage/common';
 import {
   buildTopology,
-  type ConfigurationView,
+  HttpStore,
   type LoadedSettings,
+  type Store,
 } from '@primrosestage/control';
 import {
   BlockTable,
   createHash64,
-  type EndpointOwnership,
+  getServiceKey,
   Liveness,
 } from '@primrosestage/steering';
-import {Registry} from 'prom-client';
-import {SettingsConfiguration, StaticOwnership} from './defaults/index.js';
-import {listen, sendJson} from './http/index.js';
+import {collectDefaultMetrics, Registry} from 'prom-client';
+import {ADMIN_PATH, AdminTask, fetchInstanceStatus} from './admin/index.js';
+import {
+  ConfigurationTask,
+  createRpcPeers,
+  registerConfigurationMetrics,
+} from './configuration/index.js';
+import {DisposalStack} from './disposal/index.js';
+import {type HeartbeatPayload, PeerBook} from './heartbeat/index.js';
+import {createAdminHandler, createPublicHandler, listen} from './http/index.js';
 import {LookupTask} from './lookup/index.js';
-import {createRequestPath} from './request_path/index.js';
+import {MembershipTask} from './membership/index.js';
+import {createGuardedOwnership} from './owner/index.js';
+import {createLinkPacer} from './relay/index.js';
+import {createRequestPath, type RequestPath} from './request_path/index.js';
 import {
-  createLinkPacer,
   createRoutingRouter,
   fetchRoutingReport,
   registerRoutingMetrics,
   RoutingTask,
 } from './routing/index.js';
 import {createRpcHandler, router, RPC_PATH} from './rpc/index.js';
+import {runShutdown} from './shutdown/index.js';
+
+/** Lookup TTL while no document of the team is known, in seconds. */
+const DEFAULT_LOOKUP_TTL_SECONDS = 10;
 
 /** Replaces parts of an instance, for failure tests. */
 export interface ServeOptions {
   /** Opens all outgoing connections. */
   connect?: ConnectFunction;
+  /** Creates the store; the platform's one where absent. */
+  createStore?: (timers: TimerService) => Store;
 }
 
 /**
@@ -49,31 +66,95 @@
   settings: LoadedSettings,
   options: ServeOptions = {},
 ): Promise<AsyncDisposable> {
-  const stack = new AsyncDisposableStackShim();
+  const stack = new DisposalStack();
   const {system, instance} = settings;
+  const {timing} = system;
   const topology = buildTopology(system);
   const self = topology.getInstanceOrThrow(instance.id);
   const connect = options.connect ?? connectTcp;
   const timers = new RealTimerService();
+  const incarnation = Math.floor(timers.wallNow());
   const logger = createLogger({
     level: instance.log.level,
     fields: {instance: self.id},
   });
   const registry = new Registry();
+  collectDefaultMetrics({register: registry});
   const monitor = new InvariantMonitor(logger, registry);
   const hash = await createHash64();
   const tracing = stack.use(
     createTracing({...instance.traces, instance: self.id}),
   );
-  const incarnation = Math.floor(timers.wallNow());
-  const ownership: EndpointOwnership = new StaticOwnership(
-    topology,
+  const controlAgent = createAgent({connect});
+  stack.defer(() => controlAgent.destroy());
+  const store =
+    options.createStore?.(timers) ??
+    stack.use(new HttpStore({...system.store, connect, timers}));
+
+  let isLeaving = false;
+  const getPayload = (): HeartbeatPayload => ({
+    keyPrefix: requestPath.homes.getKeyPrefix(),
+    digest: configuration.getDigest(),
+    freeSlots: Object.fromEntries(
+      topology.services.map(service => [
+        getServiceKey(service),
+        requestPath.owner.getFreeSlots(service),
+      ]),
+    ),
+  });
+  const membership: MembershipTask = stack.use(
+    new MembershipTask({
+      topology,
+      self,
+      incarnation,
+      hash,
+      timing,
+      timers,
+      logger,
+      connect,
+      readPlatformList: () => store.listInstances(),
+      getPayload,
+      receivePayload: (peerId, payload) => peers.receive(peerId, payload),
+      getInFlight: () => requestPath.owner.getAllInFlight(),
+    }),
+  );
+  const peers: PeerBook = new PeerBook({
+    selfId: self.id,
+    timers,
+    getMembers: () => membership.members,
+    handleDigest: (peerId, digest) =>
+      configuration.handleDigest(peerId, digest),
+  });
+  const getLiveInstances = () => [
     self,
-    hash,
+    ...membership.members
+      .map(({info}) => info)
+      .filter(({id}) => peers.getLiveness(id) === Liveness.Live),
+  ];
+  const configuration: ConfigurationTask = stack.use(
+    new ConfigurationTask({
+      self,
+      topology,
+      teams: system.teams,
+      store,
+      peers: createRpcPeers({topology, agent: controlAgent}),
+      timers,
+      hash,
+      monitor,
+      logger,
+      getLiveInstances,
+      drawInt: bound => randomInt(bound),
+    }),
   );
-  const configuration: ConfigurationView = new SettingsConfiguration(system);
-  const controlAgent = createAgent({connect});
-  stack.use({[Symbol.asyncDispose]: async () => controlAgent.destroy()});
+  registerConfigurationMetrics(configuration, system.teams, registry);
+  const ownership = createGuardedOwnership({
+    ownership: membership,
+    topology,
+    timers,
+    mayEarlierRequestsRun: id => membership.mayEarlierRequestsRun(id),
+    getLoadReport: id => requestPath.owner.getLoadReport(id),
+    getInFlight: endpoint => requestPath.owner.getInFlight(endpoint),
+  });
   const routing = stack.use(
     new RoutingTask({
       topology,
@@ -83,20 +164,19 @@
       timers,
       monitor,
       random: Math.random,
-      getLiveness: () => Liveness.Live,
-      getReportedFree: () => undefined,
+      getLiveness: id => peers.getLiveness(id),
+      getReportedFree: (id, service) => peers.getReportedFree(id, service),
       getMemberCount: region => topology.getInstancesOfRegion(region).length,
       fetchReport: peer => fetchRoutingReport(peer, controlAgent),
     }),
   );
   registerRoutingMetrics(routing, registry);
-  await routing.loadPeerShares();
-  const requestPath = stack.use(
+  const requestPath: RequestPath = stack.use(
     createRequestPath({
       topology,
       self,
       incarnation,
-      timing: system.timing,
+      timing,
       ownership,
       selector: routing,
       configuration,
@@ -107,10 +187,11 @@
       monitor,
       tracer: tracing.tracer,
       connect,
-      pace: createLinkPacer({links: routing.links, self, timers}),
+      getLiveInstances,
+      pace: createLinkPacer(routing.links, self.region, timers),
     }),
   );
-  const {ingress, homes} = requestPath;
+  const {ingress, homes, tracker} = requestPath;
   const lookup = new LookupTask({
     topology,
     self,
@@ -118,36 +199,45 @@
     blocks: BlockTable.build(system.blocks),
     trustedPeers: system.trustedPeers,
     getTtlSeconds: team =>
-      configuration.getPreset(team)?.lookupTtlSeconds ?? 10,
-    getLiveness: () => Liveness.Live,
+      configuration.getPreset(team)?.lookupTtlSeconds ??
+      DEFAULT_LOOKUP_TTL_SECONDS,
+    getLiveness: id => {
+      if (id !== self.id) return peers.getLiveness(id);
+      return isLeaving ? Liveness.Leaving : Liveness.Live;
+    },
     isDrained: peer => routing.isInstanceDrained(peer),
-    getIncarnation: () => incarnation,
-    getKeyPrefix: id => `${id}.${incarnation}.0`,
+    getIncarnation: id =>
+      id === self.id ? incarnation : peers.getIncarnation(id),
+    getKeyPrefix: id =>
+      id === self.id ? homes.getKeyPrefix() : peers.getKeyPrefix(id),
+  });
+  const isReady = () => configuration.isReady() && !isLeaving;
+  const admin = new AdminTask({
+    self,
+    topology,
+    teams: system.teams,
+    configuration,
+    timers,
+    logger,
+    isReady,
+    getShares: name =>
+      routing.getStatus().shares.filter(({team}) => team === name),
+    getHeadroom: name =>
+      routing.getStatus().headroom.filter(({team}) => team === name),
+    fetchStatus: (peer, team) => fetchInstanceStatus(peer, team, controlAgent),
   });
   const handleRpc = createRpcHandler(
     router({
+      membership: membership.createRouter(),
+      configuration: configuration.createRouter(),
       routing: createRoutingRouter(routing),
       keys: homes.createRouter(),
+      admin: admin.createRouter(),
     }),
   );
-  const handlePublic = (req: IncomingMessage, res: ServerResponse) => {
-    const url = req.url ?? '/';
-    if (url.startsWith('/v1/lookup')) lookup.handle(req, res);
-    else if (url.startsWith('/v1/requests/')) {
-      void ingress.handle(req, res, false);
-    } else if (url === '/healthz') sendJson(res, 200, {healthy: true});
-    else if (url === '/readyz') sendJson(res, 200, {ready: true});
-    else sendJson(res, 404, {message: `no resource ${url}`});
-  };
-  const handleAdmin = async (req: IncomingMessage, res: ServerResponse) => {
-    if (req.url !== '/metrics') {
-      sendJson(res, 404, {message: `no resource ${req.url}`});
-      return;
-    }
-    const text = await registry.metrics();
-    res.writeHead(200, {'content-type': registry.contentType}).end(text);
-  };
-  stack.use(await listen({address: self.publicAddress, handle: handlePublic}));
+
+  await configuration.start();
+  await routing.loadPeerShares();
   stack.use(
     await listen({
       address: self.internalAddress,
@@ -157,32 +247,51 @@
       },
     }),
   );
+  membership.start();
+  stack.use(
+    await listen({
+      address: self.publicAddress,
+      handle: createPublicHandler({
+        handleLookup: (req, res) => lookup.handle(req, res),
+        handleRequest: (req, res) => void ingress.handle(req, res, false),
+        isReady,
+      }),
+    }),
+  );
   stack.use(
     await listen({
       address: self.adminAddress,
-      handle: (req, res) => void handleAdmin(req, res),
+      handle: createAdminHandler({
+        registry,
+        adminPath: ADMIN_PATH,
+        handleAdmin: (req, res) => void admin.handle(req, res),
+      }),
     }),
   );
   logger.info('instance started', {
     zone: self.zone,
     publicAddress: self.publicAddress,
-    violations: monitor.violationCount,
+    incarnation,
   });
-  return stack;
-}
-
-/** Disposes resources in reverse order of their creation; Node.js 20 has no AsyncDisposableStack. */
-class AsyncDisposableStackShim implements AsyncDisposable {
-  private readonly resources: AsyncDisposable[] = [];
-
-  use<T extends AsyncDisposable>(resource: T): T {
-    this.resources.push(resource);
-    return resource;
-  }
-
-  async [Symbol.asyncDispose](): Promise<void> {
-    for (const resource of this.resources.reverse()) {
-      await resource[Symbol.asyncDispose]();
-    }
-  }
+  return {
+    [Symbol.asyncDispose]: () =>
+      runShutdown({
+        steps: {
+          markNotReady: () => (isLeaving = true),
+          leaveLookups: () => tracker.startLeaving(),
+          announceLeaving: () => membership.announceLeaving(),
+          releaseOwnership: () => membership.release(),
+          handOverKeys: () => homes.handOver(),
+          finishRequests: () => tracker.waitUntilIdle(),
+          closeConnections: () => stack[Symbol.asyncDispose](),
+        },
+        selfId: self.id,
+        timers,
+        logger,
+        monitor,
+        drainNoticeMs: timing.drainNoticeMs,
+        shutdownTimeoutMs: timing.shutdownTimeoutMs,
+        getOpenRequests: () => tracker.activeCount,
+      }),
+  };
 }
