--- a/packages/testing/src/bench/main.ts
+++ b/packages/testing/src/bench/main.ts
@@ -1,7 +1,11 @@
 import {getErrorMessage} from '@primrosestage/common';
 import {cac} from 'cac';
 import type {Figure, FigureSink} from './figure.js';
+import {runAssignmentBench} from './assignment/index.js';
+import {runControlBench} from './control/index.js';
+import {runHopBench} from './hop/index.js';
 import {runLookupBench} from './lookup/index.js';
+import {runPolicyBench} from './policy/index.js';
 import {formatTable} from './report/format_table.js';
 import {writeReport} from './report/write_report.js';
 
@@ -13,6 +17,10 @@
 
 const PARTS: Record<string, BenchPart> = {
   lookup: runLookupBench,
+  policy: runPolicyBench,
+  assignment: runAssignmentBench,
+  hop: runHopBench,
+  control: runControlBench,
 };
 
 async function main(argv: string[]): Promise<void> {
--- a/packages/testing/src/bench/process/child_main.ts
+++ b/packages/testing/src/bench/process/child_main.ts
@@ -2,7 +2,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {loadSettings} from '@primrosestage/control';
 import {serve} from '@primrosestage/instance';
-import {startBackendServer} from './start_backend_server.js';
 import {startBareRelay} from './bare_relay.js';
 import {ChildRole, type ChildTask, type ChildUsage} from './child_roles.js';
 
@@ -16,23 +15,16 @@
   case ChildRole.BareRelay:
     await startBareRelay(host, Number(port), task.target ?? '');
     break;
-  case ChildRole.Backend:
-    await startBackendServer({
-      host,
-      port: Number(port),
-      endpointId: task.endpointId ?? '',
-      serviceMs: 0,
-    });
-    break;
   case ChildRole.Instance:
     await serve(loadSettings(task.settings ?? ''));
     break;
 }
 
 process.on('message', async () => {
+  // The processor time is read first, so that the collection does not count.
+  const {user, system} = process.cpuUsage();
   globalThis.gc?.();
   await sleep(20);
-  const {user, system} = process.cpuUsage();
   const {rss, heapUsed, external} = process.memoryUsage();
   const usage: ChildUsage = {
     cpuMs: (user + system) / 1000,
