--- a/packages/testing/src/faults/run_instance_process.ts
+++ b/packages/testing/src/faults/run_instance_process.ts
@@ -9,7 +9,7 @@
  * @param settingsFile - TOML settings of the instance.
  */
 export async function runInstanceProcess(settingsFile: string): Promise<void> {
-  let shutdown: Promise<unknown> | undefined;
+  let isStopping = false;
   const connector = new FaultConnector();
   // The cuts must be known before the first connection is opened.
   await new Promise<void>(resolve =>
@@ -26,6 +26,8 @@
   });
   // Later signals must not shorten the shutdown, as with the published binary.
   process.on('SIGTERM', () => {
-    shutdown ??= instance[Symbol.asyncDispose]().then(() => process.exit(0));
+    if (isStopping) return;
+    isStopping = true;
+    void instance[Symbol.asyncDispose]().then(() => process.exit(0));
   });
 }
