--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -4,6 +4,7 @@
 export * from './idempotency/index.js';
 export * from './links/index.js';
 export * from './lookup/index.js';
+export * from './membership/index.js';
 export * from './ownership/index.js';
 export * from './retry/index.js';
 export * from './shares/index.js';
