Run the bench's backend server on the stand-in

Cause: packages/testing/src/standins was replaced by src/backend. Ruled out: keeping two backend stand-ins. Change: the bench starts BackendServer with a service time of 0. Before: tsc: cannot find module standins/backend_server.js. After: resolved.

--- a/packages/testing/src/bench/process/child_main.ts
+++ b/packages/testing/src/bench/process/child_main.ts
@@ -2,7 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {loadSettings} from '@primrosestage/control';
 import {serve} from '@primrosestage/instance';
-import {startBackendServer} from '../../standins/backend_server.js';
+import {BackendServer} from '../../backend/index.js';
+import {SeededRandom} from '../../random/index.js';
 import {startBareRelay} from './bare_relay.js';
 import {ChildRole, type ChildTask, type ChildUsage} from './child_roles.js';
 
@@ -17,12 +18,14 @@
     await startBareRelay(host, Number(port), task.target ?? '');
     break;
   case ChildRole.Backend:
-    await startBackendServer({
+    await new BackendServer({
       host,
       port: Number(port),
       endpointId: task.endpointId ?? '',
       serviceMs: 0,
-    });
+      random: new SeededRandom(1),
+      onRun: () => {},
+    }).start();
     break;
   case ChildRole.Instance:
     await serve(loadSettings(task.settings ?? ''));
--- a/packages/testing/test/checkers.test.ts
+++ b/packages/testing/test/checkers.test.ts
@@ -129,8 +129,8 @@
 
 describe('backend server and caller', () => {
   it('reports runs over the slots', async () => {
-    const {server, runs, url} = await startBackend(18_081);
-    await using _ = server;
+    await using backend = await startBackend(18_081);
+    const {runs, url} = backend;
     const ids = ['a~1', 'b~1', 'c~1'];
     const results = await Promise.all(
       ids.map(id => sendAttempt(createAttempt(url, id))),
@@ -142,8 +142,8 @@
   });
 
   it('reports a truncated body and one that ends cleanly too early', async () => {
-    const {server, url} = await startBackend(18_082);
-    await using _ = server;
+    await using backend = await startBackend(18_082);
+    const {server, url} = backend;
     const attempt = {...createAttempt(url, 'a~1'), sizeBytes: 300_000};
     expect((await sendAttempt(attempt)).result).toBe(AttemptResult.Answered);
     server.setFaults({truncate: 1});
@@ -169,8 +169,8 @@
   });
 
   it('measures work after the first sign of leaving and counts a run whose answer is lost', async () => {
-    const {server, runs, url} = await startBackend(18_083);
-    await using _ = server;
+    await using backend = await startBackend(18_083);
+    const {server, runs, url} = backend;
     server.setDraining(true);
     await sendAttempt(createAttempt(url, 'a~1'));
     await sleep(50);
