--- a/packages/testing/src/callers/lookup_cache.ts
+++ b/packages/testing/src/callers/lookup_cache.ts
@@ -1,4 +1,4 @@
-import http from 'node:http';
+import {fetchText} from '../http/index.js';
 import type {SeededRandom} from '../random/index.js';
 
 /** Probability that an expired lookup answer is used once more. */
@@ -56,30 +56,16 @@
     return cached?.instances ?? [];
   }
 
-  private ask(
+  private async ask(
     address: string,
     service: string,
   ): Promise<LookupAnswer | undefined> {
     const {team, localAddress} = this.options;
-    return new Promise(resolve => {
-      const req = http.get(
-        `http://${address}/v1/lookup?team=${team}&service=${service}`,
-        {localAddress, signal: AbortSignal.timeout(LOOKUP_TIMEOUT_MS)},
-        res => {
-          let text = '';
-          res.setEncoding('utf8');
-          res.on('data', chunk => (text += chunk));
-          res.on('error', () => resolve(undefined));
-          res.on('end', () =>
-            resolve(
-              res.statusCode === 200
-                ? (JSON.parse(text) as LookupAnswer)
-                : undefined,
-            ),
-          );
-        },
-      );
-      req.on('error', () => resolve(undefined));
-    });
+    const answer = await fetchText(
+      `http://${address}/v1/lookup?team=${team}&service=${service}`,
+      {localAddress, timeoutMs: LOOKUP_TIMEOUT_MS},
+    );
+    if (answer?.status !== 200) return undefined;
+    return JSON.parse(answer.text) as LookupAnswer;
   }
 }
--- a/packages/testing/src/cluster/cluster.ts
+++ b/packages/testing/src/cluster/cluster.ts
@@ -14,10 +14,10 @@
 } from '@primrosestage/control';
 import type {InstanceInfo, Topology} from '@primrosestage/steering';
 import type {CutKind} from '../faults/index.js';
+import {fetchText} from '../http/index.js';
 import type {AttemptRecord, RunRecord} from '../ledger/records.js';
 import {Child} from '../process/index.js';
 import {listInstances} from '../store/index.js';
-import {fetchText} from './fetch_text.js';
 
 const ROLE_MAIN = fileURLToPath(new URL('../role_main.js', import.meta.url));
 const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
--- a/packages/testing/src/cluster/index.ts
+++ b/packages/testing/src/cluster/index.ts
@@ -1,2 +1,1 @@
 export {Cluster, type ClusterOptions} from './cluster.js';
-export {fetchText, type TextAnswer} from './fetch_text.js';
--- a/packages/testing/src/cluster/fetch_text.ts
+++ b/packages/testing/src/http/fetch_text.ts
@@ -6,6 +6,8 @@
   headers?: Record<string, string>;
   body?: unknown;
   timeoutMs?: number;
+  /** Address that the call comes from. */
+  localAddress?: string;
 }
 
 /** Holds the answer to a call. */
@@ -25,8 +27,10 @@
   options: FetchOptions = {},
 ): Promise<TextAnswer | undefined> {
   return new Promise(resolve => {
+    const {method, localAddress} = options;
     const req = http.request(url, {
-      method: options.method,
+      method,
+      localAddress,
       agent: false,
       headers: {...options.headers, 'content-type': 'application/json'},
       signal: AbortSignal.timeout(options.timeoutMs ?? 1_000),
--- /dev/null
+++ b/packages/testing/src/http/index.ts
@@ -0,0 +1,1 @@
+export {fetchText, type TextAnswer} from './fetch_text.js';
--- a/packages/testing/src/soak/create_report.ts
+++ b/packages/testing/src/soak/create_report.ts
@@ -62,6 +62,9 @@
     ...late.map(text => `slow configuration: ${text}`),
     ...monitor.reverts.map(text => `configuration reverted: ${text}`),
     ...operator.contradictions.map(text => `conflicting changes: ${text}`),
+    ...(operator.tried > 0 && operator.accepted.length === 0
+      ? ['no change of the configuration was accepted']
+      : []),
     ...findDivergence(options),
     ...[...violations].map(([name, n]) => `invariant ${name}: ${n}`),
     ...summary.findings.map(
--- a/packages/testing/src/soak/instance_monitor.ts
+++ b/packages/testing/src/soak/instance_monitor.ts
@@ -1,4 +1,5 @@
-import {type Cluster, fetchText} from '../cluster/index.js';
+import type {Cluster} from '../cluster/index.js';
+import {fetchText} from '../http/index.js';
 
 const SCRAPE_INTERVAL_MS = 250;
 const SCRAPE_TIMEOUT_MS = 1_000;
--- a/packages/testing/src/soak/operator.ts
+++ b/packages/testing/src/soak/operator.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
-import {type Cluster, fetchText, type TextAnswer} from '../cluster/index.js';
+import type {Cluster} from '../cluster/index.js';
+import {fetchText, type TextAnswer} from '../http/index.js';
 import type {SeededRandom} from '../random/index.js';
 
 const CALL_TIMEOUT_MS = 6_000;
@@ -15,6 +16,7 @@
 /** Stands in for an operator who uses the administration API. */
 export class Operator {
   readonly accepted: AcceptedChange[] = [];
+  tried = 0;
   /** Descriptions of answers that contradict each other. */
   readonly contradictions: string[] = [];
   private readonly team: string;
@@ -80,6 +82,7 @@
   }
 
   private post(resource: string, body: unknown) {
+    this.tried++;
     return this.call('POST', resource, body);
   }
 
