Check work on endpoints that an operator drained

Cause: guarantee 6 holds for a sign from any source, the drain of an operator included. Change: the ledger takes the drains and reports runs later than 3 s after the acceptance. Before: not checked.

--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -99,6 +99,7 @@
   const summary = ledger.summarize({
     getSlots: id => cluster.topology.getEndpoint(id)?.slots ?? 0,
     plannedStops,
+    drains: [],
     hasOtherFault: (_, endMs) => endMs >= killedAtMs,
   });
   const count = (kind: FindingKind) =>
--- a/packages/testing/src/ledger/index.ts
+++ b/packages/testing/src/ledger/index.ts
@@ -1,4 +1,5 @@
 export {
+  type EndpointDrain,
   type Finding,
   FindingKind,
   formatTime,
--- a/packages/testing/src/ledger/ledger.ts
+++ b/packages/testing/src/ledger/ledger.ts
@@ -34,10 +34,18 @@
   endMs: number;
 }
 
+/** Describes a drain of an endpoint by an operator; it begins when the change was accepted. */
+export interface EndpointDrain {
+  endpoint: string;
+  startMs: number;
+  endMs: number;
+}
+
 /** Holds what the checker needs besides the records. */
 export interface LedgerContext {
   getSlots: (endpoint: string) => number;
   plannedStops: PlannedStop[];
+  drains: EndpointDrain[];
   /** Says whether a fault that may cut requests by itself was active between two times. */
   hasOtherFault: (startMs: number, endMs: number) => boolean;
 }
@@ -78,11 +86,12 @@
   summarize(context: LedgerContext): LedgerSummary {
     const runsOf = groupBy(this.runs, run => getRequestOf(run.id));
     const requests = groupBy(this.attempts, a => getRequestOf(a.id));
+    const lateness = this.measureLateness(context.drains);
     const counts = {answered: 0, notRun: 0, unknown: 0, truncated: 0};
     const findings: Finding[] = [
       ...this.findDuplicates(runsOf),
       ...this.findOverSlots(context),
-      ...this.findLateWork(),
+      ...this.findLateWork(lateness),
     ];
     for (const [request, attempts] of requests) {
       const runs = runsOf.get(request) ?? [];
@@ -101,8 +110,8 @@
     return {
       requests: requests.size,
       ...counts,
-      longestAfterLeavingMs: this.runs.reduce(
-        (longest, run) => Math.max(longest, run.afterLeavingMs ?? 0),
+      longestAfterLeavingMs: [...lateness.values()].reduce(
+        (longest, ms) => Math.max(longest, ms),
         0,
       ),
       findings: findings.sort((a, b) => a.atMs - b.atMs),
@@ -134,13 +143,32 @@
     );
   }
 
-  private findLateWork(): Finding[] {
-    return this.runs
-      .filter(run => (run.afterLeavingMs ?? 0) > MAX_WORK_AFTER_LEAVING_MS)
-      .map(run => ({
+  /** Measures the time between the first sign of leaving and runs that began later. */
+  private measureLateness(drains: EndpointDrain[]): Map<RunRecord, number> {
+    const lateness = new Map<RunRecord, number>();
+    for (const run of this.runs) {
+      const drain = drains.find(
+        ({endpoint, startMs, endMs}) =>
+          endpoint === run.endpoint &&
+          run.startMs >= startMs &&
+          run.startMs < endMs,
+      );
+      const afterMs = Math.max(
+        run.afterLeavingMs ?? -1,
+        drain ? run.startMs - drain.startMs : -1,
+      );
+      if (afterMs >= 0) lateness.set(run, afterMs);
+    }
+    return lateness;
+  }
+
+  private findLateWork(lateness: Map<RunRecord, number>): Finding[] {
+    return [...lateness]
+      .filter(([, afterMs]) => afterMs > MAX_WORK_AFTER_LEAVING_MS)
+      .map(([run, afterMs]) => ({
         kind: FindingKind.WorkAfterLeaving,
         atMs: run.startMs,
-        detail: `${formatRun(run)}, ${run.afterLeavingMs} ms after the first sign`,
+        detail: `${formatRun(run)}, ${afterMs} ms after the first sign`,
       }));
   }
 }
--- a/packages/testing/src/soak/control_faults.ts
+++ b/packages/testing/src/soak/control_faults.ts
@@ -24,13 +24,9 @@
       return {detail, holdMs: 6_000, end: async () => {}};
     },
   },
-  createDrain('instance drain', 'instance', ({instances}) =>
-    instances.map(({id}) => id),
-  ),
-  createDrain('endpoint drain', 'endpoint', ({endpoints}) =>
-    endpoints.map(({id}) => id),
-  ),
-  createDrain('zone drain', 'zone', ({zones}) => zones.map(({name}) => name)),
+  createDrain('instance drain', 'instance'),
+  createDrain('endpoint drain', 'endpoint'),
+  createDrain('zone drain', 'zone'),
 ];
 
 function createStoreFault(
@@ -53,21 +49,33 @@
 
 function createDrain(
   name: string,
-  kind: string,
-  list: (topology: FaultContext['cluster']['topology']) => string[],
+  kind: 'instance' | 'endpoint' | 'zone',
 ): FaultKind {
   return {
     name,
     mayCutRequests: false,
-    async start({operator, random, cluster}) {
-      const target = random.pick(list(cluster.topology));
+    async start({operator, random, cluster, drains}) {
+      const {instances, endpoints, zones} = cluster.topology;
+      const targets = {
+        instance: instances.map(({id}) => id),
+        endpoint: endpoints.map(({id}) => id),
+        zone: zones.map(zone => zone.name),
+      };
+      const target = random.pick(targets[kind]);
       const change = (action: string) =>
         operator.change('drains', {action, kind, target});
       const isAccepted = await change('drain');
+      const drained = endpoints
+        .filter(({id, zone}) => isAccepted && [id, zone].includes(target))
+        .map(({id}) => ({endpoint: id, startMs: Date.now(), endMs: Infinity}));
+      drains.push(...drained);
       return {
         detail: `${target}, ${isAccepted ? 'accepted' : 'not accepted'}`,
         holdMs: random.int(5_000, 10_000),
-        end: () => change('undrain'),
+        end: () => {
+          for (const drain of drained) drain.endMs = Date.now();
+          return change('undrain');
+        },
       };
     },
   };
--- a/packages/testing/src/soak/create_report.ts
+++ b/packages/testing/src/soak/create_report.ts
@@ -35,6 +35,7 @@
   const summary = ledger.summarize({
     getSlots: id => cluster.topology.getEndpoint(id)?.slots ?? 0,
     plannedStops: context.plannedStops,
+    drains: context.drains,
     hasOtherFault: (startMs, endMs) =>
       faults.some(
         fault =>
--- a/packages/testing/src/soak/fault_context.ts
+++ b/packages/testing/src/soak/fault_context.ts
@@ -1,5 +1,5 @@
 import type {Cluster} from '../cluster/index.js';
-import type {PlannedStop} from '../ledger/index.js';
+import type {EndpointDrain, PlannedStop} from '../ledger/index.js';
 import type {SeededRandom} from '../random/index.js';
 import type {StoreFaults} from '../store/index.js';
 import type {CutBoard} from './cut_board.js';
@@ -30,6 +30,7 @@
 /** Holds what faults act on, and keeps two faults off the same part. */
 export class FaultContext {
   readonly plannedStops: PlannedStop[] = [];
+  readonly drains: EndpointDrain[] = [];
   readonly exemptions: Exemption[] = [];
   /** Planned stops that ended with another code than 0. */
   readonly badStops: string[] = [];
--- a/packages/testing/test/checkers.test.ts
+++ b/packages/testing/test/checkers.test.ts
@@ -19,6 +19,7 @@
 const CONTEXT = {
   getSlots: () => 2,
   plannedStops: [],
+  drains: [],
   hasOtherFault: () => false,
 };
 
@@ -110,6 +111,16 @@
     expect(check(attempt)).toEqual([]);
   });
 
+  it('reports work that a drained endpoint began more than 3 s after the change', () => {
+    const ledger = new Ledger();
+    ledger.add({...createRun('r1~1'), startMs: 5_100});
+    const drain = {endpoint: 'e1', startMs: 2_000, endMs: 9_000};
+    const {findings} = ledger.summarize({...CONTEXT, drains: [drain]});
+    expect(findings.map(({kind}) => kind)).toEqual([
+      FindingKind.WorkAfterLeaving,
+    ]);
+  });
+
   it('reports an answer that no backend server gave', () => {
     expect(check(createRecord('r1~1', AttemptResult.Answered))).toEqual([
       FindingKind.Wrong,
