--- a/packages/testing/src/soak/create_report.ts
+++ b/packages/testing/src/soak/create_report.ts
@@ -1,4 +1,9 @@
-import {FindingKind, formatTime, type Ledger} from '../ledger/index.js';
+import {
+  type Finding,
+  FindingKind,
+  formatTime,
+  type Ledger,
+} from '../ledger/index.js';
 import type {FaultContext} from './fault_context.js';
 import type {InstanceMonitor} from './instance_monitor.js';
 import {measureRecovery} from './measure_recovery.js';
@@ -6,7 +11,8 @@
 
 /** Time after a fault in which requests may still be cut by it: progress timeout and its retries. */
 const AFTERMATH_MS = 8_000;
-const MAX_LINES = 40;
+/** Most findings of a kind that are printed one by one. */
+const MAX_LINES = 10;
 
 /** Holds what a soak test collected. */
 export interface ReportOptions {
@@ -68,8 +74,8 @@
       : []),
     ...findDivergence(options),
     ...[...violations].map(([name, n]) => `invariant ${name}: ${n}`),
-    ...summary.findings.map(
-      ({kind, atMs, detail}) => `${kind} at ${formatTime(atMs)}: ${detail}`,
+    ...Object.values(FindingKind).flatMap(kind =>
+      formatFindings(kind, summary.findings),
     ),
   ];
   const count = (kind: FindingKind) =>
@@ -99,15 +105,23 @@
     'began         ended         recovered  fault',
     ...faults.map(fault => formatFault(fault, ledger)),
     '',
-    ...broken.slice(0, MAX_LINES),
-    ...(broken.length > MAX_LINES
-      ? [`and ${broken.length - MAX_LINES} more`]
-      : []),
-    broken.length > 0 ? `FAILED: ${broken.length} findings` : 'passed',
+    ...broken,
+    broken.length > 0 ? 'FAILED' : 'passed',
   ];
   return {text: lines.join('\n'), isPassed: broken.length === 0};
 }
 
+function formatFindings(kind: FindingKind, findings: Finding[]): string[] {
+  const found = findings.filter(finding => finding.kind === kind);
+  const rest = found.length - MAX_LINES;
+  return [
+    ...found
+      .slice(0, MAX_LINES)
+      .map(({atMs, detail}) => `${kind} at ${formatTime(atMs)}: ${detail}`),
+    ...(rest > 0 ? [`${kind}: ${rest} more`] : []),
+  ];
+}
+
 function findDivergence({context, monitor}: ReportOptions): string[] {
   const newest = Math.max(
     0,
