Repeat a keyed request unchanged and end late runs without an answer

Ruled out: a fault of the instances, which are right to refuse another request under a key. Change: the path of a keyed request names the request only, the header names the attempt; a run that reaches its deadline closes the connection.

--- a/packages/testing/src/backend/backend_server.ts
+++ b/packages/testing/src/backend/backend_server.ts
@@ -128,7 +128,7 @@
     const url = new URL(req.url ?? '/', 'http://backend');
     const run: RunRecord = {
       kind: 'run',
-      id: url.pathname.split('/').at(-1) ?? '',
+      id: getAttemptId(url.pathname, req),
       key: String(req.headers[HeaderName.IdempotencyKey] ?? ''),
       isIdempotent: req.method === 'GET',
       endpoint: this.options.endpointId,
@@ -146,8 +146,7 @@
       () => {
         if (isLate) {
           finish(RunEnd.Deadline);
-          res.setHeader(HeaderName.Outcome, Outcome.Unknown);
-          sendJson(res, 504, {message: 'deadline passed'});
+          req.socket.destroy();
         } else {
           this.answer(run, url, req, res);
         }
@@ -201,6 +200,14 @@
   }
 }
 
+/** Gets the attempt from the path or, where that names only the request, from the header. */
+function getAttemptId(path: string, req: IncomingMessage): string {
+  const named = path.split('/').at(-1) ?? '';
+  if (named.includes('~')) return named;
+  const attempt = String(req.headers[HeaderName.RequestId] ?? '');
+  return attempt.startsWith(`${named}~`) ? attempt : `${named}~unknown`;
+}
+
 function sendJson(res: ServerResponse, status: number, body: unknown): void {
   const text = JSON.stringify(body);
   res.writeHead(status, {
--- a/packages/testing/src/callers/send_attempt.ts
+++ b/packages/testing/src/callers/send_attempt.ts
@@ -46,7 +46,9 @@
   const {id, key, sizeBytes} = options;
   const query = sizeBytes > 0 ? `?bytes=${sizeBytes}` : '';
   const timeoutMs = options.deadlineMs + GRACE_MS;
-  const req = http.request(`${options.url}/run/${id}${query}`, {
+  // A retry under the same key must be the same request, so only the header names the attempt.
+  const path = options.isIdempotent ? id : getRequestOf(id);
+  const req = http.request(`${options.url}/run/${path}${query}`, {
     agent: options.agent,
     localAddress: options.localAddress,
     method: options.isIdempotent ? 'GET' : 'POST',
