--- /dev/null
+++ b/packages/instance/src/disposal/index.ts
@@ -0,0 +1,1 @@
+export {DisposalStack} from './disposal_stack.js';
--- /dev/null
+++ b/packages/instance/src/relay/create_link_pacer.ts
@@ -0,0 +1,55 @@
+import type {TimerService} from '@primrosestage/common';
+import {LinkUse} from '@primrosestage/steering';
+import type {LinkMeter} from '../routing/index.js';
+import type {LinkPacer, LinkTransfer} from './link_pacer.js';
+
+/** Longest pause before the budget is asked again. */
+const MAX_WAIT_MS = 50;
+
+/**
+ * Creates a pacer that takes the bits of bodies from the budgets of the links.
+ * @param links - The budgets.
+ * @param region - Region of this instance.
+ * @param timers - The clock.
+ */
+export function createLinkPacer(
+  links: LinkMeter,
+  region: string,
+  timers: TimerService,
+): LinkPacer {
+  return transfer => {
+    const isRequest = transfer.fromRegion === region;
+    const peer = isRequest ? transfer.toRegion : transfer.fromRegion;
+    const use = isRequest ? LinkUse.Request : LinkUse.Response;
+    const take = (bits: number) =>
+      links.takeBits(peer, use, bits, transfer.priority, timers.now());
+    const bits = transfer.bytes * 8;
+    const leftBits = bits - take(bits);
+    return leftBits > 0
+      ? takeRest(links, {peer, use, transfer}, leftBits, take, timers)
+      : undefined;
+  };
+}
+
+async function takeRest(
+  links: LinkMeter,
+  way: {peer: string; use: LinkUse; transfer: LinkTransfer},
+  leftBits: number,
+  take: (bits: number) => number,
+  timers: TimerService,
+): Promise<void> {
+  const {priority} = way.transfer;
+  let bits = leftBits;
+  while (bits > 0) {
+    const waitMs = links.getWaitMs(
+      way.peer,
+      way.use,
+      bits,
+      priority,
+      timers.now(),
+    );
+    // An amount above the size of the bucket never fits at once; it passes in parts.
+    await timers.sleep(Math.min(Math.max(1, waitMs), MAX_WAIT_MS));
+    bits -= take(bits);
+  }
+}
--- a/packages/instance/src/routing/index.ts
+++ b/packages/instance/src/routing/index.ts
@@ -1,4 +1,3 @@
-export {createLinkPacer, type LinkPacerOptions} from './create_link_pacer.js';
 export {
   createRoutingRouter,
   type RoutingRouter,
--- a/packages/testing/src/bench/process/child_main.ts
+++ b/packages/testing/src/bench/process/child_main.ts
@@ -2,8 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {loadSettings} from '@primrosestage/control';
 import {serve} from '@primrosestage/instance';
-import {BackendServer} from '../../backend/index.js';
-import {SeededRandom} from '../../random/index.js';
+import {startBackendServer} from './start_backend_server.js';
 import {startBareRelay} from './bare_relay.js';
 import {ChildRole, type ChildTask, type ChildUsage} from './child_roles.js';
 
@@ -18,14 +17,12 @@
     await startBareRelay(host, Number(port), task.target ?? '');
     break;
   case ChildRole.Backend:
-    await new BackendServer({
+    await startBackendServer({
       host,
       port: Number(port),
       endpointId: task.endpointId ?? '',
       serviceMs: 0,
-      random: new SeededRandom(1),
-      onRun: () => {},
-    }).start();
+    });
     break;
   case ChildRole.Instance:
     await serve(loadSettings(task.settings ?? ''));
