--- a/packages/instance/src/configuration/index.ts
+++ b/packages/instance/src/configuration/index.ts
@@ -6,9 +6,4 @@
 } from './configuration_task.js';
 export type {ConfigurationRouter} from './configuration_router.js';
 export {createRpcPeers, type RpcPeersOptions} from './create_rpc_peers.js';
-export {
-  type CreateStore,
-  type RunningConfiguration,
-  startConfiguration,
-  type StartConfigurationOptions,
-} from './start_configuration.js';
+export {registerConfigurationMetrics} from './register_configuration_metrics.js';
