--- /dev/null
+++ b/packages/common/src/tasks/link_abort.ts
@@ -0,0 +1,19 @@
+/**
+ * Creates a controller that a parent signal aborts too. It stands in for `AbortSignal.any`, whose
+ * signal Node.js 20 can collect before it fires.
+ * @param parent - The parent signal.
+ * @returns The controller.
+ */
+export function linkAbort(parent: AbortSignal): AbortController {
+  const controller = new AbortController();
+  if (parent.aborted) {
+    controller.abort(parent.reason);
+    return controller;
+  }
+  const onAbort = () => controller.abort(parent.reason);
+  parent.addEventListener('abort', onAbort, {
+    once: true,
+    signal: controller.signal,
+  });
+  return controller;
+}
--- a/packages/instance/src/cli/main.ts
+++ b/packages/instance/src/cli/main.ts
@@ -1,4 +1,4 @@
-import {getErrorMessage, type TimerService} from '@primrosestage/common';
+import {getErrorMessage} from '@primrosestage/common';
 import {
   buildTopology,
   InstanceState,
@@ -60,10 +60,9 @@
     return;
   }
   const settings = loadSettings(options.settings);
-  const instance = await serve(
-    settings,
-    options.embeddedStore ? {createStore: createEmbeddedStore(settings)} : {},
-  );
+  const instance = options.embeddedStore
+    ? await serveAlone(settings)
+    : await serve(settings);
   let isStopping = false;
   // The handler stays in place: without it, a second signal would end the process at once.
   process.on('SIGTERM', () => {
@@ -73,22 +72,23 @@
   });
 }
 
-/**
- * Creates a store for one process. Its list of instances names only this one, which therefore
- * owns the endpoints of its region alone.
- */
-function createEmbeddedStore({system, instance}: LoadedSettings) {
-  const {id, zone, region, internalAddress, publicAddress} = buildTopology(
-    system,
-  ).getInstanceOrThrow(instance.id);
+/** Serves as the only instance of the system, with a store inside the process. */
+function serveAlone({system, instance}: LoadedSettings) {
+  const instances = system.instances.filter(({id}) => id === instance.id);
+  const [self] = buildTopology({...system, instances}).instances;
   const listed = {
-    id,
-    zone,
-    region,
-    internal: internalAddress,
-    public: publicAddress,
+    id: instance.id,
+    zone: self!.zone,
+    region: self!.region,
+    internal: self!.internalAddress,
+    public: self!.publicAddress,
     state: InstanceState.Live,
   };
-  return (timers: TimerService) =>
-    new MemoryStore({timers, getInstances: () => [listed]});
+  return serve(
+    {instance, system: {...system, instances: [...instances] as never}},
+    {
+      createStore: timers =>
+        new MemoryStore({timers, getInstances: () => [listed]}),
+    },
+  );
 }
--- a/packages/instance/src/http/listen.ts
+++ b/packages/instance/src/http/listen.ts
@@ -1,12 +1,22 @@
 import http from 'node:http';
+import net, {type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Step, StepError} from '@primrosestage/common';
 import {parseAddress} from './parse_address.js';
 
 /** Longest request header that a listener accepts. */
 const MAX_HEADER_BYTES = 16 * 1024;
 
-/** Time for open requests to end after a listener has been closed. */
-const CLOSE_TIMEOUT_MS = 500;
+/**
+ * Time without a request after which a connection is closed at the end. A request that crosses
+ * the close on its way would be lost; a caller in the middle of its work sends the next one
+ * earlier than this and is then told to close the connection itself.
+ */
+const QUIET_MS = 1_000;
+/** Longest time for open requests and busy callers to end after listening has stopped. */
+const CLOSE_TIMEOUT_MS = 1_900;
+const CLOSE_CHECK_MS = 50;
 
 /** Configures a listener. */
 export interface ListenOptions {
@@ -16,7 +26,7 @@
   handle: http.RequestListener;
 }
 
-/** Owns a listening server; disposal closes idle connections and waits for the rest. */
+/** Owns a listening server; disposal waits for open requests and closes quiet connections. */
 export interface Listener extends AsyncDisposable {
   readonly server: http.Server;
 }
@@ -44,20 +54,52 @@
     );
     server.listen(port, host, resolve);
   });
+  const connections = trackConnections(server);
   return {
     server,
-    [Symbol.asyncDispose]: () =>
-      new Promise(resolve => {
-        // A connection on which a request never became complete counts as busy.
-        const timeout = setTimeout(
-          () => server.closeAllConnections(),
-          CLOSE_TIMEOUT_MS,
-        );
-        server.close(() => {
-          clearTimeout(timeout);
-          resolve();
-        });
-        server.closeIdleConnections();
-      }),
+    [Symbol.asyncDispose]: () => closeListener(server, connections),
   };
 }
+
+interface ConnectionUse {
+  openRequests: number;
+  usedAt: number;
+}
+
+function trackConnections(server: http.Server): Map<Socket, ConnectionUse> {
+  const connections = new Map<Socket, ConnectionUse>();
+  server.on('connection', (socket: Socket) => {
+    connections.set(socket, {openRequests: 0, usedAt: performance.now()});
+    socket.once('close', () => connections.delete(socket));
+  });
+  server.prependListener('request', (req, res) => {
+    const use = connections.get(req.socket);
+    if (!use) return;
+    use.openRequests++;
+    if (!server.listening) res.setHeader('connection', 'close');
+    res.once('close', () => {
+      use.openRequests--;
+      use.usedAt = performance.now();
+    });
+  });
+  return connections;
+}
+
+/** Stops listening, then closes each connection once it has been quiet. */
+async function closeListener(
+  server: http.Server,
+  connections: Map<Socket, ConnectionUse>,
+): Promise<void> {
+  // The close of http.Server would end idle connections at once.
+  net.Server.prototype.close.call(server);
+  const endAt = performance.now() + CLOSE_TIMEOUT_MS;
+  while (connections.size > 0 && performance.now() < endAt) {
+    const quietSince = performance.now() - QUIET_MS;
+    for (const [socket, {openRequests, usedAt}] of connections) {
+      if (openRequests === 0 && usedAt <= quietSince) socket.destroy();
+    }
+    await sleep(CLOSE_CHECK_MS);
+  }
+  server.closeAllConnections();
+  server.close();
+}
--- a/packages/instance/src/idempotency/home_task.ts
+++ b/packages/instance/src/idempotency/home_task.ts
@@ -1,6 +1,7 @@
 import {
   Invariant,
   type InvariantMonitor,
+  linkAbort,
   Outcome,
   Step,
   type TimerService,
@@ -186,10 +187,8 @@
     const {timers} = this.options;
     const remainingMs = ctx.deadlineAt - timers.now();
     if (remainingMs <= 0 || signal.aborted) return false;
-    const abort = new AbortController();
-    const timeout = timers
-      .sleep(remainingMs, AbortSignal.any([signal, abort.signal]))
-      .then(() => false);
+    const abort = linkAbort(signal);
+    const timeout = timers.sleep(remainingMs, abort.signal).then(() => false);
     const ended = (this.running.get(id) ?? Promise.resolve()).then(() => true);
     try {
       return await Promise.race([ended, timeout]);
--- a/packages/instance/src/relay/dispatcher.ts
+++ b/packages/instance/src/relay/dispatcher.ts
@@ -1,6 +1,7 @@
 import {
   Invariant,
   type InvariantMonitor,
+  linkAbort,
   type Logger,
   Outcome,
   Step,
@@ -127,13 +128,9 @@
 
   private attempt(attempts: Attempts, target: Target): RunningAttempt {
     attempts.begin(target);
-    const abort = new AbortController();
+    const abort = linkAbort(attempts.signal);
     return {
-      result: this.runAttempt(
-        attempts,
-        target,
-        AbortSignal.any([attempts.signal, abort.signal]),
-      ),
+      result: this.runAttempt(attempts, target, abort.signal),
       cancel: () => abort.abort(),
     };
   }
--- a/packages/instance/src/shutdown/run_shutdown.ts
+++ b/packages/instance/src/shutdown/run_shutdown.ts
@@ -9,7 +9,7 @@
 import type {ShutdownSteps} from './shutdown_steps.js';
 
 /** Time left for closing connections when requests do not end in time. */
-const CLOSE_RESERVE_MS = 1_000;
+const CLOSE_RESERVE_MS = 4_500;
 /** Longest time for a step that waits for answers of peers, in milliseconds. */
 const PEER_STEP_TIMEOUT_MS = 2_000;
 
--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -48,7 +48,9 @@
   print('store, 48 backend servers and 7 instances are ready');
   await cluster.callers.call('setRate', RATE_PER_SECOND);
   await sleep(5_000);
-  await switchPreset();
+  const [first] = cluster.topology.instances;
+  const isSwitched = await switchPreset(first?.adminAddress ?? '');
+  if (!isSwitched) failures.push('the preset was not switched');
   await sleep(2_000);
   const [drained, killed] = cluster.topology.instances.slice(1, 3);
   const stop = {instance: drained?.id ?? '', startMs: Date.now(), endMs: 0};
@@ -74,13 +76,15 @@
   await cluster.callers.call('stop');
 }
 
-async function switchPreset(): Promise<void> {
+async function switchPreset(adminAddress: string): Promise<boolean> {
   const cli = createRequire(import.meta.url).resolve('@primrosestage/ctl');
   const [code, output] = await runProcess([
     path.join(cli, '../../bin/primrosectl.js'),
-    ...['presets', 'use', 'peak'],
+    ...['presets', 'activate', 'peak', '--team', 'ruotalibera'],
+    ...['--admin', `http://${adminAddress}`],
   ]);
   print(`primrosectl: ${output.trim()} (exit code ${code})`);
+  return code === 0;
 }
 
 function runProcess(args: string[]): Promise<[number | null, string]> {
