Overload endpoints instead of the test machine in the overload test

Cause: the test failed in one of two full runs with 58 requests that ended as neither answered nor not-run; at 20 ms per request the client, the instance and the endpoints shared one saturated event loop. Ruled out: a wider bound, which would hide a collapse. Change: the endpoints take 100 ms, so that twice their capacity is 160 requests a second; all checks stay.

--- a/packages/instance/test/request_path/overload.test.ts
+++ b/packages/instance/test/request_path/overload.test.ts
@@ -3,7 +3,8 @@
 import {call} from '../support/call.js';
 import {startSystem, type TestSystem} from '../support/start_system.js';
 
-const SERVICE_MS = 20;
+/** Long enough that the endpoints, and not the processor of the test machine, are the bottleneck. */
+const SERVICE_MS = 100;
 const SLOTS = 4;
 const ENDPOINTS = 2;
 /** Requests per second that the endpoints can run. */
