--- /dev/null
+++ b/packages/testing/src/bench/control/measure_fleet.ts
@@ -0,0 +1,215 @@
+import {readFileSync} from 'node:fs';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {build, type Histogram} from 'hdr-histogram-js';
+import type {StoreServer} from '../../store/index.js';
+import {type FigureSink, GoalKind} from '../figure.js';
+import {
+  type BenchSettings,
+  BENCH_TOKEN,
+  writeBenchSettings,
+} from '../process/bench_settings.js';
+import {type BenchChild, startChild} from '../process/child_process.js';
+import {ChildRole} from '../process/child_roles.js';
+import {startBenchStore} from '../process/start_bench_store.js';
+import {waitUntilReady} from '../process/wait_until_ready.js';
+
+const DURATION_MS = 10_000;
+const CHANGES = 20;
+/** Time for which a change may spread before its arrival is read, in milliseconds. */
+const SPREAD_WAIT_MS = 1_500;
+const START_BATCH = 8;
+const MIB = 1024 * 1024;
+
+/** Control budget of a node. */
+const CORE_BUDGET = 0.023;
+const MEMORY_BUDGET_MIB = 64;
+const BYTES_BUDGET = 12 * 1024;
+const SPREAD_GOAL_MS = 1_000;
+
+/** Describes the fleet to measure. */
+export interface FleetOptions {
+  instances: number;
+  zones: readonly string[];
+}
+
+/**
+ * Measures processor time, memory, network bytes, store calls and the spread of changes in a
+ * fleet without requests, one process per instance.
+ * @param sink - Takes the figures.
+ * @param options - Number of instances and their zones.
+ */
+export async function measureFleet(
+  sink: FigureSink,
+  options: FleetOptions,
+): Promise<void> {
+  const {instances, zones} = options;
+  using settings = writeBenchSettings({
+    instanceZones: Array.from(
+      {length: instances},
+      (_, i) => zones[i % zones.length] ?? '',
+    ),
+    endpointZone: zones[0] ?? '',
+    slots: 4,
+  });
+  await using store = await startBenchStore(settings.files[0] ?? '');
+  const children: BenchChild[] = [];
+  try {
+    for (let i = 0; i < instances; i += START_BATCH) {
+      const files = settings.files.slice(i, i + START_BATCH);
+      children.push(
+        ...(await Promise.all(
+          files.map(file =>
+            startChild({role: ChildRole.Instance, settings: file}),
+          ),
+        )),
+      );
+    }
+    await waitUntilReady(settings.publicAddresses);
+    await sleep(DURATION_MS);
+    await measureIdle(sink, children, store);
+    await measureSpread(sink, settings, store);
+  } finally {
+    await Promise.all(children.map(child => child[Symbol.asyncDispose]()));
+  }
+}
+
+async function measureIdle(
+  sink: FigureSink,
+  children: readonly BenchChild[],
+  store: StoreServer,
+): Promise<void> {
+  const n = children.length;
+  const before = await Promise.all(children.map(c => c.getUsage()));
+  const bytesBefore = getLoopbackBytes();
+  const callsBefore = countCalls(store);
+  await sleep(DURATION_MS);
+  const bytes = getLoopbackBytes() - bytesBefore;
+  const calls = countCalls(store) - callsBefore;
+  const after = await Promise.all(children.map(c => c.getUsage()));
+  const mean = (values: readonly number[]) =>
+    values.reduce((sum, value) => sum + value, 0) / n;
+  const cores = mean(
+    after.map(({cpuMs}, i) => (cpuMs - (before[i]?.cpuMs ?? 0)) / DURATION_MS),
+  );
+  const heapMib = mean(after.map(({heapBytes}) => heapBytes)) / MIB;
+  const bytesPerSecond = bytes / n / (DURATION_MS / 1_000);
+  const limit = (bound: number) => ({
+    goal: {kind: GoalKind.AtMost, bound, isRatio: false},
+  });
+  sink.record({
+    name: `control.fleet.core-share.${n}`,
+    value: cores,
+    unit: 'cores',
+    n,
+    ...limit(CORE_BUDGET),
+  });
+  sink.record({
+    name: `control.fleet.heap.${n}`,
+    value: heapMib,
+    unit: 'MiB',
+    n,
+    ...limit(MEMORY_BUDGET_MIB),
+  });
+  sink.record({
+    name: `control.fleet.rss.${n}`,
+    value: mean(after.map(({rssBytes}) => rssBytes)) / MIB,
+    unit: 'MiB',
+    n,
+  });
+  // Packets with their headers, as the loopback device counts them, sent by all processes.
+  sink.record({
+    name: `control.fleet.bytes-sent.${n}`,
+    value: bytesPerSecond,
+    unit: 'B/s',
+    n,
+    ...limit(BYTES_BUDGET),
+  });
+  sink.record({
+    name: `control.fleet.store-calls-idle.${n}`,
+    value: calls / (DURATION_MS / 1_000),
+    unit: '1/s',
+    n,
+  });
+}
+
+async function measureSpread(
+  sink: FigureSink,
+  settings: BenchSettings,
+  store: StoreServer,
+): Promise<void> {
+  const n = settings.adminAddresses.length;
+  const spread = build();
+  const callsBefore = countCalls(store);
+  for (let i = 0; i < CHANGES; i++) await spreadOneChange(settings, i, spread);
+  const calls = countCalls(store) - callsBefore;
+  for (const percentile of [50, 99, 100]) {
+    sink.record({
+      name: `control.fleet.spread.p${percentile}.${n}`,
+      value: spread.getValueAtPercentile(percentile),
+      unit: 'ms',
+      n: spread.totalCount,
+      goal: {kind: GoalKind.AtMost, bound: SPREAD_GOAL_MS, isRatio: false},
+    });
+  }
+  sink.record({
+    name: `control.fleet.store-calls-per-change.${n}`,
+    value: calls / CHANGES,
+    unit: 'calls, idle ones of 1.5 s included',
+    n: CHANGES,
+  });
+}
+
+/** Makes a change at one instance and records when each instance had it in force. */
+async function spreadOneChange(
+  settings: BenchSettings,
+  number: number,
+  spread: Histogram,
+): Promise<void> {
+  const admin =
+    settings.adminAddresses[number % settings.adminAddresses.length];
+  const url = `http://${admin}/admin/v1/teams/team`;
+  const headers = {
+    authorization: `Bearer ${BENCH_TOKEN}`,
+    'content-type': 'application/json',
+  };
+  const sentAt = performance.now();
+  const res = await fetch(`${url}/active`, {
+    method: 'POST',
+    headers,
+    body: JSON.stringify({
+      basedOn: number + 1,
+      changeId: `bench-${number}`,
+      name: 'day',
+    }),
+  });
+  if (res.status !== 200) {
+    process.stderr.write(
+      `change ${number}: ${res.status} ${await res.text()}\n`,
+    );
+    return;
+  }
+  await sleep(SPREAD_WAIT_MS);
+  for (const address of settings.adminAddresses) {
+    const metrics = await (await fetch(`http://${address}/metrics`)).text();
+    const readAt = performance.now();
+    const getValue = (name: string) =>
+      Number(new RegExp(`^${name}\\{[^}]*\\} (\\S+)$`, 'm').exec(metrics)?.[1]);
+    const revision = getValue('primrose_configuration_revision');
+    const ageMs = getValue('primrose_configuration_age_seconds') * 1_000;
+    const tookMs =
+      revision === number + 2 ? readAt - ageMs - sentAt : SPREAD_WAIT_MS * 10;
+    spread.recordValue(Math.max(1, Math.round(tookMs)));
+  }
+}
+
+function countCalls(store: StoreServer): number {
+  return Object.values(store.calls).reduce((sum, count) => sum + count, 0);
+}
+
+/** Reads the bytes that the loopback device sent so far. */
+function getLoopbackBytes(): number {
+  const line = readFileSync('/proc/net/dev', 'utf8')
+    .split('\n')
+    .find(text => text.trim().startsWith('lo:'));
+  return Number(line?.trim().split(/\s+/)[9] ?? 0);
+}
--- a/packages/testing/src/bench/hop/index.ts
+++ b/packages/testing/src/bench/hop/index.ts
@@ -6,6 +6,8 @@
 import {type BenchChild, startChild} from '../process/child_process.js';
 import {ChildRole} from '../process/child_roles.js';
 import {runRawLoad} from '../process/raw_client.js';
+import {startBenchStore} from '../process/start_bench_store.js';
+import {waitUntilReady} from '../process/wait_until_ready.js';
 
 const PATH = '/v1/requests/team/search/item';
 const BODY = JSON.stringify({healthy: true, inFlight: 0, queued: 0});
@@ -54,7 +56,9 @@
     address: BENCH_ADDRESS.relay,
     target: BENCH_ADDRESS.backend,
   });
-  const [ownerFile, ingressFile] = settings.files;
+  const [ownerFile = '', ingressFile] = settings.files;
+  await using store = await startBenchStore(ownerFile);
+  void store;
   const [ownerAddress = '', ingressAddress = ''] = settings.publicAddresses;
   await using owner = await startChild({
     role: ChildRole.Instance,
@@ -64,6 +68,7 @@
     role: ChildRole.Instance,
     settings: ingressFile,
   });
+  await waitUntilReady(settings.publicAddresses);
   const ways: Way[] = [
     {name: 'direct', address: BENCH_ADDRESS.backend, processes: [backend]},
     {name: 'bare-relay', address: BENCH_ADDRESS.relay, processes: [relay]},
--- a/packages/testing/src/bench/process/bench_settings.ts
+++ b/packages/testing/src/bench/process/bench_settings.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -5,6 +6,10 @@
 /** Host octets of the benchmark's listeners, apart from those of the examples. */
 const NET = '127.60';
 
+/** Token of the benchmark's team. */
+export const BENCH_TOKEN = 'bench-token';
+const TOKEN_SHA256 = createHash('sha256').update(BENCH_TOKEN).digest('hex');
+
 /** Lists the addresses that the benchmark uses. */
 export const BENCH_ADDRESS = {
   fixedServer: `${NET}.200.1:7900`,
@@ -83,7 +88,7 @@
     ]),
     '[[teams]]',
     'name = "team"',
-    `tokenSha256 = ["${'0'.repeat(64)}"]`,
+    `tokenSha256 = ["${TOKEN_SHA256}"]`,
     'active = "day"',
     '[[teams.services]]',
     'name = "search"',
