Create no spans where none are exported

Cause: the hop benchmark counts every object that a request creates; with the exporter none, each hop still built recording spans. Ruled out: sampling, which would also drop the spans of those who export them.

--- a/packages/common/src/telemetry/create_tracing.ts
+++ b/packages/common/src/telemetry/create_tracing.ts
@@ -1,5 +1,5 @@
 import {appendFileSync} from 'node:fs';
-import type {Tracer} from '@opentelemetry/api';
+import {ProxyTracerProvider, type Tracer} from '@opentelemetry/api';
 import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
 import {
   BatchSpanProcessor,
@@ -9,6 +9,8 @@
   type SpanExporter,
 } from '@opentelemetry/sdk-trace-node';
 
+const TRACER_NAME = 'primrosestage';
+
 /** Names where spans go. */
 export enum TraceExporter {
   None = 'none',
@@ -36,11 +38,18 @@
  * @returns The tracer.
  */
 export function createTracing(options: TracingOptions): Tracing {
+  if (options.exporter === TraceExporter.None) {
+    // Spans that nobody exports cost time on every hop; trace context is still passed on.
+    return {
+      tracer: new ProxyTracerProvider().getTracer(TRACER_NAME),
+      [Symbol.asyncDispose]: async () => {},
+    };
+  }
   const provider = new NodeTracerProvider({
     spanProcessors: createSpanProcessors(options),
   });
   return {
-    tracer: provider.getTracer('primrosestage'),
+    tracer: provider.getTracer(TRACER_NAME),
     [Symbol.asyncDispose]: () => provider.shutdown(),
   };
 }
@@ -53,7 +62,7 @@
       ];
     case TraceExporter.JsonLines:
       return [new SimpleSpanProcessor(createJsonLinesExporter(options))];
-    default:
+    case TraceExporter.None:
       return [];
   }
 }
--- /dev/null
+++ b/packages/instance/src/owner/once.ts
@@ -0,0 +1,15 @@
+/**
+ * Wraps a function so that only its first call counts.
+ * @param fn - The function.
+ * @returns The wrapped function.
+ */
+export function once<T extends unknown[]>(
+  fn: (...args: T) => void,
+): (...args: T) => void {
+  let isCalled = false;
+  return (...args) => {
+    if (isCalled) return;
+    isCalled = true;
+    fn(...args);
+  };
+}
--- a/packages/instance/src/owner/owner_task.ts
+++ b/packages/instance/src/owner/owner_task.ts
@@ -32,7 +32,9 @@
   startHopSpan,
 } from '../telemetry/index.js';
 import {Backend, type BackendResult} from './backend.js';
+import {endAfter} from './end_after.js';
 import {isEndpointDrained} from './is_endpoint_drained.js';
+import {once} from './once.js';
 import type {LoadReport} from './probe_endpoint.js';
 import {Prober} from './prober.js';
 import {ServiceQueue} from './service_queue.js';
@@ -380,31 +382,3 @@
     status: outcome === Outcome.Unknown ? status : 502,
   };
 }
-
-/** Wraps a function so that only its first call counts. */
-function once<T extends unknown[]>(
-  fn: (...args: T) => void,
-): (...args: T) => void {
-  let isCalled = false;
-  return (...args) => {
-    if (isCalled) return;
-    isCalled = true;
-    fn(...args);
-  };
-}
-
-async function* endAfter(
-  chunks: AsyncIterable<Buffer>,
-  end: (message?: string) => void,
-): AsyncGenerator<Buffer> {
-  let message: string | undefined = 'cancelled';
-  try {
-    yield* chunks;
-    message = undefined;
-  } catch (err) {
-    message = err instanceof Error ? err.message : String(err);
-    throw err;
-  } finally {
-    end(message);
-  }
-}
