Tell callers to close idle connections before a planned stop does

Ruled out: a longer wait alone, since the caller may send at any time; half-closing, since no answer could follow.

--- a/packages/instance/src/http/listen.ts
+++ b/packages/instance/src/http/listen.ts
@@ -18,6 +18,13 @@
 const CLOSE_TIMEOUT_MS = 1_900;
 const CLOSE_CHECK_MS = 50;
 
+/**
+ * Idle time that callers are told to keep a connection for, in seconds. It is shorter than the
+ * notice of a planned stop, so that callers that follow it have closed their idle connections
+ * before the instance does; a request that crosses the close would be lost.
+ */
+const KEEP_ALIVE_SECONDS = 2;
+
 /** Configures a listener. */
 export interface ListenOptions {
   /** `host:port` to listen on. */
@@ -77,6 +84,7 @@
     if (!use) return;
     use.openRequests++;
     if (!server.listening) res.setHeader('connection', 'close');
+    else res.setHeader('keep-alive', `timeout=${KEEP_ALIVE_SECONDS}`);
     res.once('close', () => {
       use.openRequests--;
       use.usedAt = performance.now();
