Serve a drained region until the shift cap has moved its traffic

Cause: the owner refused all new requests of a drained region at once, so that a planned region drain refused traffic that the shift cap had not let move yet. Change: only drains of an endpoint or a zone close an endpoint at once; a region drain acts through the shares. After: packages/instance/test/owner passes.

--- a/packages/instance/src/owner/is_endpoint_drained.ts
+++ b/packages/instance/src/owner/is_endpoint_drained.ts
@@ -2,7 +2,8 @@
 import type {Endpoint} from '@primrosestage/steering';
 
 /**
- * Says whether a drain takes an endpoint out of service.
+ * Says whether a drain takes an endpoint out of service at once. The drain of a region does not:
+ * its traffic moves away at the pace of the shift cap and is served until then.
  * @param endpoint - The endpoint.
  * @param drains - Drains in force.
  */
@@ -16,8 +17,6 @@
         return target === endpoint.id;
       case DrainKind.Zone:
         return target === endpoint.zone;
-      case DrainKind.Region:
-        return target === endpoint.region;
       default:
         return false;
     }
