Test that a planned stop waits for requests longer than the closing of listeners

Cause: removing the wait of finishRequests passed all tests, because the closing of listeners hides it for requests up to 1.9 s. Ruled out: relying on the soak test, whose requests are shorter. Change: a test with a request of 2.6 s. Before: 4 of 4 tests passed with finishRequests removed. After: 1 of 5 fails with it removed, 5 of 5 pass as committed (npx vitest run packages/instance/test/shutdown). Conclusion: kept.

--- a/packages/instance/test/shutdown/shutdown.test.ts
+++ b/packages/instance/test/shutdown/shutdown.test.ts
@@ -112,4 +112,18 @@
     }
     expect(results.at(-2)?.headers.connection).toBe('close');
   });
+
+  it('guards against cutting a request that takes longer than the closing of listeners', async () => {
+    system = await startSystem({
+      subnet: 7,
+      timing: {drainNoticeMs: 100},
+      handle: (req, res, run) =>
+        void setTimeout(() => answerRun(req, res, run), 2_600),
+    });
+    const slow = call(`${system.getUrl(0)}/x`);
+    await sleep(50);
+    await system.stop(0);
+    const {status, err} = await slow;
+    expect([status, err]).toEqual([200, undefined]);
+  });
 });
