--- a/packages/instance/src/http/listen.ts
+++ b/packages/instance/src/http/listen.ts
@@ -8,16 +8,6 @@
 /** Longest request header that a listener accepts. */
 const MAX_HEADER_BYTES = 16 * 1024;
 
-/**
- * Time without a request after which a connection is closed at the end. A request that crosses
- * the close on its way would be lost; a caller in the middle of its work sends the next one
- * earlier than this and is then told to close the connection itself.
- */
-const QUIET_MS = 1_000;
-/** Longest time for open requests and busy callers to end after listening has stopped. */
-const CLOSE_TIMEOUT_MS = 1_900;
-const CLOSE_CHECK_MS = 50;
-
 /**
  * Idle time that callers are told to keep a connection for, in seconds. It is shorter than the
  * notice of a planned stop, so that callers that follow it have closed their idle connections
@@ -25,6 +15,16 @@
  */
 const KEEP_ALIVE_SECONDS = 2;
 
+/**
+ * Time without a request after which a connection is closed at the end. It is longer than
+ * callers keep idle connections, so that a caller that follows the hint never sends a request
+ * that crosses the close; one that is busy is told to close the connection with its next answer.
+ */
+const QUIET_MS = KEEP_ALIVE_SECONDS * 1_000 + 500;
+/** Longest time for open requests and busy callers to end after listening has stopped. */
+const CLOSE_TIMEOUT_MS = 3_000;
+const CLOSE_CHECK_MS = 50;
+
 /** Configures a listener. */
 export interface ListenOptions {
   /** `host:port` to listen on. */
--- a/packages/instance/src/serve.ts
+++ b/packages/instance/src/serve.ts
@@ -236,9 +236,15 @@
     }),
   );
 
+  const listeners: AsyncDisposable[] = [];
+  stack.use({
+    [Symbol.asyncDispose]: async () => {
+      await Promise.all(listeners.map(l => l[Symbol.asyncDispose]()));
+    },
+  });
   await configuration.start();
   await routing.loadPeerShares();
-  stack.use(
+  listeners.push(
     await listen({
       address: self.internalAddress,
       handle: (req, res) => {
@@ -248,7 +254,7 @@
     }),
   );
   membership.start();
-  stack.use(
+  listeners.push(
     await listen({
       address: self.publicAddress,
       handle: createPublicHandler({
@@ -258,7 +264,7 @@
       }),
     }),
   );
-  stack.use(
+  listeners.push(
     await listen({
       address: self.adminAddress,
       handle: createAdminHandler({
