Send a request to a suspected owner rather than refuse it

Ruled out: waiting in the test, which would hide a refusal that callers would see; sending to suspected owners first, which would cost connect timeouts in every outage. Change: where shares, caps and spillover give no target, a suspected owner of the own region is tried.

--- a/packages/instance/src/routing/owner_directory.ts
+++ b/packages/instance/src/routing/owner_directory.ts
@@ -58,19 +58,46 @@
     const key = `${getServiceKey(service)}/${region}`;
     const list = this.lists.get(key);
     if (list && nowMs - list.builtAtMs < LIST_VALID_MS) return list.entries;
-    const entries = this.buildEntries(service, region);
+    const entries = this.buildEntries(service, region, owner =>
+      this.isUsable(owner),
+    );
     this.lists.set(key, {entries, builtAtMs: nowMs});
     return entries;
   }
 
-  private buildEntries(service: Service, region: string): DirectoryEntry[] {
+  /**
+   * Gets the owners of a service's open endpoints in a region that are suspected. Heartbeats that
+   * fail are no proof: their connections may have gone silent while new ones work.
+   * @param service - The service.
+   * @param region - The region of the endpoints.
+   * @returns The owners.
+   */
+  getSuspectedOwners(
+    service: Service,
+    region: string,
+  ): readonly DirectoryEntry[] {
+    const {drains, getLiveness} = this.options;
+    return this.buildEntries(
+      service,
+      region,
+      owner =>
+        !drains.isOwnerClosed(owner) &&
+        getLiveness(owner.id) === Liveness.Suspected,
+    );
+  }
+
+  private buildEntries(
+    service: Service,
+    region: string,
+    isIncluded: (owner: InstanceInfo) => boolean,
+  ): DirectoryEntry[] {
     const {topology, ownership, drains} = this.options;
     const entries = new Map<string, DirectoryEntry>();
     for (const endpoint of topology.getEndpoints(service.team, service.name)) {
       if (endpoint.region !== region) continue;
       if (drains.isEndpointClosed(endpoint)) continue;
       const owner = ownership.getOwner(endpoint.id);
-      if (!owner || !this.isUsable(owner)) continue;
+      if (!owner || !isIncluded(owner)) continue;
       const entry = entries.get(owner.id);
       if (entry) entry.slots += endpoint.slots;
       else {
--- a/packages/instance/src/routing/routing_task.ts
+++ b/packages/instance/src/routing/routing_task.ts
@@ -21,7 +21,11 @@
 } from '@primrosestage/steering';
 import {DrainView} from './drain_view.js';
 import {LinkMeter} from './link_meter.js';
-import {getLoadKey, OwnerDirectory} from './owner_directory.js';
+import {
+  type DirectoryEntry,
+  getLoadKey,
+  OwnerDirectory,
+} from './owner_directory.js';
 import {RegionMonitor} from './region_monitor.js';
 import type {FreeSlotsReport, RoutingReport} from './routing_report.js';
 import type {RoutingStatus} from './routing_status.js';
@@ -120,7 +124,8 @@
         : this.getTriedRegions(request.tried);
     const target =
       this.chooseInRegions(regions, request, nowMs) ??
-      this.chooseSpill(source, regions, request, nowMs);
+      this.chooseSpill(source, regions, request, nowMs) ??
+      this.chooseSuspected(regions, request, nowMs);
     if (!target) {
       this.refused++;
       return undefined;
@@ -247,18 +252,42 @@
     for (const region of regions) {
       if (!this.links.isOpen(region, service.priority, nowMs)) continue;
       const owners = this.directory.getOwners(service, region, nowMs);
-      const chosen = chooseOwner(owners, {
-        loads: this.loads,
-        tried,
-        random: this.options.random,
-        nowMs,
-      });
-      const entry = owners.find(({id}) => id === chosen?.id);
-      if (entry) return {owner: entry.owner, region, zone: entry.endpointZone};
+      const target = this.chooseTarget(owners, region, tried, nowMs);
+      if (target) return target;
     }
     return undefined;
   }
 
+  /** Chooses a suspected owner as the last resort of a request that would be refused otherwise. */
+  private chooseSuspected(
+    regions: readonly string[],
+    {service, tried}: TargetRequest,
+    nowMs: number,
+  ): Target | undefined {
+    const region = this.options.self.region;
+    if (!regions.includes(region)) return undefined;
+    const owners = this.directory.getSuspectedOwners(service, region);
+    return this.chooseTarget(owners, region, tried, nowMs);
+  }
+
+  private chooseTarget(
+    owners: readonly DirectoryEntry[],
+    region: string,
+    tried: ReadonlySet<string>,
+    nowMs: number,
+  ): Target | undefined {
+    const {random} = this.options;
+    const chosen = chooseOwner(owners, {
+      loads: this.loads,
+      tried,
+      random,
+      nowMs,
+    });
+    const entry = owners.find(({id}) => id === chosen?.id);
+    if (!entry) return undefined;
+    return {owner: entry.owner, region, zone: entry.endpointZone};
+  }
+
   private chooseSpill(
     source: string,
     selected: readonly string[],
--- a/packages/instance/test/routing/routing_task.test.ts
+++ b/packages/instance/test/routing/routing_task.test.ts
@@ -117,6 +117,20 @@
     await task[Symbol.asyncDispose]();
   });
 
+  it('guards against refusing a request while the only owners left are suspected and not known to have ended', async () => {
+    const {task, timers, down, send, setDrains} = createHarness();
+    const others = ['east', 'west'];
+    setDrains([
+      ...others.map(target => ({kind: DrainKind.Region, target})),
+      {kind: DrainKind.Zone, target: 'north-a'},
+    ]);
+    down.add('north-b-1');
+    timers.advance(200);
+    expect(send()?.owner.id).toBe('north-b-1');
+    expect(send(['north-b-1'])).toBeUndefined();
+    await task[Symbol.asyncDispose]();
+  });
+
   it('guards against a lost region whose traffic moves faster than the cap or never', async () => {
     const {task, timers, monitor, send, setDrains} = createHarness();
     const countRegions = (n: number) => {
