Remove the unused third copy of the drain rules

Cause: resolveDrains was called by its test only, and it took the instances and endpoints of a drained region out of service at once, against the rule that a region empties at the pace of the shift cap. Ruled out: calling it from the owner and from routing now; both need rules of their own for instances.

--- a/packages/control/src/documents/index.ts
+++ b/packages/control/src/documents/index.ts
@@ -30,5 +30,4 @@
 export {findPresetIssues} from './find_preset_issues.js';
 export {parseTeamDocument, TEAM_KEY_PREFIX} from './parse_team_document.js';
 export {type Preset, PRESET_SCHEMA} from './preset.js';
-export {type DrainedParts, resolveDrains} from './resolve_drains.js';
 export {type TeamDocument, TEAM_DOCUMENT_SCHEMA} from './team_document.js';
--- a/packages/control/test/documents/apply_change.test.ts
+++ b/packages/control/test/documents/apply_change.test.ts
@@ -8,7 +8,6 @@
   MAX_CHANGES,
   parseTeamDocument,
   PRESET_SCHEMA,
-  resolveDrains,
 } from '@primrosestage/control';
 import {describe, expect, it} from 'vitest';
 import {
@@ -110,18 +109,6 @@
   });
 });
 
-describe('resolveDrains', () => {
-  it('expands a region to its zones, instances and endpoints (guards against parts left in service)', () => {
-    const parts = resolveDrains(
-      [{kind: DrainKind.Region, target: 'addis'}],
-      TOPOLOGY,
-    );
-    expect([...parts.zones]).toEqual(['addis-a', 'addis-b']);
-    expect([...parts.instances]).toHaveLength(3);
-    expect([...parts.endpoints]).toHaveLength(14);
-  });
-});
-
 describe('parseTeamDocument', () => {
   it('refuses a document whose active preset is missing (guards against a team without a preset)', () => {
     expect(parseTeamDocument(createDocument())).toBeDefined();
