--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,15 @@
 import tsdoc from 'eslint-plugin-tsdoc';
 
 export default [
-  {ignores: ['eslint.config.js', '**/dist/**', '**/node_modules/**']},
+  {
+    ignores: [
+      'eslint.config.js',
+      'platform/build.mjs',
+      'target/**',
+      '**/dist/**',
+      '**/node_modules/**',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.ts'],
@@ -11,7 +19,12 @@
     rules: {'tsdoc/syntax': 'error'},
   },
   {
-    files: ['packages/*/test/**/*.ts', 'vitest.config.ts'],
+    files: [
+      'packages/*/test/**/*.ts',
+      'platform/test/**/*.ts',
+      'platform/build.mjs',
+      'vitest.config.ts',
+    ],
     rules: {'n/no-unpublished-import': 'off'},
   },
   {
--- /dev/null
+++ b/packages/common/src/telemetry/create_line_logger.ts
@@ -0,0 +1,112 @@
+import {write} from 'node:fs';
+import type {TimerService} from '../time/index.js';
+import type {EventLogger} from './event_logger.js';
+
+/** Time for which lines are collected before they are written, in milliseconds. */
+const FLUSH_INTERVAL_MS = 100;
+/** Characters held while the reader of the log is slow; further lines are dropped and counted. */
+const MAX_HELD_CHARS = 1_000_000;
+const STDOUT = 1;
+
+/** Configures a logger that never blocks. */
+export interface LineLoggerOptions {
+  timers: TimerService;
+  /** Fields that every line carries, such as the instance id. */
+  fields: Record<string, string>;
+  /** Writes text and calls back when the next may be written; standard output by default. */
+  writeText?: (text: string, done: () => void) => void;
+}
+
+/** Writes lines and gives out what is left at the end. */
+export interface LineLogger extends EventLogger, AsyncDisposable {
+  /** Lines that were dropped because the reader was slow. */
+  readonly droppedLines: number;
+}
+
+/**
+ * Creates a logger that writes JSON lines in the background. Lines are collected and written
+ * outside the event loop, so that a reader that stops reading never blocks a request.
+ * @param options - Clock, common fields and where text goes.
+ */
+export function createLineLogger(options: LineLoggerOptions): LineLogger {
+  const writeText = options.writeText ?? writeToStdout;
+  const common = JSON.stringify(options.fields).slice(1, -1);
+  let held: string[] = [];
+  let heldChars = 0;
+  let isWriting = false;
+  let isDue = false;
+  let dropped = 0;
+  let reported = 0;
+
+  const flush = () => {
+    isDue = false;
+    if (isWriting || held.length === 0) return;
+    const text = held.join('');
+    held = [];
+    heldChars = 0;
+    isWriting = true;
+    writeText(text, () => {
+      isWriting = false;
+      if (held.length > 0) schedule();
+    });
+  };
+  const schedule = () => {
+    if (isDue || isWriting) return;
+    isDue = true;
+    options.timers.after(FLUSH_INTERVAL_MS, flush);
+  };
+  const log = (level: string, message: string, fields: object = {}) => {
+    const lost = dropped - reported;
+    const line = `${formatLine(level, message, fields)}\n`;
+    if (heldChars + line.length > MAX_HELD_CHARS) {
+      dropped++;
+      return;
+    }
+    if (lost > 0) {
+      reported = dropped;
+      held.push(`${formatLine('warn', 'log lines dropped', {lost})}\n`);
+    }
+    held.push(line);
+    heldChars += line.length;
+    schedule();
+  };
+  const formatLine = (level: string, message: string, fields: object) => {
+    const at = new Date(options.timers.wallNow()).toISOString();
+    const rest = JSON.stringify(fields).slice(1, -1);
+    const head = `{"at":"${at}","level":"${level}",${common},"event":${JSON.stringify(message)}`;
+    return rest === '' ? `${head}}` : `${head},${rest}}`;
+  };
+  return {
+    info: (message, fields) => log('info', message, fields),
+    warn: (message, fields) => log('warn', message, fields),
+    error: (message, fields) => log('error', message, fields),
+    get droppedLines() {
+      return dropped;
+    },
+    async [Symbol.asyncDispose]() {
+      while (isWriting) await options.timers.sleep(1);
+      if (held.length === 0) return;
+      await new Promise<void>(resolve => {
+        writeText(held.join(''), resolve);
+        held = [];
+      });
+    },
+  };
+}
+
+function writeToStdout(text: string, done: () => void): void {
+  writeAll(Buffer.from(text), done);
+}
+
+/** A failed write loses the lines: there is no other place to report it to. */
+function writeAll(bytes: Buffer, done: () => void): void {
+  write(STDOUT, bytes, (err, written) => {
+    if (err?.code === 'EAGAIN') {
+      writeAll(bytes, done);
+    } else if (err || written >= bytes.length) {
+      done();
+    } else {
+      writeAll(bytes.subarray(written), done);
+    }
+  });
+}
--- a/packages/common/src/telemetry/index.ts
+++ b/packages/common/src/telemetry/index.ts
@@ -11,3 +11,9 @@
   type Tracing,
   type TracingOptions,
 } from './create_tracing.js';
+export {
+  createLineLogger,
+  type LineLogger,
+  type LineLoggerOptions,
+} from './create_line_logger.js';
+export type {EventLogger} from './event_logger.js';
--- a/packages/control/src/store/index.ts
+++ b/packages/control/src/store/index.ts
@@ -13,3 +13,11 @@
   type StoreErrorOptions,
   StoreFailure,
 } from './store_error.js';
+export {RegistryError} from './registry_error.js';
+export {
+  RegistryFault,
+  type RegistryItem,
+  type RegistryItems,
+  type RegistryStore,
+  type RegistryWrite,
+} from './registry_store.js';
--- /dev/null
+++ b/packages/instance/src/direct/caller_request.ts
@@ -0,0 +1,129 @@
+import type {IncomingMessage} from 'node:http';
+import type {WireNames} from './wire_names.js';
+
+/** Headers that concern one connection only and are not passed on. */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/**
+ * Copies headers, except those that concern one connection or are set by this instance.
+ * @param rawHeaders - Names and values in turn.
+ * @param omitted - Lower-case names of further headers to leave out.
+ * @returns Values by lower-case name; repeated headers keep all values.
+ */
+export function copyHeaders(
+  rawHeaders: readonly string[],
+  omitted: ReadonlySet<string>,
+): Record<string, string | string[]> {
+  const hopHeaders = getNamedHopHeaders(rawHeaders);
+  const headers: Record<string, string | string[]> = {};
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    const name = (rawHeaders[i] ?? '').toLowerCase();
+    const value = rawHeaders[i + 1] ?? '';
+    if (HOP_HEADERS.has(name) || omitted.has(name) || hopHeaders?.has(name)) {
+      continue;
+    }
+    const before = headers[name];
+    if (before === undefined) headers[name] = value;
+    else if (Array.isArray(before)) before.push(value);
+    else headers[name] = [before, value];
+  }
+  return headers;
+}
+
+function getNamedHopHeaders(
+  rawHeaders: readonly string[],
+): Set<string> | undefined {
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    if ((rawHeaders[i] ?? '').toLowerCase() !== 'connection') continue;
+    const value = (rawHeaders[i + 1] ?? '').toLowerCase();
+    if (value === 'keep-alive' || value === 'close') continue;
+    return new Set(value.split(',').map(name => name.trim()));
+  }
+  return undefined;
+}
+
+/**
+ * Reads the time that a caller still waits.
+ * @param req - The request.
+ * @param names - Header names.
+ * @returns Milliseconds, or undefined where the caller does not say.
+ */
+export function readDeadlineMs(
+  req: IncomingMessage,
+  names: WireNames,
+): number | undefined {
+  const value = Number(req.headers[names.deadlineMs] ?? NaN);
+  return Number.isFinite(value) && value >= 0 ? value : undefined;
+}
+
+/**
+ * Reads the value of the cookie that names the object of a request.
+ * @param req - The request.
+ * @param names - Header names.
+ */
+export function readObjectKey(
+  req: IncomingMessage,
+  names: WireNames,
+): string | undefined {
+  const {cookie} = req.headers;
+  if (cookie === undefined) return undefined;
+  for (const pair of cookie.split(';')) {
+    const equals = pair.indexOf('=');
+    if (pair.slice(0, equals).trim() === names.objectCookie) {
+      return pair.slice(equals + 1).trim();
+    }
+  }
+  return undefined;
+}
+
+/** Says why a body could not be read. */
+export enum BodyFault {
+  TooLarge = 'too-large',
+  Aborted = 'aborted',
+}
+
+/**
+ * Reads the whole body of a request, so that it can be repeated.
+ * @param req - The request.
+ * @param maxBytes - Longest body that is accepted.
+ * @returns The body, undefined where there is none, or why it could not be read.
+ */
+export function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | undefined | BodyFault> {
+  const length = req.headers['content-length'];
+  const isEmpty =
+    req.headers['transfer-encoding'] === undefined &&
+    (length === undefined || length === '0');
+  if (isEmpty) {
+    req.resume();
+    return Promise.resolve(length === undefined ? undefined : Buffer.alloc(0));
+  }
+  if (Number(length ?? 0) > maxBytes) {
+    return Promise.resolve(BodyFault.TooLarge);
+  }
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) resolve(BodyFault.TooLarge);
+      else chunks.push(chunk);
+    });
+    req.on('end', () => resolve(Buffer.concat(chunks)));
+    req.on('aborted', () => resolve(BodyFault.Aborted));
+    req.on('error', () => resolve(BodyFault.Aborted));
+  });
+}
--- /dev/null
+++ b/packages/instance/src/direct/control_sync.ts
@@ -0,0 +1,218 @@
+import {
+  getErrorMessage,
+  type EventLogger,
+  type TimerService,
+} from '@primrosestage/common';
+import {
+  RegistryError,
+  RegistryFault,
+  type RegistryItems,
+} from '@primrosestage/control';
+import type {
+  ControlChanges,
+  ControlView,
+  MemberInfo,
+  MemberTable,
+} from '@primrosestage/steering';
+import type {ControlSource} from './control_source.js';
+import type {DirectMetrics} from './direct_metrics.js';
+
+/** First and longest pause after a failed call, in milliseconds. */
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 1_000;
+/** Pause between watches; changes that come together are read in one call. */
+const WATCH_PAUSE_MS = 60;
+/** Lifetime of this instance's registration, in milliseconds. */
+const REGISTRATION_TTL_MS = 600_000;
+const REGISTRATION_INTERVAL_MS = 240_000;
+/** Time for which another instance may be ahead before the watch counts as silent. */
+const BEHIND_LIMIT_MS = 700;
+
+/** Holds what the synchronization with the registry needs. */
+export interface ControlSyncOptions {
+  source: ControlSource;
+  view: ControlView;
+  members: MemberTable;
+  self: () => MemberInfo;
+  timers: TimerService;
+  logger: EventLogger;
+  metrics: DirectMetrics;
+  /** Applies changes to the view, and logs and counts them. */
+  apply: (changes: ControlChanges, from: string) => void;
+}
+
+/**
+ * Follows the registry: lists once, then watches. While the registry does not answer, the last
+ * view holds and other instances pass on what they know.
+ */
+export class ControlSync implements AsyncDisposable {
+  private readonly abort = new AbortController();
+  private watchAbort?: AbortController;
+  private behindSince?: number;
+  private isAway = false;
+  private readonly loops: Array<Promise<void>> = [];
+
+  constructor(private readonly options: ControlSyncOptions) {}
+
+  /** Starts following the registry and registering this instance. */
+  start(): void {
+    this.loops.push(this.follow(), this.register());
+  }
+
+  /**
+   * Notes how far another instance has followed the registry. Where this one stays behind, its
+   * watch is silent and is opened again.
+   * @param revision - The other instance's revision.
+   */
+  notePeerRevision(revision: number): void {
+    const {view, timers, logger} = this.options;
+    if (revision <= view.revision) {
+      this.behindSince = undefined;
+      return;
+    }
+    const now = timers.now();
+    this.behindSince ??= now;
+    if (now - this.behindSince < BEHIND_LIMIT_MS || !this.watchAbort) return;
+    logger.warn('registry watch is behind other instances', {
+      revision: view.revision,
+      peerRevision: revision,
+    });
+    this.behindSince = undefined;
+    this.watchAbort.abort();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.abort.abort();
+    this.watchAbort?.abort();
+    await Promise.all(this.loops);
+  }
+
+  private async follow(): Promise<void> {
+    let pauseMs = FIRST_PAUSE_MS;
+    let position: number | undefined;
+    const {signal} = this.abort;
+    while (!signal.aborted) {
+      try {
+        position =
+          position === undefined
+            ? await this.list()
+            : await this.watch(position);
+        pauseMs = FIRST_PAUSE_MS;
+        await this.options.timers.sleep(WATCH_PAUSE_MS, signal);
+      } catch (err) {
+        if (signal.aborted) return;
+        if (getFault(err) === RegistryFault.HistoryLost) {
+          this.options.logger.warn('registry history lost', {
+            revision: position,
+            outcome: 'list again',
+          });
+          position = undefined;
+          continue;
+        }
+        this.noteAway(err);
+        await this.options.timers.sleep(pauseMs, signal);
+        pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
+      }
+    }
+  }
+
+  private async list(): Promise<number> {
+    const {source} = this.options;
+    const listed = await source.store.list(source.prefix);
+    this.noteBack();
+    this.apply(listed, true);
+    return listed.revision;
+  }
+
+  private async watch(after: number): Promise<number> {
+    const {source} = this.options;
+    const watchAbort = new AbortController();
+    this.watchAbort = watchAbort;
+    try {
+      const changed = await source.store.watch(
+        source.prefix,
+        after,
+        watchAbort.signal,
+      );
+      this.noteBack();
+      this.apply(changed, false);
+      return Math.max(after, changed.revision);
+    } finally {
+      this.watchAbort = undefined;
+    }
+  }
+
+  private apply({items, revision}: RegistryItems, isFull: boolean): void {
+    const {source, members, timers, logger} = this.options;
+    const changes: ControlChanges = {
+      revision,
+      isFull,
+      endpoints: [],
+      evacuations: [],
+    };
+    const announced: MemberInfo[] = [];
+    for (const item of items) {
+      const decoded = source.decode(item);
+      if (!decoded) continue;
+      if (decoded.fault !== undefined) {
+        logger.warn('registry item ignored', {
+          key: item.key,
+          revision: item.revision,
+          fault: decoded.fault,
+        });
+      }
+      if (decoded.configuration) changes.configuration = decoded.configuration;
+      if (decoded.endpoint) changes.endpoints.push(decoded.endpoint);
+      if (decoded.evacuation) changes.evacuations.push(decoded.evacuation);
+      if (decoded.member) announced.push(decoded.member);
+    }
+    members.learn(announced, timers.now());
+    this.options.apply(changes, 'registry');
+  }
+
+  private noteAway(err: unknown): void {
+    const {view, logger} = this.options;
+    view.book.markRegistryAway();
+    if (this.isAway) return;
+    this.isAway = true;
+    logger.warn('registry lost', {
+      reason: getErrorMessage(err),
+      fault: getFault(err),
+      revision: view.revision,
+    });
+  }
+
+  private noteBack(): void {
+    const {view, logger, timers} = this.options;
+    if (this.isAway) {
+      logger.info('registry regained', {revision: view.revision});
+    }
+    this.isAway = false;
+    view.book.markRegistryBack(timers.now());
+  }
+
+  private async register(): Promise<void> {
+    const {source, self, timers, logger} = this.options;
+    const {signal} = this.abort;
+    while (!signal.aborted) {
+      let waitMs = REGISTRATION_INTERVAL_MS;
+      try {
+        const info = self();
+        await source.store.put({
+          key: source.memberKey(info.id),
+          value: Buffer.from(JSON.stringify(info)),
+          ttlMs: REGISTRATION_TTL_MS,
+        });
+        logger.info('registered', {key: source.memberKey(info.id)});
+      } catch (err) {
+        logger.warn('registration failed', {reason: getErrorMessage(err)});
+        waitMs = MAX_PAUSE_MS;
+      }
+      await timers.sleep(waitMs, signal);
+    }
+  }
+}
+
+function getFault(err: unknown): RegistryFault | undefined {
+  return err instanceof RegistryError ? err.fault : undefined;
+}
--- /dev/null
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -0,0 +1,90 @@
+import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
+
+/** Upper bounds of the latency buckets in seconds. */
+const LATENCY_BUCKETS_S = [
+  0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2.5, 5,
+];
+
+/** Counts and times what an instance does. */
+export interface DirectMetrics {
+  requests: Counter<'service' | 'status' | 'decided_by'>;
+  attempts: Counter<'service' | 'outcome'>;
+  repeats: Counter<'service' | 'cause'>;
+  requestSeconds: Histogram<'service'>;
+  attemptSeconds: Histogram<'service'>;
+  directoryAnswers: Counter<'status'>;
+  controlChanges: Counter<'kind'>;
+  peerCalls: Counter<'result'>;
+  configurationVersion: Gauge;
+  openRequests: Gauge;
+}
+
+/**
+ * Registers the metrics of an instance.
+ * @param registry - Where they are registered.
+ */
+export function createDirectMetrics(registry: Registry): DirectMetrics {
+  const registers = [registry];
+  return {
+    requests: new Counter({
+      name: 'primrose_direct_requests_total',
+      help: 'Requests by service, status and who decided it.',
+      labelNames: ['service', 'status', 'decided_by'],
+      registers,
+    }),
+    attempts: new Counter({
+      name: 'primrose_direct_attempts_total',
+      help: 'Attempts at endpoints by outcome.',
+      labelNames: ['service', 'outcome'],
+      registers,
+    }),
+    repeats: new Counter({
+      name: 'primrose_direct_repeats_total',
+      help: 'Attempts beyond the first of a request, or refused by the allowance.',
+      labelNames: ['service', 'cause'],
+      registers,
+    }),
+    requestSeconds: new Histogram({
+      name: 'primrose_direct_request_seconds',
+      help: 'Time from the first byte of a request to its final answer.',
+      labelNames: ['service'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    attemptSeconds: new Histogram({
+      name: 'primrose_direct_attempt_seconds',
+      help: 'Time of one attempt at an endpoint.',
+      labelNames: ['service'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    directoryAnswers: new Counter({
+      name: 'primrose_direct_directory_answers_total',
+      help: 'Answers of the directory by status.',
+      labelNames: ['status'],
+      registers,
+    }),
+    controlChanges: new Counter({
+      name: 'primrose_direct_control_changes_total',
+      help: 'Changes of the control view by kind.',
+      labelNames: ['kind'],
+      registers,
+    }),
+    peerCalls: new Counter({
+      name: 'primrose_direct_peer_calls_total',
+      help: 'Exchanges with other instances by result.',
+      labelNames: ['result'],
+      registers,
+    }),
+    configurationVersion: new Gauge({
+      name: 'primrose_direct_configuration_version',
+      help: 'Version of the configuration in force.',
+      registers,
+    }),
+    openRequests: new Gauge({
+      name: 'primrose_direct_open_requests',
+      help: 'Requests that are not answered to the end.',
+      registers,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/instance/src/direct/direct_settings.ts
@@ -0,0 +1,34 @@
+/** Configures an instance that sends requests straight to endpoints. */
+export interface DirectSettings {
+  id: string;
+  zone: string;
+  region: string;
+  /** Region of each zone. */
+  regionsByZone: ReadonlyMap<string, string>;
+  /** Address for callers, `host:port`. */
+  callerAddress: string;
+  readinessAddress: string;
+  directoryAddress: string;
+  /** Address for control calls between instances. */
+  controlAddress: string;
+  /** Control addresses of some instances; they may be stale. */
+  seedAddresses: readonly string[];
+  bounds: DirectBounds;
+}
+
+/** Bounds that hold over all instances. */
+export interface DirectBounds {
+  /** Repeats per request of a service. */
+  repeatRatio: number;
+  /** Repeats of a service in a window beyond the ratio. */
+  repeatSlack: number;
+  repeatWindowMs: number;
+  /** Factor on the requests per second that a cold endpoint states to bear. */
+  coldFactor: number;
+  /** Requests per second to a cold endpoint beyond that. */
+  coldSlack: number;
+  /** Longest time of a planned stop, after which the process is killed. */
+  stopTimeoutMs: number;
+  /** Longest time for which callers may keep an answer of the directory. */
+  maxDirectoryTtlMs: number;
+}
--- /dev/null
+++ b/packages/instance/src/direct/endpoint_agent.ts
@@ -0,0 +1,59 @@
+import http from 'node:http';
+import type {Socket} from 'node:net';
+
+/** Longest time that a connection to an endpoint stays open without use, in milliseconds. */
+const MAX_IDLE_MS = 4_000;
+/** Part of the idle time stated by an endpoint after which the connection is closed. */
+const STATED_IDLE_PART = 0.5;
+const KEEP_ALIVE_TIMEOUT = /(?:^|[\s,])timeout=(\d+)/i;
+
+/**
+ * Pools connections to endpoints. A connection on which bytes arrive while no request waits is
+ * closed, so that they are never taken for the answer to a later request.
+ */
+export class EndpointAgent extends http.Agent {
+  constructor() {
+    super({keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64});
+  }
+
+  /**
+   * Decides whether a connection is kept after an answer.
+   * @param socket - The connection.
+   * @returns Whether it is kept.
+   */
+  override keepSocketAlive(socket: Socket): boolean {
+    if (socket.destroyed || socket.readableEnded) return false;
+    const idleMs = getIdleMs(socket);
+    if (idleMs <= 0) return false;
+    socket.setTimeout(idleMs, destroyThis);
+    socket.on('data', destroyThis);
+    socket.unref();
+    return true;
+  }
+
+  /**
+   * Prepares a pooled connection for a request.
+   * @param socket - The connection.
+   */
+  override reuseSocket(socket: Socket): void {
+    socket.setTimeout(0);
+    socket.removeListener('timeout', destroyThis);
+    socket.removeListener('data', destroyThis);
+    socket.ref();
+  }
+}
+
+function destroyThis(this: Socket): void {
+  this.destroy();
+}
+
+/** Derives the idle time from the last answer; an endpoint may close earlier than it states. */
+function getIdleMs(socket: Socket): number {
+  const {_httpMessage: req} = socket as Socket & {
+    _httpMessage?: {res?: http.IncomingMessage};
+  };
+  const header = req?.res?.headers['keep-alive'];
+  const stated = KEEP_ALIVE_TIMEOUT.exec(String(header ?? ''))?.[1];
+  if (stated === undefined) return MAX_IDLE_MS;
+  return Math.min(MAX_IDLE_MS, Number(stated) * 1_000 * STATED_IDLE_PART);
+}
--- /dev/null
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -0,0 +1,451 @@
+import type {TimerService} from '@primrosestage/common';
+import {
+  type Candidate,
+  chooseEndpoint,
+  choosePreference,
+  ColdCounter,
+  type ControlView,
+  EndpointLoad,
+  type EndpointChoice,
+  getColdLimit,
+  hash32,
+  type KnownEndpoint,
+  type MemberTable,
+  RepeatAllowance,
+  type RankedEndpoint,
+  rankEndpoints,
+  type Route,
+  SplitCounter,
+} from '@primrosestage/steering';
+import type {DirectSettings} from './direct_settings.js';
+
+/** Endpoints that share an object's requests. */
+const CANDIDATES = 3;
+/** Endpoints looked at when the first of the ranking cannot be used. */
+const RANKED = 8;
+/** Requests that may wait at an endpoint beyond its slots. */
+const QUEUE_LIMIT = 5;
+/** Part of a region's slots up to which its callers prefer its own endpoints. */
+const MAX_UTILIZATION = 0.75;
+/** Utilization of all slots for which the preference is chosen. */
+const PLANNED_UTILIZATION = 0.6;
+/** Time of a request where nothing has been measured, in milliseconds. */
+const DEFAULT_SERVICE_MS = 150;
+/** Times of travel there and back where nothing has been measured, in milliseconds. */
+const DEFAULT_TRAVEL_MS = {zone: 1, region: 4, world: 60};
+/** Most rankings that are kept. */
+const MAX_RANKINGS = 20_000;
+/** Time of silence after which a request to an endpoint that was unreachable counts as its start. */
+const WEIGHT_OF_NEW_TRAVEL = 0.3;
+
+/** Describes a request for an endpoint. */
+export interface SelectionRequest {
+  route: Route;
+  service: string;
+  /** Names the object, or the request where there is no object. */
+  objectKey: string;
+  /** Endpoints that have had the request. */
+  tried: ReadonlySet<string>;
+  remainingMs: number;
+}
+
+/** Holds the choice with what decided it. */
+export interface Selection {
+  choice: EndpointChoice;
+  endpoint?: KnownEndpoint;
+  candidate?: Candidate;
+  /** Number of endpoints of the service that may be used. */
+  available: number;
+}
+
+interface EndpointState {
+  load: EndpointLoad;
+  cold: ColdCounter;
+  hash: number;
+  travelMs?: number;
+  bornAt: number;
+  wasUnreachable: boolean;
+}
+
+/** Chooses endpoints from the control view and what this instance has seen of them. */
+export class EndpointSelector {
+  private readonly states = new Map<string, EndpointState>();
+  private readonly rankings = new Map<string, string[]>();
+  private readonly ranked = new Map<string, RankedEndpoint[]>();
+  private readonly splits = new WeakMap<Route, SplitCounter>();
+  private readonly allowances = new Map<string, RepeatAllowance>();
+  private readonly serviceMs = new Map<string, number>();
+  private rankedVersion = -1;
+
+  /**
+   * Creates the selector.
+   * @param settings - Place of this instance and bounds.
+   * @param view - Endpoints and evacuations.
+   * @param members - The instances that share the bounds.
+   * @param timers - The clock.
+   */
+  constructor(
+    private readonly settings: DirectSettings,
+    private readonly view: ControlView,
+    private readonly members: MemberTable,
+    private readonly timers: TimerService,
+  ) {}
+
+  /**
+   * Chooses the service of a request by the weights of its route.
+   * @param route - The route.
+   * @param objectKey - Names the object or the request.
+   */
+  chooseService(route: Route, objectKey: string): string | undefined {
+    if (route.targets.length === 1) return route.targets[0]?.service;
+    let split = this.splits.get(route);
+    if (!split) {
+      split = new SplitCounter(route.targets);
+      this.splits.set(route, split);
+    }
+    return split.choose(hash32(`${route.name} ${objectKey}`) / 2 ** 32);
+  }
+
+  /**
+   * Chooses an endpoint.
+   * @param request - What is asked for.
+   */
+  select(request: SelectionRequest): Selection {
+    this.refreshRankings();
+    const now = this.timers.now();
+    const ids = this.getRanking(request);
+    const candidates: Candidate[] = [];
+    for (const id of ids) {
+      if (request.tried.has(id)) continue;
+      const endpoint = this.view.book.get(id);
+      if (!endpoint) continue;
+      const state = this.getState(endpoint);
+      if (!state.load.isUsable(now)) continue;
+      candidates.push(
+        this.createCandidate(endpoint, state, candidates.length, now),
+      );
+      if (candidates.length === CANDIDATES) break;
+    }
+    const choice = chooseEndpoint(candidates, {
+      remainingMs: request.remainingMs,
+      queueLimit: QUEUE_LIMIT,
+    });
+    const endpoint =
+      choice.id === undefined ? undefined : this.view.book.get(choice.id);
+    return {
+      choice,
+      endpoint,
+      candidate: candidates.find(({id}) => id === choice.id),
+      available: candidates.length,
+    };
+  }
+
+  /**
+   * Counts a request that is about to be sent.
+   * @param endpoint - Where it is sent.
+   * @returns False where the bound of a cold endpoint forbids it.
+   */
+  begin(endpoint: KnownEndpoint): boolean {
+    const now = this.timers.now();
+    const state = this.getState(endpoint);
+    if (endpoint.coldUntil > now) {
+      const limit = this.getColdLimitOf(endpoint, state);
+      if (!state.cold.take(now, limit)) return false;
+    } else {
+      // An endpoint that turns cold later has had these requests in the same second.
+      state.cold.take(now, Infinity);
+    }
+    state.load.inFlight++;
+    return true;
+  }
+
+  /**
+   * Returns what is known of an endpoint's load.
+   * @param endpoint - The endpoint.
+   */
+  getLoad(endpoint: KnownEndpoint): EndpointLoad {
+    return this.getState(endpoint).load;
+  }
+
+  /**
+   * Takes over that an endpoint answered.
+   * @param endpoint - The endpoint.
+   * @param elapsedMs - Time from sending to the whole answer, in milliseconds.
+   * @param depthAtSend - Estimated depth when it was sent.
+   */
+  observeAnswer(
+    endpoint: KnownEndpoint,
+    elapsedMs: number,
+    depthAtSend: number,
+  ): void {
+    const now = this.timers.now();
+    const state = this.getState(endpoint);
+    this.noteReachable(endpoint, state, now);
+    const {slots, service} = endpoint.entry;
+    const ahead = Math.max(0, depthAtSend - slots + 1) / Math.max(1, slots);
+    const workMs = Math.max(
+      1,
+      (elapsedMs - this.getTravelMs(endpoint, state)) / (1 + ahead),
+    );
+    state.load.observeAnswer(workMs, now);
+    const before = this.serviceMs.get(service) ?? workMs;
+    this.serviceMs.set(service, before + 0.05 * (workMs - before));
+  }
+
+  /**
+   * Takes over that an endpoint refused a request or failed it itself.
+   * @param endpoint - The endpoint.
+   */
+  observeRefusal(endpoint: KnownEndpoint): void {
+    const now = this.timers.now();
+    const state = this.getState(endpoint);
+    this.noteReachable(endpoint, state, now);
+    state.load.observeRefusal(now);
+  }
+
+  /**
+   * Takes over that a connection to an endpoint failed.
+   * @param endpoint - The endpoint.
+   * @param isUnreachable - Whether no connection could be opened.
+   */
+  observeFailure(endpoint: KnownEndpoint, isUnreachable: boolean): void {
+    const state = this.getState(endpoint);
+    if (isUnreachable) state.wasUnreachable = true;
+    state.load.observeFailure(isUnreachable, this.timers.now());
+  }
+
+  /**
+   * Takes over the time that a connection took to open.
+   * @param endpoint - The endpoint.
+   * @param connectMs - The time in milliseconds.
+   */
+  observeConnect(endpoint: KnownEndpoint, connectMs: number): void {
+    const state = this.getState(endpoint);
+    const before = state.travelMs ?? connectMs;
+    state.travelMs = before + WEIGHT_OF_NEW_TRAVEL * (connectMs - before);
+  }
+
+  /**
+   * Counts a request for a service.
+   * @param service - Name of the service.
+   */
+  countRequest(service: string): void {
+    this.getAllowance(service).addRequest(this.timers.now());
+  }
+
+  /**
+   * Takes a repeat from this instance's part of the bound.
+   * @param service - Name of the service.
+   * @returns Whether the repeat may be sent.
+   */
+  takeRepeat(service: string): boolean {
+    return this.getAllowance(service).take(
+      this.timers.now(),
+      this.members.getCount(),
+    );
+  }
+
+  /**
+   * Returns the usual time of a request of a service, in milliseconds.
+   * @param service - Name of the service.
+   */
+  getServiceMs(service: string): number {
+    return this.serviceMs.get(service) ?? DEFAULT_SERVICE_MS;
+  }
+
+  /** Drops what is known of endpoints that are gone. */
+  sweep(): void {
+    for (const id of this.states.keys()) {
+      if (!this.view.book.get(id)) this.states.delete(id);
+    }
+  }
+
+  private createCandidate(
+    endpoint: KnownEndpoint,
+    state: EndpointState,
+    rank: number,
+    now: number,
+  ): Candidate {
+    const {load, cold} = state;
+    const isCold = endpoint.coldUntil > now;
+    return {
+      id: endpoint.entry.id,
+      rank,
+      slots: endpoint.entry.slots,
+      depth: load.getDepth(now),
+      serviceMs:
+        load.averageServiceMs || this.getServiceMs(endpoint.entry.service),
+      travelMs: this.getTravelMs(endpoint, state),
+      failureRatio: load.averageFailureRatio,
+      isBlocked:
+        isCold && !cold.hasRoom(now, this.getColdLimitOf(endpoint, state)),
+    };
+  }
+
+  /** An endpoint that could not be reached may have restarted and be cold. */
+  private noteReachable(
+    endpoint: KnownEndpoint,
+    state: EndpointState,
+    now: number,
+  ): void {
+    if (!state.wasUnreachable) return;
+    state.wasUnreachable = false;
+    const coldMs = this.getService(endpoint.entry.service)?.coldMs ?? 0;
+    this.view.book.extendCold(endpoint.entry.id, now + coldMs);
+  }
+
+  private getColdLimitOf(
+    endpoint: KnownEndpoint,
+    state: EndpointState,
+  ): number {
+    const {bounds, id} = this.settings;
+    const service = this.getService(endpoint.entry.service);
+    if (!service || service.coldPerSecond <= 0) return Infinity;
+    const self = hash32(`${id} ${state.hash}`);
+    const rank = this.members
+      .getOthers()
+      .filter(other => hash32(`${other.id} ${state.hash}`) < self).length;
+    return getColdLimit(
+      {
+        perSecond: service.coldPerSecond * bounds.coldFactor + bounds.coldSlack,
+      },
+      {instances: this.members.getCount(), rank},
+    );
+  }
+
+  private getService(name: string) {
+    return this.view.configuration?.services.get(name);
+  }
+
+  private getAllowance(service: string): RepeatAllowance {
+    let allowance = this.allowances.get(service);
+    if (!allowance) {
+      const {bounds} = this.settings;
+      allowance = new RepeatAllowance({
+        ratio: bounds.repeatRatio,
+        slack: bounds.repeatSlack,
+        windowMs: bounds.repeatWindowMs,
+      });
+      this.allowances.set(service, allowance);
+    }
+    return allowance;
+  }
+
+  private getTravelMs(endpoint: KnownEndpoint, state: EndpointState): number {
+    if (state.travelMs !== undefined) return state.travelMs;
+    const {zone} = endpoint.entry;
+    if (zone === this.settings.zone) return DEFAULT_TRAVEL_MS.zone;
+    const isSameRegion = this.getRegion(zone) === this.settings.region;
+    return isSameRegion ? DEFAULT_TRAVEL_MS.region : DEFAULT_TRAVEL_MS.world;
+  }
+
+  private getRegion(zone: string): string | undefined {
+    return this.settings.regionsByZone.get(zone);
+  }
+
+  private getState(endpoint: KnownEndpoint): EndpointState {
+    const {id, bornAt} = endpoint.entry;
+    let state = this.states.get(id);
+    if (!state || state.bornAt !== bornAt) {
+      state = {
+        load: new EndpointLoad(),
+        cold: state?.cold ?? new ColdCounter(),
+        hash: hash32(id),
+        bornAt,
+        wasUnreachable: false,
+      };
+      this.states.set(id, state);
+    }
+    return state;
+  }
+
+  private refreshRankings(): void {
+    if (
+      this.rankedVersion === this.view.version &&
+      this.rankings.size < MAX_RANKINGS
+    ) {
+      return;
+    }
+    this.rankedVersion = this.view.version;
+    this.rankings.clear();
+    this.ranked.clear();
+  }
+
+  private getRanking({route, service, objectKey}: SelectionRequest): string[] {
+    const homes = route.homeRegions.join();
+    const key = `${service} ${objectKey} ${homes}`;
+    let ranking = this.rankings.get(key);
+    if (!ranking) {
+      const endpoints = this.getRanked(service, route.homeRegions);
+      ranking = rankEndpoints(
+        hash32(`${service} ${objectKey}`),
+        endpoints,
+        RANKED,
+      );
+      this.rankings.set(key, ranking);
+    }
+    return ranking;
+  }
+
+  private getRanked(
+    service: string,
+    homes: readonly string[],
+  ): RankedEndpoint[] {
+    const key = `${service} ${homes.join()}`;
+    let ranked = this.ranked.get(key);
+    if (!ranked) {
+      ranked = this.rankService(service, homes);
+      this.ranked.set(key, ranked);
+    }
+    return ranked;
+  }
+
+  private rankService(
+    service: string,
+    homes: readonly string[],
+  ): RankedEndpoint[] {
+    const endpoints = this.view.book
+      .getByService(service)
+      .filter(({entry}) => !this.view.isEvacuated(entry.zone))
+      .filter(({entry}) => {
+        const region = this.getRegion(entry.zone);
+        return (
+          homes.length === 0 || (region !== undefined && homes.includes(region))
+        );
+      });
+    const preference = this.getPreference(endpoints);
+    return endpoints.map(endpoint => {
+      const {id, slots, zone} = endpoint.entry;
+      const isOwn = this.getRegion(zone) === this.settings.region;
+      return {
+        id,
+        hash: this.getState(endpoint).hash,
+        weight: isOwn ? slots * preference : slots,
+      };
+    });
+  }
+
+  /** Assumes the same demand in every zone, so that all instances choose alike. */
+  private getPreference(endpoints: readonly KnownEndpoint[]): number {
+    const {regionsByZone} = this.settings;
+    const slotsByRegion = new Map<string, number>();
+    let total = 0;
+    for (const {entry} of endpoints) {
+      const region = this.getRegion(entry.zone) ?? '';
+      const before = slotsByRegion.get(region) ?? 0;
+      slotsByRegion.set(region, before + entry.slots);
+      total += entry.slots;
+    }
+    const zones = [...regionsByZone.values()];
+    const supplies = [...new Set(zones)].map(region => ({
+      region,
+      slots: slotsByRegion.get(region) ?? 0,
+      demand:
+        (total *
+          PLANNED_UTILIZATION *
+          zones.filter(other => other === region).length) /
+        zones.length,
+    }));
+    return choosePreference(supplies, MAX_UTILIZATION);
+  }
+}
--- /dev/null
+++ b/packages/instance/src/direct/peer_exchange.ts
@@ -0,0 +1,234 @@
+import {
+  createAgent,
+  connectTcp,
+  getErrorMessage,
+  type EventLogger,
+  type TimerService,
+} from '@primrosestage/common';
+import type {
+  ControlChanges,
+  ControlView,
+  MemberInfo,
+  MemberTable,
+} from '@primrosestage/steering';
+import {createPeerClient, procedure, router} from '../rpc/index.js';
+import type {DirectMetrics} from './direct_metrics.js';
+import {
+  fromWireConfiguration,
+  toWireConfiguration,
+  type PeerHello,
+  type PeerReply,
+} from './peer_message.js';
+
+/** Time between two rounds of exchanges, in milliseconds. */
+const ROUND_MS = 500;
+/** Instances asked in a round. */
+const FANOUT = 2;
+/** Longest time of an exchange, in milliseconds. */
+const CALL_TIMEOUT_MS = 600;
+/** Silence after which an instance is asked only once in a while, in milliseconds. */
+const QUIET_AFTER_MS = 4_000;
+/** Part of the rounds in which a silent instance or a seed is asked as well. */
+const PROBE_PART = 0.25;
+
+/** Holds what exchanges between instances need. */
+export interface PeerExchangeOptions {
+  view: ControlView;
+  members: MemberTable;
+  self: () => MemberInfo;
+  seedAddresses: readonly string[];
+  timers: TimerService;
+  logger: EventLogger;
+  metrics: DirectMetrics;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
+  /** Applies changes to the view, and logs and counts them. */
+  apply: (changes: ControlChanges, from: string) => void;
+  /** Notes how far another instance has followed the registry. */
+  notePeerRevision: (revision: number) => void;
+}
+
+/**
+ * Exchanges heartbeats and control state with a few other instances in each round, so that
+ * news reaches all in a number of rounds that grows with the logarithm of their number, also
+ * where the registry does not answer some of them.
+ */
+export class PeerExchange implements AsyncDisposable {
+  private readonly agent = createAgent({connect: connectTcp, maxSockets: 4});
+  private readonly clients = new Map<
+    string,
+    ReturnType<typeof createPeerClient<PeerRouter>>
+  >();
+  private readonly inFlight = new Set<string>();
+  private rounds?: AsyncDisposable;
+
+  constructor(private readonly options: PeerExchangeOptions) {}
+
+  /** Starts the rounds. */
+  start(): void {
+    this.runRound();
+    this.rounds = this.options.timers.every(ROUND_MS, () => this.runRound());
+  }
+
+  /**
+   * Answers another instance.
+   * @param hello - What it says.
+   * @returns What it lacks.
+   */
+  receive(hello: PeerHello): PeerReply {
+    this.learn(hello);
+    const {view} = this.options;
+    const {configuration} = view;
+    const reply: PeerReply = this.createHello();
+    if (view.revision > hello.revision) {
+      reply.changes = view.getChangesAfter(hello.revision);
+    }
+    if (configuration && configuration.version > hello.configurationVersion) {
+      reply.configuration = toWireConfiguration(configuration);
+    }
+    return reply;
+  }
+
+  /** Tells some other instances at once what changed here. */
+  async announce(): Promise<void> {
+    const targets = this.options.members
+      .getOthers()
+      .map(({controlAddress}) => controlAddress);
+    await Promise.all(targets.map(target => this.exchange(target)));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.rounds?.[Symbol.asyncDispose]();
+    this.agent.destroy();
+  }
+
+  private runRound(): void {
+    for (const address of this.chooseTargets()) void this.exchange(address);
+  }
+
+  private chooseTargets(): string[] {
+    const {members, timers, random, seedAddresses, self} = this.options;
+    const now = timers.now();
+    const live: string[] = [];
+    const silent: string[] = [];
+    for (const {id, controlAddress} of members.getOthers()) {
+      const isQuiet = members.getSilenceMs(id, now) > QUIET_AFTER_MS;
+      (isQuiet ? silent : live).push(controlAddress);
+    }
+    const targets = new Set(pick(live, FANOUT, random));
+    if (live.length === 0 || random() < PROBE_PART) {
+      const own = self().controlAddress;
+      const others = [...silent, ...seedAddresses].filter(
+        address => address !== own,
+      );
+      const count = live.length === 0 ? FANOUT : 1;
+      for (const address of pick(others, count, random)) targets.add(address);
+    }
+    return [...targets].filter(address => !this.inFlight.has(address));
+  }
+
+  private async exchange(address: string): Promise<void> {
+    const {metrics, logger, view} = this.options;
+    this.inFlight.add(address);
+    try {
+      const reply = await this.getClient(address).direct.exchange.mutate(
+        this.createHello(),
+      );
+      metrics.peerCalls.inc({result: 'ok'});
+      this.learn(reply);
+      const {changes, configuration} = reply;
+      if (changes || configuration) {
+        this.options.apply(
+          {
+            revision: view.revision,
+            isFull: false,
+            endpoints: [],
+            evacuations: [],
+            ...changes,
+            configuration:
+              configuration && fromWireConfiguration(configuration),
+          },
+          address,
+        );
+      }
+      this.options.notePeerRevision(reply.revision);
+    } catch (err) {
+      metrics.peerCalls.inc({result: 'failed'});
+      logger.info('peer exchange failed', {
+        peer: address,
+        reason: getErrorMessage(err),
+      });
+    } finally {
+      this.inFlight.delete(address);
+    }
+  }
+
+  private createHello(): PeerHello {
+    const {view, members, timers} = this.options;
+    return {
+      members: members.getAnnouncements(timers.now()),
+      revision: view.isComplete ? view.revision : 0,
+      configurationVersion: view.configuration?.version ?? 0,
+    };
+  }
+
+  private learn(hello: PeerHello): void {
+    const {members, timers, logger} = this.options;
+    const joined = members.merge(hello.members, timers.now());
+    for (const id of joined) logger.info('instance joined', {peer: id});
+  }
+
+  private getClient(address: string) {
+    let client = this.clients.get(address);
+    if (!client) {
+      client = createPeerClient<PeerRouter>({
+        address,
+        agent: this.agent,
+        timeoutMs: CALL_TIMEOUT_MS,
+      });
+      this.clients.set(address, client);
+    }
+    return client;
+  }
+}
+
+/**
+ * Creates the router of exchanges between instances.
+ * @param receive - Answers another instance.
+ */
+export function createPeerRouter(receive: (hello: PeerHello) => PeerReply) {
+  return router({
+    direct: router({
+      exchange: procedure
+        .input(parseHello)
+        .mutation(({input}) => receive(input)),
+    }),
+  });
+}
+
+/** Router of another instance. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
+
+/** Instances of one version speak to each other; only the outline is checked. */
+function parseHello(input: unknown): PeerHello {
+  const hello = input as Partial<PeerHello> | undefined;
+  return {
+    members: Array.isArray(hello?.members) ? hello.members : [],
+    revision: Number(hello?.revision ?? 0),
+    configurationVersion: Number(hello?.configurationVersion ?? 0),
+  };
+}
+
+function pick(
+  items: readonly string[],
+  count: number,
+  random: () => number,
+): string[] {
+  const rest = [...items];
+  const picked: string[] = [];
+  while (picked.length < count && rest.length > 0) {
+    const index = Math.floor(random() * rest.length);
+    picked.push(...rest.splice(index, 1));
+  }
+  return picked;
+}
--- /dev/null
+++ b/packages/instance/src/direct/peer_message.ts
@@ -0,0 +1,57 @@
+import type {
+  ControlChanges,
+  MemberInfo,
+  RouteConfiguration,
+} from '@primrosestage/steering';
+
+/** What an instance tells another in an exchange. */
+export interface PeerHello {
+  /** Announcements of the instances that the sender has heard of lately, its own first. */
+  members: MemberInfo[];
+  /** Revision up to which the sender has followed the registry; 0 where it has no view. */
+  revision: number;
+  /** Version of the sender's configuration; 0 where it has none. */
+  configurationVersion: number;
+}
+
+/** What the other instance answers. */
+export interface PeerReply extends PeerHello {
+  /** What the asking instance lacks. */
+  changes?: Omit<ControlChanges, 'configuration'>;
+  configuration?: WireConfiguration;
+}
+
+/** A configuration in the form that JSON can hold. */
+export interface WireConfiguration extends Omit<
+  RouteConfiguration,
+  'services'
+> {
+  services: Array<
+    RouteConfiguration['services'] extends ReadonlyMap<string, infer S>
+      ? S
+      : never
+  >;
+}
+
+/**
+ * Converts a configuration for another instance.
+ * @param configuration - The configuration.
+ */
+export function toWireConfiguration(
+  configuration: RouteConfiguration,
+): WireConfiguration {
+  return {...configuration, services: [...configuration.services.values()]};
+}
+
+/**
+ * Converts a configuration of another instance.
+ * @param wire - The configuration as it was received.
+ */
+export function fromWireConfiguration(
+  wire: WireConfiguration,
+): RouteConfiguration {
+  const services = new Map(
+    wire.services.map(service => [service.name, service]),
+  );
+  return {...wire, services};
+}
--- /dev/null
+++ b/packages/instance/src/direct/request_handler.ts
@@ -0,0 +1,506 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {TimerService} from '@primrosestage/common';
+import {
+  type ControlView,
+  isIdempotent,
+  type KnownEndpoint,
+  type Route,
+} from '@primrosestage/steering';
+import {type Attempt, sendAttempt} from './send_attempt.js';
+import {
+  AttemptOutcome,
+  type AttemptResult,
+  type EndpointAnswer,
+} from './attempt.js';
+import {
+  BodyFault,
+  copyHeaders,
+  readBody,
+  readDeadlineMs,
+  readObjectKey,
+} from './caller_request.js';
+import type {DirectMetrics} from './direct_metrics.js';
+import type {EndpointAgent} from './endpoint_agent.js';
+import type {EndpointSelector} from './endpoint_selector.js';
+import type {AttemptRecord, RequestLog} from './request_log.js';
+import type {WireNames} from './wire_names.js';
+
+/** Largest body that is held in memory for a request. */
+const MAX_HELD_BODY_BYTES = 16 * 1024 * 1024;
+/** Deadline of a request that states none, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 10_000;
+/** Time past the route's timeout for an answer of the endpoint that is on its way. */
+const ANSWER_GRACE_MS = 60;
+/** Time to open a connection to an endpoint; a lost packet is sent again after a second. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Least time left for which a request is sent to an endpoint at all, in milliseconds. */
+const MIN_REMAINING_MS = 20;
+/** Longest part of the caller's remaining time after which it is asked to return. */
+const MAX_RETRY_AFTER_PART = 1 / 3;
+/** Time to return for callers that come before the first configuration, in milliseconds. */
+const NOT_READY_RETRY_AFTER_MS = 300;
+/** Spread of the times to return, so that refused callers do not come back together. */
+const RETRY_AFTER_SPREAD = 0.5;
+
+/** Holds what handling a request needs. */
+export interface RequestHandlerOptions {
+  view: ControlView;
+  selector: EndpointSelector;
+  agent: EndpointAgent;
+  timers: TimerService;
+  names: WireNames;
+  metrics: DirectMetrics;
+  log: RequestLog;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
+}
+
+/** Names who decided the final status of a request, besides the endpoint. */
+enum Decision {
+  Endpoint = 'endpoint',
+  NoConfiguration = 'no-configuration',
+  NoRoute = 'no-route',
+  BadRequest = 'bad-request',
+  TooLarge = 'too-large',
+  NoEndpoint = 'no-endpoint',
+  NoRoom = 'no-room',
+  Refused = 'refused-by-endpoints',
+  Broken = 'connection-broken',
+  TimedOut = 'timeout',
+  CallerLeft = 'caller-left',
+}
+
+/** Handles the requests of callers. */
+export class RequestHandler {
+  private readonly omittedRequestHeaders: ReadonlySet<string>;
+  private readonly omittedAnswerHeaders = new Set(['content-length', 'date']);
+  private openCount = 0;
+
+  /**
+   * Creates the handler.
+   * @param options - Its collaborators.
+   */
+  constructor(private readonly options: RequestHandlerOptions) {
+    const {names} = options;
+    this.omittedRequestHeaders = new Set([
+      names.deadlineMs,
+      names.expectedEndpoint,
+      'content-length',
+    ]);
+  }
+
+  /** The number of requests that are not answered to the end. */
+  get openRequests(): number {
+    return this.openCount;
+  }
+
+  /**
+   * Handles one request.
+   * @param req - The request.
+   * @param res - Its response.
+   */
+  handle(req: IncomingMessage, res: ServerResponse): void {
+    this.openCount++;
+    this.options.metrics.openRequests.set(this.openCount);
+    const exchange = new RequestExchange(req, res, this.options, {
+      request: this.omittedRequestHeaders,
+      answer: this.omittedAnswerHeaders,
+    });
+    void exchange.run().finally(() => {
+      this.openCount--;
+      this.options.metrics.openRequests.set(this.openCount);
+    });
+  }
+}
+
+interface OmittedHeaders {
+  request: ReadonlySet<string>;
+  answer: ReadonlySet<string>;
+}
+
+interface OpenAttempt {
+  endpoint: KnownEndpoint;
+  attempt: Attempt;
+  startedAt: number;
+  depth: number;
+}
+
+interface FinishedAttempt {
+  open: OpenAttempt;
+  result: AttemptResult;
+}
+
+/** Carries one request from its arrival to its final answer. */
+class RequestExchange {
+  private readonly arrivedAt: number;
+  private readonly requestId: string;
+  private readonly attempts: AttemptRecord[] = [];
+  private readonly tried = new Set<string>();
+  private readonly open = new Set<OpenAttempt>();
+  private isCallerGone = false;
+  private isFinished = false;
+  private mayHaveRun = false;
+  private route?: Route;
+  private service?: string;
+  private objectKey = '';
+  private deadlineAt = 0;
+  private endAt = 0;
+  private retryAfterMs?: number;
+
+  constructor(
+    private readonly req: IncomingMessage,
+    private readonly res: ServerResponse,
+    private readonly options: RequestHandlerOptions,
+    private readonly omitted: OmittedHeaders,
+  ) {
+    this.arrivedAt = options.timers.now();
+    this.requestId = String(req.headers[options.names.requestId] ?? '');
+    res.on('close', () => this.handleClose());
+    res.on('error', () => this.handleClose());
+  }
+
+  async run(): Promise<void> {
+    const {view, names, timers} = this.options;
+    const {configuration} = view;
+    if (!configuration) {
+      this.retryAfterMs = NOT_READY_RETRY_AFTER_MS;
+      this.finish(503, Decision.NoConfiguration);
+      return;
+    }
+    const route = view.routes.find(
+      this.req.headers.host ?? '',
+      this.req.url ?? '',
+    );
+    if (!route) {
+      this.finish(404, Decision.NoRoute);
+      return;
+    }
+    this.route = route;
+    if (this.requestId === '') {
+      this.finish(400, Decision.BadRequest);
+      return;
+    }
+    const deadlineMs = readDeadlineMs(this.req, names) ?? DEFAULT_DEADLINE_MS;
+    this.deadlineAt = this.arrivedAt + deadlineMs;
+    const timeoutMs = route.timeoutMs > 0 ? route.timeoutMs : Infinity;
+    this.endAt = Math.min(this.deadlineAt, this.arrivedAt + timeoutMs);
+    this.objectKey =
+      (route.isSticky ? readObjectKey(this.req, names) : undefined) ??
+      this.requestId;
+    const maxBytes = Math.min(
+      MAX_HELD_BODY_BYTES,
+      configuration.limits.maxBodyBytes,
+    );
+    const body = await readBody(this.req, maxBytes);
+    if (body === BodyFault.TooLarge) {
+      this.finish(413, Decision.TooLarge);
+      return;
+    }
+    if (body === BodyFault.Aborted || this.isCallerGone) {
+      this.logEnd(0, Decision.CallerLeft);
+      return;
+    }
+    this.service = this.options.selector.chooseService(route, this.objectKey);
+    if (this.service === undefined) {
+      this.finish(503, Decision.NoEndpoint);
+      return;
+    }
+    this.options.selector.countRequest(this.service);
+    const end = timers.after(
+      Math.max(0, this.endAt - timers.now()) + ANSWER_GRACE_MS,
+      () => this.handleTimeout(),
+    );
+    try {
+      await this.sendUntilAnswered(route, this.service, body);
+    } finally {
+      end[Symbol.dispose]();
+    }
+  }
+
+  /** Sends the request, again where that is allowed, until there is a final answer. */
+  private async sendUntilAnswered(
+    route: Route,
+    service: string,
+    body: Buffer | undefined,
+  ): Promise<void> {
+    let lastDecision = Decision.NoEndpoint;
+    for (let sent = 0; sent < Math.max(1, route.attempts); sent++) {
+      if (this.isFinished) return;
+      if (sent > 0 && !this.options.selector.takeRepeat(service)) {
+        this.options.metrics.repeats.inc({service, cause: 'no-allowance'});
+        break;
+      }
+      const open = this.begin(route, service, body);
+      if (!open) {
+        if (sent === 0) lastDecision = Decision.NoRoom;
+        break;
+      }
+      const finished = await this.await(open);
+      if (this.isFinished) return;
+      const {result} = finished;
+      switch (result.outcome) {
+        case AttemptOutcome.Answered:
+          if (this.isAnswerFinal(finished, sent)) {
+            this.passOn(result.answer as EndpointAnswer);
+            return;
+          }
+          lastDecision = Decision.Broken;
+          break;
+        case AttemptOutcome.Refused:
+          lastDecision = Decision.Refused;
+          break;
+        case AttemptOutcome.NotSent:
+          lastDecision = Decision.NoEndpoint;
+          break;
+        default:
+          lastDecision =
+            result.outcome === AttemptOutcome.TimedOut
+              ? Decision.TimedOut
+              : Decision.Broken;
+          this.mayHaveRun = true;
+          if (!isIdempotent(route.kind)) {
+            this.finishFailed(lastDecision);
+            return;
+          }
+      }
+    }
+    if (!this.isFinished) this.finishFailed(lastDecision);
+  }
+
+  /** A failure of an idempotent request is tried once more elsewhere while time is left. */
+  private isAnswerFinal(finished: FinishedAttempt, sent: number): boolean {
+    const route = this.route as Route;
+    const status = finished.result.answer?.status ?? 0;
+    if (status < 500 || !isIdempotent(route.kind)) return true;
+    if (sent + 1 >= route.attempts) return true;
+    const {selector, timers} = this.options;
+    const neededMs = 2 * selector.getServiceMs(this.service as string);
+    return this.endAt - timers.now() < neededMs;
+  }
+
+  private begin(
+    route: Route,
+    service: string,
+    body: Buffer | undefined,
+  ): OpenAttempt | undefined {
+    const {selector, timers, names} = this.options;
+    const now = timers.now();
+    const remainingMs = this.endAt - now;
+    if (remainingMs < MIN_REMAINING_MS) return undefined;
+    const {choice, endpoint, candidate} = selector.select({
+      route,
+      service,
+      objectKey: this.objectKey,
+      tried: this.tried,
+      remainingMs,
+    });
+    if (!endpoint || !candidate || !selector.begin(endpoint)) {
+      this.retryAfterMs = choice.retryAfterMs || NOT_READY_RETRY_AFTER_MS;
+      return undefined;
+    }
+    const {entry} = endpoint;
+    this.tried.add(entry.id);
+    const colon = entry.address.lastIndexOf(':');
+    const headers: Record<string, string | string[] | number> = copyHeaders(
+      this.req.rawHeaders,
+      this.omitted.request,
+    );
+    headers[names.deadlineMs] = String(Math.max(1, Math.floor(remainingMs)));
+    headers[names.expectedEndpoint] = entry.id;
+    if (body !== undefined) headers['content-length'] = body.length;
+    const attempt = sendAttempt(
+      {
+        host: entry.address.slice(0, colon),
+        port: Number(entry.address.slice(colon + 1)),
+        method: this.req.method ?? 'GET',
+        path: this.req.url ?? '/',
+        headers,
+        body,
+        requestId: this.requestId,
+        timeoutMs: remainingMs + ANSWER_GRACE_MS,
+        connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs),
+      },
+      this.options,
+    );
+    const open = {endpoint, attempt, startedAt: now, depth: candidate.depth};
+    this.open.add(open);
+    return open;
+  }
+
+  private async await(open: OpenAttempt): Promise<FinishedAttempt> {
+    const result = await open.attempt.result;
+    this.open.delete(open);
+    this.observe(open, result);
+    return {open, result};
+  }
+
+  private observe(open: OpenAttempt, result: AttemptResult): void {
+    const {selector, timers, metrics} = this.options;
+    const {endpoint, startedAt, depth} = open;
+    const now = timers.now();
+    const elapsedMs = now - startedAt;
+    const load = selector.getLoad(endpoint);
+    load.inFlight = Math.max(0, load.inFlight - 1);
+    if (result.connectMs !== undefined) {
+      selector.observeConnect(endpoint, result.connectMs);
+    }
+    const report = parseLoad(result.load);
+    if (report) load.observeReport(report, now);
+    switch (result.outcome) {
+      case AttemptOutcome.Answered:
+        if ((result.answer?.status ?? 0) >= 500) {
+          selector.observeRefusal(endpoint);
+        } else selector.observeAnswer(endpoint, elapsedMs, depth);
+        break;
+      case AttemptOutcome.Refused:
+        selector.observeRefusal(endpoint);
+        break;
+      case AttemptOutcome.NotSent:
+        selector.observeFailure(endpoint, true);
+        break;
+      case AttemptOutcome.Broken:
+      case AttemptOutcome.TimedOut:
+        selector.observeFailure(endpoint, false);
+        break;
+      case AttemptOutcome.Cancelled:
+        break;
+    }
+    const service = endpoint.entry.service;
+    metrics.attempts.inc({service, outcome: result.outcome});
+    metrics.attemptSeconds.observe({service}, elapsedMs / 1_000);
+    this.attempts.push({
+      endpoint: endpoint.entry.id,
+      revision: endpoint.revision,
+      entryAgeMs: Math.round(startedAt - endpoint.learnedAt),
+      depth: Math.round(depth * 10) / 10,
+      outcome: result.outcome,
+      reason: result.reason,
+      ms: Math.round(elapsedMs),
+    });
+  }
+
+  private passOn(answer: EndpointAnswer): void {
+    const {res} = this;
+    const headers = copyHeaders(answer.rawHeaders, this.omitted.answer);
+    const {rest, chunks, status} = answer;
+    if (!rest) {
+      const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+      const hasBody = status !== 204 && status !== 304 && status >= 200;
+      if (hasBody) headers['content-length'] = String(body?.length ?? 0);
+      this.respond(status, headers, Decision.Endpoint, body);
+      return;
+    }
+    this.isFinished = true;
+    res.writeHead(status, headers);
+    for (const chunk of chunks) res.write(chunk);
+    rest.on('error', () => res.destroy());
+    rest.on('aborted', () => res.destroy());
+    res.on('close', () => rest.destroy());
+    rest.pipe(res);
+    this.logEnd(status, Decision.Endpoint);
+  }
+
+  private handleTimeout(): void {
+    if (this.isFinished) return;
+    const mayHaveRun = this.mayHaveRun || this.open.size > 0;
+    this.mayHaveRun = mayHaveRun;
+    this.finishFailed(Decision.TimedOut);
+    this.cancelOpen();
+  }
+
+  private finishFailed(decision: Decision): void {
+    if (!this.mayHaveRun) {
+      this.finish(503, decision);
+      return;
+    }
+    this.finish(decision === Decision.TimedOut ? 504 : 502, decision);
+  }
+
+  private finish(status: number, decision: Decision): void {
+    const headers: Record<string, string> = {'content-length': '0'};
+    if (this.requestId !== '') {
+      headers[this.options.names.requestId] = this.requestId;
+    }
+    if (status === 503) headers['retry-after'] = this.getRetryAfter();
+    if (status === 413) headers['connection'] = 'close';
+    this.respond(status, headers, decision);
+  }
+
+  /** Spreads the times to return, within what the caller honours. */
+  private getRetryAfter(): string {
+    const wantedMs = this.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS;
+    const spread = 1 + RETRY_AFTER_SPREAD * this.options.random();
+    const remainingMs = Math.max(
+      0,
+      this.deadlineAt - this.options.timers.now(),
+    );
+    const limitMs =
+      this.deadlineAt === 0 ? Infinity : remainingMs * MAX_RETRY_AFTER_PART;
+    this.retryAfterMs = Math.round(Math.min(limitMs, wantedMs * spread));
+    return (this.retryAfterMs / 1_000).toFixed(3);
+  }
+
+  private respond(
+    status: number,
+    headers: Record<string, string | string[]>,
+    decision: Decision,
+    body?: Buffer,
+  ): void {
+    if (this.isFinished) return;
+    this.isFinished = true;
+    if (!this.res.destroyed) {
+      this.res.writeHead(status, headers);
+      this.res.end(body);
+    }
+    this.logEnd(status, decision);
+  }
+
+  private handleClose(): void {
+    if (this.res.writableFinished || this.isCallerGone) return;
+    this.isCallerGone = true;
+    if (this.isFinished) return;
+    this.isFinished = true;
+    // Work that cannot be repeated is let finish: the caller may have left just before the answer.
+    if (!this.route || isIdempotent(this.route.kind)) this.cancelOpen();
+    this.logEnd(0, Decision.CallerLeft);
+  }
+
+  private cancelOpen(): void {
+    for (const {attempt} of this.open) attempt.cancel();
+  }
+
+  private logEnd(status: number, decision: Decision): void {
+    const {metrics, log, timers, view} = this.options;
+    const now = timers.now();
+    const service = this.service ?? '';
+    const ms = now - this.arrivedAt;
+    metrics.requests.inc({service, status, decided_by: decision});
+    if (service !== '') metrics.requestSeconds.observe({service}, ms / 1_000);
+    log.write(
+      {
+        id: this.requestId,
+        route: this.route?.name,
+        service: this.service,
+        configuration: view.configuration?.version,
+        object: this.objectKey === this.requestId ? undefined : this.objectKey,
+        status,
+        decidedBy: decision,
+        remainingMs: Math.round(this.deadlineAt - now),
+        retryAfterMs: status === 503 ? this.retryAfterMs : undefined,
+        ms: Math.round(ms),
+        attempts: this.attempts,
+      },
+      now,
+    );
+  }
+}
+
+function parseLoad(header: string | undefined) {
+  if (header === undefined) return undefined;
+  const [running, waiting, slots] = header.split(',').map(Number);
+  const isValid = [running, waiting, slots].every(
+    value => value !== undefined && Number.isFinite(value) && value >= 0,
+  );
+  if (!isValid) return undefined;
+  return {running: running ?? 0, waiting: waiting ?? 0, slots: slots ?? 0};
+}
--- /dev/null
+++ b/packages/instance/src/direct/run_direct.ts
@@ -0,0 +1,280 @@
+import http from 'node:http';
+import type {EventLogger, TimerService} from '@primrosestage/common';
+import {
+  type ControlChanges,
+  ControlView,
+  type MemberInfo,
+  MemberTable,
+} from '@primrosestage/steering';
+import {Registry} from 'prom-client';
+import {parseAddress} from '../http/parse_address.js';
+import {createRpcHandler} from '../rpc/index.js';
+import type {ControlSource} from './control_source.js';
+import {ControlSync} from './control_sync.js';
+import {createDirectMetrics} from './direct_metrics.js';
+import type {DirectSettings} from './direct_settings.js';
+import {chooseInstances} from './directory.js';
+import {EndpointAgent} from './endpoint_agent.js';
+import {EndpointSelector} from './endpoint_selector.js';
+import {createPeerRouter, PeerExchange} from './peer_exchange.js';
+import {ConnectionTracker, runPlannedStop} from './planned_stop.js';
+import {RequestHandler} from './request_handler.js';
+import {RequestLog} from './request_log.js';
+import type {ServicePaths, WireNames} from './wire_names.js';
+
+/** Largest header that is accepted before the configuration states a limit. */
+const MAX_HEADER_BYTES = 64 * 1024;
+/** Time for which callers may keep an answer of the directory, in milliseconds. */
+const DIRECTORY_TTL_MS = 1_500;
+const SWEEP_MS = 250;
+const HEARTBEAT_MS = 400;
+/** Idle time of callers' connections before the configuration states one, in milliseconds. */
+const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
+/** Time beyond the stated idle time after which a caller's connection is closed. */
+const IDLE_MARGIN_MS = 1_000;
+/** Longest wait for a metrics reader or a directory caller, in milliseconds. */
+const SIDE_IDLE_TIMEOUT_MS = 5_000;
+
+/** Holds what an instance needs. */
+export interface DirectOptions {
+  settings: DirectSettings;
+  source: ControlSource;
+  names: WireNames;
+  paths: ServicePaths;
+  /** Address of the metrics, `host:port`. */
+  metricsAddress?: string;
+  timers: TimerService;
+  logger: EventLogger;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
+  /** Formats the addresses for a caller of the directory. */
+  formatDirectory: (addresses: string[], ttlMs: number) => string;
+  /** Reads where a caller of the directory stands. */
+  readCallerPlace: (url: URL) => {zone: string; region: string};
+}
+
+/** A running instance. */
+export interface DirectInstance extends AsyncDisposable {
+  /** Stops without cutting a request. */
+  stop(): Promise<void>;
+}
+
+/**
+ * Runs an instance that sends requests straight to endpoints which refuse truthfully.
+ * @param options - Settings, registry and formats.
+ * @returns The running instance.
+ */
+export async function runDirect(
+  options: DirectOptions,
+): Promise<DirectInstance> {
+  const {settings, timers, logger, names, source} = options;
+  const registry = new Registry();
+  const metrics = createDirectMetrics(registry);
+  const view = new ControlView();
+  const agent = new EndpointAgent();
+  const bornAt = timers.wallNow();
+  let isStopping = false;
+  let heartbeat = 0;
+  const isReady = () => !isStopping && view.isComplete;
+  const self = (): MemberInfo => ({
+    id: settings.id,
+    zone: settings.zone,
+    region: settings.region,
+    controlAddress: settings.controlAddress,
+    callerAddress: settings.callerAddress,
+    bornAt,
+    isServing: isReady(),
+    heartbeat,
+  });
+  const members = new MemberTable(self);
+  const selector = new EndpointSelector(settings, view, members, timers);
+  const handler = new RequestHandler({
+    view,
+    selector,
+    agent,
+    timers,
+    names,
+    metrics,
+    log: new RequestLog(logger),
+    random: options.random,
+  });
+  const front = http.createServer(
+    {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0},
+    (req, res) => handler.handle(req, res),
+  );
+  front.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
+  front.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+    logger.info('caller connection failed', {reason: err.code});
+    if (socket.writable && err.code === 'HPE_HEADER_OVERFLOW') {
+      socket.end(
+        'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
+      );
+    } else if (socket.writable && err.code?.startsWith('HPE_')) {
+      socket.end(
+        'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
+      );
+    } else socket.destroy();
+  });
+
+  const apply = (changes: ControlChanges, from: string) => {
+    const effects = view.apply(changes, timers.now());
+    for (const {id, effect, revision} of effects.endpoints) {
+      const coldMs = Math.max(
+        0,
+        (view.book.get(id)?.coldUntil ?? 0) - timers.now(),
+      );
+      logger.info('endpoint changed', {
+        endpoint: id,
+        effect,
+        revision,
+        from,
+        coldMs: Math.round(coldMs),
+      });
+      metrics.controlChanges.inc({kind: `endpoint-${effect}`});
+    }
+    for (const {zone, isActive, revision} of effects.evacuations) {
+      logger.info('evacuation changed', {zone, isActive, revision, from});
+      metrics.controlChanges.inc({kind: 'evacuation'});
+    }
+    const {configuration} = effects;
+    if (!configuration) return;
+    const {limits} = configuration;
+    front.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    front.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
+    metrics.configurationVersion.set(configuration.version);
+    metrics.controlChanges.inc({kind: 'configuration'});
+    logger.info('configuration in force', {
+      version: configuration.version,
+      routes: configuration.routes.length,
+      revision: changes.revision,
+      from,
+    });
+  };
+  const sync: ControlSync = new ControlSync({
+    source,
+    view,
+    members,
+    self,
+    timers,
+    logger,
+    metrics,
+    apply,
+  });
+  const peers = new PeerExchange({
+    view,
+    members,
+    self,
+    seedAddresses: settings.seedAddresses,
+    timers,
+    logger,
+    metrics,
+    random: options.random,
+    apply,
+    notePeerRevision: revision => sync.notePeerRevision(revision),
+  });
+  const readiness = http.createServer((_req, res) => {
+    res.writeHead(isReady() ? 200 : 503, {'content-length': '0'});
+    res.end();
+  });
+  const directory = http.createServer((req, res) => {
+    const url = new URL(req.url ?? '/', 'http://directory');
+    if (url.pathname !== options.paths.directory) {
+      res.writeHead(404, {'content-length': '0'}).end();
+      return;
+    }
+    const serving = members.getServing(timers.now());
+    const addresses = chooseInstances(serving, options.readCallerPlace(url));
+    const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.bounds.maxDirectoryTtlMs);
+    const body = options.formatDirectory(addresses, ttlMs);
+    const status = addresses.length > 0 ? 200 : 503;
+    metrics.directoryAnswers.inc({status});
+    res.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+    });
+    res.end(body);
+  });
+  const control = http.createServer(
+    createRpcHandler(createPeerRouter(hello => peers.receive(hello))),
+  );
+  const metricsServer = http.createServer((_req, res) => {
+    registry.metrics().then(
+      text => {
+        res.writeHead(200, {'content-type': registry.contentType}).end(text);
+      },
+      err => {
+        logger.error('metrics failed', {reason: String(err)});
+        res.writeHead(500).end();
+      },
+    );
+  });
+  const tracker = new ConnectionTracker(front);
+  for (const server of [readiness, directory, control, metricsServer]) {
+    server.keepAliveTimeout = SIDE_IDLE_TIMEOUT_MS;
+  }
+  await Promise.all([
+    listen(front, settings.callerAddress),
+    listen(readiness, settings.readinessAddress),
+    listen(directory, settings.directoryAddress),
+    listen(control, settings.controlAddress),
+    options.metricsAddress !== undefined
+      ? listen(metricsServer, options.metricsAddress)
+      : undefined,
+  ]);
+  const subscriptions = [
+    timers.every(HEARTBEAT_MS, () => heartbeat++),
+    timers.every(SWEEP_MS, () => {
+      const now = timers.now();
+      for (const id of view.book.expire(now)) {
+        logger.info('endpoint changed', {endpoint: id, effect: 'expired'});
+      }
+      for (const id of members.expire(now)) {
+        logger.info('instance forgotten', {peer: id});
+      }
+      selector.sweep();
+    }),
+  ];
+  sync.start();
+  peers.start();
+  logger.info('instance started', {zone: settings.zone, bornAt});
+  return {
+    stop: async () => {
+      isStopping = true;
+      heartbeat++;
+      await runPlannedStop({
+        tracker,
+        timers,
+        logger,
+        stopTimeoutMs: settings.bounds.stopTimeoutMs,
+        getOpenRequests: () => handler.openRequests,
+        announce: () => peers.announce(),
+      });
+    },
+    [Symbol.asyncDispose]: async () => {
+      for (const subscription of subscriptions) {
+        await subscription[Symbol.asyncDispose]();
+      }
+      await peers[Symbol.asyncDispose]();
+      await sync[Symbol.asyncDispose]();
+      agent.destroy();
+      for (const server of [
+        front,
+        readiness,
+        directory,
+        control,
+        metricsServer,
+      ]) {
+        server.closeAllConnections();
+        if (server.listening) server.close();
+      }
+    },
+  };
+}
+
+function listen(server: http.Server, address: string): Promise<void> {
+  const {host, port} = parseAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host, port, backlog: 1_024}, resolve);
+  });
+}
--- /dev/null
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -0,0 +1,229 @@
+import http, {type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import type {TimerService} from '@primrosestage/common';
+import {
+  AttemptOutcome,
+  type AttemptResult,
+  type EndpointAnswer,
+} from './attempt.js';
+import type {EndpointAgent} from './endpoint_agent.js';
+import type {WireNames} from './wire_names.js';
+
+/** Bytes of an answer that are held until it is whole; longer ones are passed on as they come. */
+const MAX_HELD_BYTES = 1024 * 1024;
+
+/** Describes one attempt. */
+export interface AttemptRequest {
+  host: string;
+  port: number;
+  method: string;
+  path: string;
+  /** Names and values. */
+  headers: http.OutgoingHttpHeaders;
+  body?: Buffer;
+  requestId: string;
+  /** Time until the attempt is given up, in milliseconds. */
+  timeoutMs: number;
+  /** Time until a connection must be open, in milliseconds. */
+  connectTimeoutMs: number;
+}
+
+/** Holds what attempts need. */
+export interface AttemptContext {
+  agent: EndpointAgent;
+  timers: TimerService;
+  names: WireNames;
+}
+
+/** Lets the sender of an attempt end it. */
+export interface Attempt {
+  readonly result: Promise<AttemptResult>;
+  cancel(): void;
+}
+
+/**
+ * Sends a request to an endpoint and collects its answer. An answer that is truncated, names
+ * another request or is a success without the endpoint's stamp is reported as broken.
+ * @param request - The request and its time bounds.
+ * @param context - Pool, clock and header names.
+ */
+export function sendAttempt(
+  request: AttemptRequest,
+  context: AttemptContext,
+): Attempt {
+  const sender = new AttemptSender(request, context);
+  return {result: sender.result, cancel: () => sender.cancel()};
+}
+
+class AttemptSender {
+  readonly result: Promise<AttemptResult>;
+  private readonly req: http.ClientRequest;
+  private resolve!: (result: AttemptResult) => void;
+  private isDone = false;
+  private isConnected = false;
+  private connectMs?: number;
+  private readonly startedAt: number;
+  private readonly timeout: Disposable;
+  private connectTimeout?: Disposable;
+
+  constructor(
+    private readonly request: AttemptRequest,
+    private readonly context: AttemptContext,
+  ) {
+    const {timers, agent} = context;
+    this.startedAt = timers.now();
+    this.result = new Promise(resolve => {
+      this.resolve = resolve;
+    });
+    this.req = http.request({
+      agent,
+      host: request.host,
+      port: request.port,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      setHost: false,
+    });
+    this.timeout = timers.after(request.timeoutMs, () =>
+      this.end(AttemptOutcome.TimedOut, 'no answer in time'),
+    );
+    this.req.on('socket', socket => this.watchConnect(socket));
+    this.req.on('error', (err: NodeJS.ErrnoException) =>
+      this.end(this.getFailure(), err.code ?? err.message),
+    );
+    this.req.on('close', () =>
+      this.end(this.getFailure(), 'connection closed'),
+    );
+    this.req.on('response', res => this.receive(res));
+    this.req.end(request.body);
+  }
+
+  /** Ends the attempt and its connection. */
+  cancel(): void {
+    this.end(AttemptOutcome.Cancelled, 'cancelled');
+  }
+
+  private watchConnect(socket: Socket): void {
+    if (!socket.connecting) {
+      this.isConnected = true;
+      return;
+    }
+    socket.once('connect', () => {
+      this.isConnected = true;
+      this.connectMs = this.context.timers.now() - this.startedAt;
+      this.connectTimeout?.[Symbol.dispose]();
+    });
+    this.connectTimeout = this.context.timers.after(
+      this.request.connectTimeoutMs,
+      () => this.end(AttemptOutcome.NotSent, 'connect timeout'),
+    );
+  }
+
+  /** Nothing is written before the connection is open, so the request cannot have run. */
+  private getFailure(): AttemptOutcome {
+    return this.isConnected ? AttemptOutcome.Broken : AttemptOutcome.NotSent;
+  }
+
+  private receive(res: IncomingMessage): void {
+    const fault = this.findFault(res);
+    res.on('error', err => this.end(AttemptOutcome.Broken, err.message));
+    if (fault !== undefined) {
+      this.end(AttemptOutcome.Broken, fault);
+      return;
+    }
+    const isRefusal =
+      res.headers[this.context.names.notRun] !== undefined ||
+      res.statusCode === 421;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size <= MAX_HELD_BYTES || this.isDone || isRefusal) return;
+      res.off('data', onData);
+      res.pause();
+      this.end(AttemptOutcome.Answered, '', createAnswer(res, chunks, res));
+    };
+    res.on('data', onData);
+    res.on('end', () => {
+      if (!res.complete) {
+        this.end(AttemptOutcome.Broken, 'answer truncated');
+      } else if (isRefusal) {
+        this.end(AttemptOutcome.Refused, `status ${res.statusCode}`, {
+          ...createAnswer(res, chunks),
+        });
+      } else {
+        this.end(AttemptOutcome.Answered, '', createAnswer(res, chunks));
+      }
+    });
+    res.on('aborted', () =>
+      this.end(AttemptOutcome.Broken, 'answer truncated'),
+    );
+  }
+
+  /** Finds why an answer must not reach the caller. */
+  private findFault(res: IncomingMessage): string | undefined {
+    const {names} = this.context;
+    const id = res.headers[names.requestId];
+    if (id !== undefined && id !== this.request.requestId) {
+      return `answer to request ${String(id)}`;
+    }
+    if (res.headers[names.notRun] !== undefined) return undefined;
+    const status = res.statusCode ?? 0;
+    if (status === 421) return undefined;
+    // Each of these statuses promises that the request has not run; only the marker proves it.
+    if (status === 408 || status === 429 || status === 503) {
+      return `status ${status} without the not-run marker`;
+    }
+    if (res.headers[names.stamp] === undefined || id === undefined) {
+      return `status ${status} without stamp or request id`;
+    }
+    if (res.headers['content-encoding'] !== undefined) {
+      return 'answer with a content encoding';
+    }
+    return undefined;
+  }
+
+  private end(
+    outcome: AttemptOutcome,
+    reason: string,
+    answer?: EndpointAnswer,
+  ): void {
+    if (this.isDone) return;
+    this.isDone = true;
+    this.timeout[Symbol.dispose]();
+    this.connectTimeout?.[Symbol.dispose]();
+    const isWhole =
+      answer !== undefined ||
+      (outcome === AttemptOutcome.Refused && this.req.writableFinished);
+    if (!isWhole) this.req.destroy();
+    this.resolve({
+      outcome,
+      answer,
+      reason,
+      load: this.getLoad(),
+      isReused: this.req.reusedSocket,
+      connectMs: this.connectMs,
+    });
+  }
+
+  private getLoad(): string | undefined {
+    const {res} = this.req as http.ClientRequest & {res?: IncomingMessage};
+    const load = res?.headers[this.context.names.load];
+    return typeof load === 'string' ? load : undefined;
+  }
+}
+
+function createAnswer(
+  res: IncomingMessage,
+  chunks: Buffer[],
+  rest?: IncomingMessage,
+): EndpointAnswer {
+  return {
+    status: res.statusCode ?? 0,
+    statusMessage: res.statusMessage ?? '',
+    rawHeaders: res.rawHeaders,
+    chunks,
+    rest,
+  };
+}
--- /dev/null
+++ b/packages/steering/src/direct/control_view.ts
@@ -0,0 +1,163 @@
+import {BookEffect, EndpointBook} from './endpoint_book.js';
+import type {EndpointChange} from './endpoint_entry.js';
+import type {RouteConfiguration} from './route.js';
+import {RouteTable} from './route_table.js';
+
+/** Asks that nothing more be sent to the endpoints of a zone, or ends that. */
+export interface EvacuationChange {
+  zone: string;
+  isActive: boolean;
+  revision: number;
+}
+
+/** Holds changes of the control state in the form in which instances pass them on. */
+export interface ControlChanges {
+  /** Revision up to which the changes are complete. */
+  revision: number;
+  /** Whether they hold the whole state, so that what is missing does not exist. */
+  isFull: boolean;
+  configuration?: RouteConfiguration;
+  endpoints: EndpointChange[];
+  evacuations: EvacuationChange[];
+}
+
+/** Says what changes did to the view. */
+export interface ViewEffects {
+  /** The configuration that came into force. */
+  configuration?: RouteConfiguration;
+  endpoints: Array<{id: string; effect: BookEffect; revision: number}>;
+  evacuations: EvacuationChange[];
+}
+
+/**
+ * Holds configuration, endpoints and evacuations as one instance knows them. Changes come from
+ * the store and from other instances, in any order and more than once; each part only moves
+ * forward.
+ */
+export class ControlView {
+  readonly book = new EndpointBook();
+  private config?: RouteConfiguration;
+  private table = new RouteTable([]);
+  private readonly evacuations = new Map<string, EvacuationChange>();
+  private syncedRevision = 0;
+  private baseRevision = Infinity;
+  private evacuationCount = 0;
+
+  /** Revision up to which this view is complete. */
+  get revision(): number {
+    return this.syncedRevision;
+  }
+
+  /** The configuration in force, or undefined before the first. */
+  get configuration(): RouteConfiguration | undefined {
+    return this.config;
+  }
+
+  /** The routes in force. */
+  get routes(): RouteTable {
+    return this.table;
+  }
+
+  /** Rises whenever the endpoints that may be used may have changed. */
+  get version(): number {
+    return this.book.version + this.evacuationCount;
+  }
+
+  /** Whether there is a configuration and a complete view of the endpoints. */
+  get isComplete(): boolean {
+    return this.config !== undefined && this.baseRevision < Infinity;
+  }
+
+  /**
+   * Says whether a zone is evacuated.
+   * @param zone - The zone.
+   */
+  isEvacuated(zone: string): boolean {
+    return this.evacuations.get(zone)?.isActive === true;
+  }
+
+  /**
+   * Applies changes.
+   * @param changes - The changes.
+   * @param now - Monotonic time in milliseconds.
+   * @returns What changed.
+   */
+  apply(changes: ControlChanges, now: number): ViewEffects {
+    const effects: ViewEffects = {endpoints: [], evacuations: []};
+    if (this.adoptConfiguration(changes.configuration)) {
+      effects.configuration = changes.configuration;
+    }
+    for (const change of changes.endpoints) {
+      const effect = this.book.apply(change, now);
+      if (effect === BookEffect.None) continue;
+      effects.endpoints.push({
+        id: change.id,
+        effect,
+        revision: change.revision,
+      });
+    }
+    for (const change of changes.evacuations) {
+      if (this.adoptEvacuation(change)) effects.evacuations.push(change);
+    }
+    if (changes.isFull) this.retain(changes, now, effects);
+    this.syncedRevision = Math.max(this.syncedRevision, changes.revision);
+    return effects;
+  }
+
+  /**
+   * Returns what another instance lacks.
+   * @param revision - Revision up to which the other one is complete.
+   */
+  getChangesAfter(revision: number): ControlChanges {
+    const isFull = revision < this.baseRevision;
+    const since = isFull ? -1 : revision;
+    return {
+      revision: this.syncedRevision,
+      isFull: isFull && this.isComplete,
+      endpoints: this.book.getChangesAfter(since),
+      evacuations: [...this.evacuations.values()].filter(
+        change => change.revision > since,
+      ),
+    };
+  }
+
+  private adoptConfiguration(configuration?: RouteConfiguration): boolean {
+    if (!configuration) return false;
+    if (this.config && configuration.version <= this.config.version) {
+      return false;
+    }
+    this.config = configuration;
+    this.table = new RouteTable(configuration.routes);
+    return true;
+  }
+
+  private adoptEvacuation(change: EvacuationChange): boolean {
+    const known = this.evacuations.get(change.zone);
+    if (known && known.revision >= change.revision) return false;
+    this.evacuations.set(change.zone, change);
+    this.evacuationCount++;
+    return known?.isActive === true || change.isActive;
+  }
+
+  /** Removes what a full listing does not name. */
+  private retain(
+    changes: ControlChanges,
+    now: number,
+    effects: ViewEffects,
+  ): void {
+    const {revision} = changes;
+    const ids = new Set(changes.endpoints.map(({id}) => id));
+    for (const id of this.book.retain(ids, revision, now)) {
+      effects.endpoints.push({id, effect: BookEffect.Left, revision});
+    }
+    const zones = new Set(changes.evacuations.map(({zone}) => zone));
+    for (const known of [...this.evacuations.values()]) {
+      if (zones.has(known.zone) || known.revision > revision) continue;
+      const change = {zone: known.zone, isActive: false, revision};
+      if (known.isActive && this.adoptEvacuation(change)) {
+        effects.evacuations.push(change);
+      }
+    }
+    this.baseRevision = Math.min(this.baseRevision, revision);
+  }
+}
--- /dev/null
+++ b/packages/steering/src/direct/endpoint_book.ts
@@ -0,0 +1,202 @@
+import {
+  type EndpointChange,
+  type EndpointEntry,
+  EndpointState,
+} from './endpoint_entry.js';
+
+/**
+ * Time after the return of the registry during which a removed entry may only have lapsed;
+ * a live endpoint registers again within about two seconds.
+ */
+const LAPSE_GRACE_MS = 2_300;
+
+/** Keeps what is known of one endpoint. */
+export interface KnownEndpoint {
+  readonly entry: EndpointEntry;
+  readonly revision: number;
+  /** Time until which the endpoint counts as cold, on the monotonic clock. */
+  coldUntil: number;
+  /** Time at which this instance learned the entry. */
+  readonly learnedAt: number;
+  /** Time at which a lapsed entry counts as gone; undefined while it is registered. */
+  lapsesAt?: number;
+}
+
+/** Says what a change did to the book. */
+export enum BookEffect {
+  None = 'none',
+  Joined = 'joined',
+  Updated = 'updated',
+  Left = 'left',
+  /** Removed around an outage of the registry; kept for a short time. */
+  Lapsed = 'lapsed',
+}
+
+/**
+ * Holds the registered endpoints as this instance knows them. The order of changes about one
+ * endpoint is their revision, so that changes from the store and from peers may be mixed,
+ * repeated and reordered.
+ */
+export class EndpointBook {
+  private readonly known = new Map<string, KnownEndpoint>();
+  private readonly changes = new Map<string, EndpointChange>();
+  private readonly byService = new Map<string, KnownEndpoint[]>();
+  private outageEndedAt = -Infinity;
+  private isRegistryAway = false;
+  private highestRevision = 0;
+  private versionCount = 0;
+
+  /** Highest revision of all changes applied. */
+  get revision(): number {
+    return this.highestRevision;
+  }
+
+  /** Rises whenever the set of usable endpoints may have changed. */
+  get version(): number {
+    return this.versionCount;
+  }
+
+  /** The number of endpoints that may be used. */
+  get size(): number {
+    return this.known.size;
+  }
+
+  /**
+   * Notes that the registry does not answer; the last view holds.
+   */
+  markRegistryAway(): void {
+    this.isRegistryAway = true;
+  }
+
+  /**
+   * Notes that the registry answers again.
+   * @param now - Monotonic time in milliseconds.
+   */
+  markRegistryBack(now: number): void {
+    if (!this.isRegistryAway) return;
+    this.isRegistryAway = false;
+    this.outageEndedAt = now;
+  }
+
+  /**
+   * Applies a change unless a later one of the same endpoint is known.
+   * @param change - The change.
+   * @param now - Monotonic time in milliseconds.
+   * @returns What it did.
+   */
+  apply(change: EndpointChange, now: number): BookEffect {
+    const last = this.changes.get(change.id);
+    if (last && last.revision >= change.revision) return BookEffect.None;
+    this.changes.set(change.id, change);
+    this.highestRevision = Math.max(this.highestRevision, change.revision);
+    this.versionCount++;
+    this.byService.clear();
+    const before = this.known.get(change.id);
+    const {entry} = change;
+    if (!entry || entry.state === EndpointState.Draining) {
+      if (!before) return BookEffect.None;
+      if (change.isRemoved && this.isLapsePossible(now)) {
+        before.lapsesAt = now + LAPSE_GRACE_MS;
+        return BookEffect.Lapsed;
+      }
+      this.known.delete(change.id);
+      return BookEffect.Left;
+    }
+    const isSameLife = before?.entry.bornAt === entry.bornAt;
+    const coldUntil = now + entry.coldLeftMs;
+    this.known.set(change.id, {
+      entry,
+      revision: change.revision,
+      // An entry of the same life that is read late must not shorten a cold start.
+      coldUntil:
+        isSameLife && entry.coldLeftMs > 0
+          ? Math.max(before.coldUntil, coldUntil)
+          : coldUntil,
+      learnedAt: now,
+    });
+    return isSameLife ? BookEffect.Updated : BookEffect.Joined;
+  }
+
+  /**
+   * Treats every endpoint that a complete listing does not name as removed.
+   * @param ids - The ids of the listing.
+   * @param revision - Revision before the listing began.
+   * @param now - Monotonic time in milliseconds.
+   * @returns The ids that left or lapsed.
+   */
+  retain(ids: ReadonlySet<string>, revision: number, now: number): string[] {
+    const left: string[] = [];
+    for (const [id, {revision: known}] of [...this.known]) {
+      if (ids.has(id) || known > revision) continue;
+      const at = Math.max(known + 0.5, revision);
+      const effect = this.apply({id, revision: at, isRemoved: true}, now);
+      if (effect !== BookEffect.None) left.push(id);
+    }
+    return left;
+  }
+
+  /**
+   * Drops lapsed entries whose time has passed.
+   * @param now - Monotonic time in milliseconds.
+   * @returns The ids dropped.
+   */
+  expire(now: number): string[] {
+    const expired: string[] = [];
+    for (const [id, {lapsesAt}] of this.known) {
+      if (lapsesAt !== undefined && lapsesAt <= now) expired.push(id);
+    }
+    for (const id of expired) this.known.delete(id);
+    if (expired.length > 0) {
+      this.versionCount++;
+      this.byService.clear();
+    }
+    return expired;
+  }
+
+  /**
+   * Notes that an endpoint may have restarted unseen and is to be treated as cold.
+   * @param id - Id of the endpoint.
+   * @param until - Monotonic time in milliseconds.
+   */
+  extendCold(id: string, until: number): void {
+    const endpoint = this.known.get(id);
+    if (endpoint) endpoint.coldUntil = Math.max(endpoint.coldUntil, until);
+  }
+
+  /**
+   * Returns an endpoint that may be used.
+   * @param id - Its id.
+   */
+  get(id: string): KnownEndpoint | undefined {
+    return this.known.get(id);
+  }
+
+  /**
+   * Returns the endpoints of a service that may be used.
+   * @param service - Name of the service.
+   */
+  getByService(service: string): readonly KnownEndpoint[] {
+    let endpoints = this.byService.get(service);
+    if (!endpoints) {
+      endpoints = [...this.known.values()]
+        .filter(({entry}) => entry.service === service)
+        .sort((a, b) => (a.entry.id < b.entry.id ? -1 : 1));
+      this.byService.set(service, endpoints);
+    }
+    return endpoints;
+  }
+
+  /**
+   * Returns the last change of each endpoint that is later than a revision.
+   * @param revision - The revision that the reader has.
+   */
+  getChangesAfter(revision: number): EndpointChange[] {
+    return [...this.changes.values()].filter(
+      change => change.revision > revision,
+    );
+  }
+
+  private isLapsePossible(now: number): boolean {
+    return this.isRegistryAway || now < this.outageEndedAt + LAPSE_GRACE_MS;
+  }
+}
--- /dev/null
+++ b/packages/steering/src/direct/endpoint_load.ts
@@ -0,0 +1,122 @@
+/** Weight of a new measurement in a moving average. */
+const SMOOTHING = 0.2;
+/** Age at which a load report of an endpoint has lost half its weight, in milliseconds. */
+const REPORT_HALF_LIFE_MS = 500;
+/** First pause after an endpoint could not be reached, in milliseconds. */
+const FIRST_PAUSE_MS = 300;
+/** Longest pause after repeated failures, in milliseconds. */
+const MAX_PAUSE_MS = 3_000;
+/** Consecutive failures on open connections after which an endpoint is paused. */
+const FAILURES_BEFORE_PAUSE = 3;
+
+/** Holds the load that an endpoint reported with an answer. */
+export interface LoadReport {
+  running: number;
+  waiting: number;
+  slots: number;
+}
+
+/** Tracks what one instance knows of the load and health of one endpoint. */
+export class EndpointLoad {
+  /** Requests of this instance that the endpoint has not answered. */
+  inFlight = 0;
+  /** Monotonic time of the last answer. */
+  answeredAt = -Infinity;
+  private othersLoad = 0;
+  private reportedAt = -Infinity;
+  private serviceMs = 0;
+  private failureRatio = 0;
+  private failuresInRow = 0;
+  private pauseMs = 0;
+  private pausedUntil = -Infinity;
+  private isTrialDue = false;
+
+  /** Moving average of the time that a request runs, in milliseconds; 0 where unknown. */
+  get averageServiceMs(): number {
+    return this.serviceMs;
+  }
+
+  /** Moving average of the part of requests that fail. */
+  get averageFailureRatio(): number {
+    return this.failureRatio;
+  }
+
+  /**
+   * Estimates the requests that run or wait at the endpoint.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getDepth(now: number): number {
+    const age = Math.max(0, now - this.reportedAt);
+    return this.inFlight + this.othersLoad * 0.5 ** (age / REPORT_HALF_LIFE_MS);
+  }
+
+  /**
+   * Takes over a load report.
+   * @param report - The report; it includes the requests of this instance.
+   * @param now - Monotonic time in milliseconds.
+   */
+  observeReport(report: LoadReport, now: number): void {
+    const total = report.running + report.waiting;
+    this.othersLoad = Math.max(0, total - this.inFlight);
+    this.reportedAt = now;
+  }
+
+  /**
+   * Takes over an answer.
+   * @param elapsedMs - Time at the endpoint without travel and queueing, in milliseconds.
+   * @param now - Monotonic time in milliseconds.
+   */
+  observeAnswer(elapsedMs: number, now: number): void {
+    this.serviceMs =
+      this.serviceMs === 0
+        ? elapsedMs
+        : this.serviceMs + SMOOTHING * (elapsedMs - this.serviceMs);
+    this.observeReachable(now);
+    this.failureRatio *= 1 - SMOOTHING;
+  }
+
+  /**
+   * Takes over a refusal or a failed answer; the endpoint itself lives.
+   * @param now - Monotonic time in milliseconds.
+   */
+  observeRefusal(now: number): void {
+    this.observeReachable(now);
+    this.failureRatio += SMOOTHING * (1 - this.failureRatio);
+  }
+
+  /**
+   * Takes over a failure on a connection.
+   * @param isUnreachable - Whether no connection could be opened.
+   * @param now - Monotonic time in milliseconds.
+   */
+  observeFailure(isUnreachable: boolean, now: number): void {
+    this.failureRatio += SMOOTHING * (1 - this.failureRatio);
+    this.failuresInRow++;
+    this.isTrialDue = false;
+    if (!isUnreachable && this.failuresInRow < FAILURES_BEFORE_PAUSE) return;
+    this.pauseMs = Math.min(
+      MAX_PAUSE_MS,
+      Math.max(FIRST_PAUSE_MS, this.pauseMs * 2),
+    );
+    this.pausedUntil = now + this.pauseMs;
+    this.isTrialDue = true;
+  }
+
+  /**
+   * Says whether a request may be sent; after a pause only one at a time may, until one is
+   * answered.
+   * @param now - Monotonic time in milliseconds.
+   */
+  isUsable(now: number): boolean {
+    if (now < this.pausedUntil) return false;
+    return !this.isTrialDue || this.inFlight === 0;
+  }
+
+  private observeReachable(now: number): void {
+    this.answeredAt = now;
+    this.failuresInRow = 0;
+    this.pauseMs = 0;
+    this.pausedUntil = -Infinity;
+    this.isTrialDue = false;
+  }
+}
--- /dev/null
+++ b/packages/steering/src/direct/index.ts
@@ -0,0 +1,41 @@
+export {RequestKind, isIdempotent} from './request_kind.js';
+export type {
+  CallerLimits,
+  DirectService,
+  Route,
+  RouteConfiguration,
+  RouteTarget,
+} from './route.js';
+export {RouteTable} from './route_table.js';
+export {
+  EndpointState,
+  type EndpointChange,
+  type EndpointEntry,
+} from './endpoint_entry.js';
+export {BookEffect, EndpointBook, type KnownEndpoint} from './endpoint_book.js';
+export {SlidingCounter} from './sliding_counter.js';
+export {RepeatAllowance, type RepeatBounds} from './repeat_allowance.js';
+export {
+  ColdCounter,
+  getColdLimit,
+  type ColdBounds,
+  type ColdPart,
+} from './cold_allowance.js';
+export {SplitCounter} from './split_counter.js';
+export {combineToFraction, hash32} from './hash_fraction.js';
+export {EndpointLoad, type LoadReport} from './endpoint_load.js';
+export {rankEndpoints, type RankedEndpoint} from './rank_endpoints.js';
+export {choosePreference, type RegionSupply} from './region_weights.js';
+export {
+  chooseEndpoint,
+  type Candidate,
+  type ChoiceOptions,
+  type EndpointChoice,
+} from './choose_endpoint.js';
+export {
+  ControlView,
+  type ControlChanges,
+  type EvacuationChange,
+  type ViewEffects,
+} from './control_view.js';
+export {MemberTable, type MemberInfo} from './member_table.js';
--- /dev/null
+++ b/packages/steering/src/direct/region_weights.ts
@@ -0,0 +1,60 @@
+/** Factors by which a region may prefer its own endpoints, strongest first. */
+const PREFERENCES = [1_000, 30, 12, 8, 6, 4.5, 3.5, 2.7, 2, 1.5, 1];
+
+/** Describes one region's capacity and demand for a service. */
+export interface RegionSupply {
+  region: string;
+  /** Slots of the usable endpoints. */
+  slots: number;
+  /** Slots that the requests of the region's callers keep busy. */
+  demand: number;
+}
+
+/**
+ * Chooses how strongly each region prefers its own endpoints: as strongly as possible while no
+ * region's endpoints are used beyond a bound. All regions have the same preference, so that
+ * every instance computes the same result from the same input.
+ * @param supplies - Capacity and demand by region.
+ * @param maxUtilization - Highest part of a region's slots that may be busy.
+ * @returns The factor for the weights of a region's own endpoints.
+ */
+export function choosePreference(
+  supplies: readonly RegionSupply[],
+  maxUtilization: number,
+): number {
+  let best = 1;
+  let bestPeak = Infinity;
+  for (const preference of PREFERENCES) {
+    const peak = getPeakUtilization(supplies, preference);
+    if (peak <= maxUtilization) return preference;
+    if (peak < bestPeak) {
+      bestPeak = peak;
+      best = preference;
+    }
+  }
+  return best;
+}
+
+function getPeakUtilization(
+  supplies: readonly RegionSupply[],
+  preference: number,
+): number {
+  const busy = new Map<string, number>();
+  for (const source of supplies) {
+    const weights = supplies.map(({region, slots}) =>
+      region === source.region ? slots * preference : slots,
+    );
+    const sum = weights.reduce((a, b) => a + b, 0);
+    if (sum <= 0) continue;
+    supplies.forEach(({region}, i) => {
+      const part = (source.demand * (weights[i] ?? 0)) / sum;
+      busy.set(region, (busy.get(region) ?? 0) + part);
+    });
+  }
+  let peak = 0;
+  for (const {region, slots} of supplies) {
+    const load = busy.get(region) ?? 0;
+    if (load > 0) peak = Math.max(peak, slots > 0 ? load / slots : Infinity);
+  }
+  return peak;
+}
--- /dev/null
+++ b/packages/steering/src/direct/split_counter.ts
@@ -0,0 +1,75 @@
+import type {RouteTarget} from './route.js';
+
+/** Deviation of a target's share from its weight beyond which the share is corrected. */
+const MAX_DEVIATION = 0.03;
+/** Requests after which older ones count half. */
+const DECAY_AFTER = 200;
+
+/**
+ * Divides the requests of one route among its targets by weight. An object keeps its target,
+ * so that it stays warm there, unless the shares have moved away from the weights.
+ */
+export class SplitCounter {
+  private counts: number[];
+  private total = 0;
+
+  /**
+   * Creates the counter of a route.
+   * @param targets - The targets with their weights.
+   */
+  constructor(private readonly targets: readonly RouteTarget[]) {
+    this.counts = targets.map(() => 0);
+  }
+
+  /**
+   * Chooses the target of a request and counts it.
+   * @param fraction - Hash of the object or the request, in [0, 1).
+   * @returns The service.
+   */
+  choose(fraction: number): string | undefined {
+    const weights = this.targets.map(({weight}) => Math.max(0, weight));
+    const sum = weights.reduce((a, b) => a + b, 0);
+    if (sum <= 0) return undefined;
+    let index = weights.findIndex(weight => weight > 0);
+    let rest = fraction * sum;
+    for (let i = 0; i < weights.length; i++) {
+      const weight = weights[i] ?? 0;
+      if (rest < weight) {
+        index = i;
+        break;
+      }
+      rest -= weight;
+    }
+    const excess = this.getShare(index) - (weights[index] ?? 0) / sum;
+    if (this.total >= 10 && excess > MAX_DEVIATION) {
+      index = this.getMostDue(weights, sum);
+    }
+    this.count(index);
+    return this.targets[index]?.service;
+  }
+
+  private getMostDue(weights: readonly number[], sum: number): number {
+    let best = 0;
+    let bestDeficit = -Infinity;
+    weights.forEach((weight, i) => {
+      const deficit = weight / sum - this.getShare(i);
+      if (weight > 0 && deficit > bestDeficit) {
+        best = i;
+        bestDeficit = deficit;
+      }
+    });
+    return best;
+  }
+
+  private getShare(index: number): number {
+    return this.total === 0 ? 0 : (this.counts[index] ?? 0) / this.total;
+  }
+
+  private count(index: number): void {
+    this.counts[index] = (this.counts[index] ?? 0) + 1;
+    this.total++;
+    if (this.total < DECAY_AFTER) return;
+    this.counts = this.counts.map(count => count / 2);
+    this.total /= 2;
+  }
+}
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -1,6 +1,7 @@
 export * from './admission/index.js';
 export * from './choice/index.js';
 export * from './configuration/index.js';
+export * from './direct/index.js';
 export * from './idempotency/index.js';
 export * from './links/index.js';
 export * from './lookup/index.js';
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,10 @@
 export default defineConfig({
   resolve: {
     alias: [
+      {
+        find: '@primrosestage/instance/direct',
+        replacement: `${root}packages/instance/src/direct/index.ts`,
+      },
       {
         find: /^@primrosestage\/(\w+)$/,
         replacement: `${root}packages/$1/src/index.ts`,
@@ -14,7 +18,7 @@
     ],
   },
   test: {
-    include: ['packages/*/test/**/*.test.ts'],
+    include: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     testNamePattern: getNamePatternWithoutKnownFailures(),
