Follow the registry by its own position and release pooled sockets

Cause: an instance whose watch was silent took over the revision of others and so never noticed; listeners piled up on pooled sockets because the reuse hook did not call the agent's own. Change: the watch's own position is compared; the grace for lapsed entries stays below the drain bound.

--- a/packages/instance/src/direct/control_sync.ts
+++ b/packages/instance/src/direct/control_sync.ts
@@ -49,7 +49,10 @@
   private readonly abort = new AbortController();
   private watchAbort?: AbortController;
   private behindSince?: number;
+  /** Revision up to which this instance has followed the registry itself. */
+  private position?: number;
   private isAway = false;
+  private isReopening = false;
   private readonly loops: Array<Promise<void>> = [];
 
   constructor(private readonly options: ControlSyncOptions) {}
@@ -65,8 +68,8 @@
    * @param revision - The other instance's revision.
    */
   notePeerRevision(revision: number): void {
-    const {view, timers, logger} = this.options;
-    if (revision <= view.revision) {
+    const {timers, logger} = this.options;
+    if (this.position === undefined || revision <= this.position) {
       this.behindSince = undefined;
       return;
     }
@@ -74,10 +77,11 @@
     this.behindSince ??= now;
     if (now - this.behindSince < BEHIND_LIMIT_MS || !this.watchAbort) return;
     logger.warn('registry watch is behind other instances', {
-      revision: view.revision,
+      revision: this.position,
       peerRevision: revision,
     });
     this.behindSince = undefined;
+    this.isReopening = true;
     this.watchAbort.abort();
   }
 
@@ -89,24 +93,27 @@
 
   private async follow(): Promise<void> {
     let pauseMs = FIRST_PAUSE_MS;
-    let position: number | undefined;
     const {signal} = this.abort;
     while (!signal.aborted) {
       try {
-        position =
-          position === undefined
+        this.position =
+          this.position === undefined
             ? await this.list()
-            : await this.watch(position);
+            : await this.watch(this.position);
         pauseMs = FIRST_PAUSE_MS;
         await this.options.timers.sleep(WATCH_PAUSE_MS, signal);
       } catch (err) {
         if (signal.aborted) return;
         if (getFault(err) === RegistryFault.HistoryLost) {
           this.options.logger.warn('registry history lost', {
-            revision: position,
+            revision: this.position,
             outcome: 'list again',
           });
-          position = undefined;
+          this.position = undefined;
+          continue;
+        }
+        if (this.isReopening) {
+          this.isReopening = false;
           continue;
         }
         this.noteAway(err);
--- a/packages/instance/src/direct/direct_settings.ts
+++ b/packages/instance/src/direct/direct_settings.ts
@@ -27,6 +27,8 @@
   coldFactor: number;
   /** Requests per second to a cold endpoint beyond that. */
   coldSlack: number;
+  /** Time after which a leaving endpoint must get no requests, in milliseconds. */
+  drainMs: number;
   /** Longest time of a planned stop, after which the process is killed. */
   stopTimeoutMs: number;
   /** Longest time for which callers may keep an answer of the directory. */
--- a/packages/instance/src/direct/endpoint_agent.ts
+++ b/packages/instance/src/direct/endpoint_agent.ts
@@ -34,12 +34,13 @@
   /**
    * Prepares a pooled connection for a request.
    * @param socket - The connection.
+   * @param req - The request that takes it.
    */
-  override reuseSocket(socket: Socket): void {
+  override reuseSocket(socket: Socket, req: http.ClientRequest): void {
     socket.setTimeout(0);
     socket.removeListener('timeout', destroyThis);
     socket.removeListener('data', destroyThis);
-    socket.ref();
+    super.reuseSocket(socket, req);
   }
 }
 
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -70,7 +70,7 @@
   const {settings, timers, logger, names, source} = options;
   const registry = new Registry();
   const metrics = createDirectMetrics(registry);
-  const view = new ControlView();
+  const view = new ControlView(settings.bounds.drainMs);
   const agent = new EndpointAgent();
   const bornAt = timers.wallNow();
   let isStopping = false;
--- /dev/null
+++ b/packages/instance/test/direct/control.test.ts
@@ -0,0 +1,230 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {RegistryFault} from '@primrosestage/control';
+import {EndpointState} from '@primrosestage/steering';
+import {EndpointStub} from './endpoint_stub.js';
+import {
+  createRoute,
+  putConfiguration,
+  putEndpoint,
+  resolve,
+  send,
+  sleep,
+  startInstance,
+  waitFor,
+  waitUntilServing,
+  type TestInstance,
+} from './fleet.js';
+import {MemoryRegistry} from './memory_registry.js';
+
+describe('control state', () => {
+  const resources: AsyncDisposable[] = [];
+
+  afterEach(async () => {
+    for (const resource of resources.splice(0).reverse()) {
+      await resource[Symbol.asyncDispose]();
+    }
+  });
+
+  const startStub = async (id: string) => {
+    const stub = await new EndpointStub(id).start();
+    resources.push(stub);
+    return stub;
+  };
+  const start = async (
+    registry: MemoryRegistry,
+    number: number,
+    changes: Parameters<typeof startInstance>[2] = {},
+  ): Promise<TestInstance> => {
+    const test = await startInstance(registry, number, changes);
+    resources.push(test.instance);
+    return test;
+  };
+
+  it('sends nothing to an endpoint that drains, also where the registry then fails', async () => {
+    const registry = new MemoryRegistry();
+    const [leaving, staying] = [await startStub('e1'), await startStub('e2')];
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, leaving);
+    putEndpoint(registry, staying);
+    const test = await start(registry, 20);
+    await waitUntilServing(test);
+    putEndpoint(registry, leaving, {state: EndpointState.Draining});
+    await sleep(150);
+    registry.fault = RegistryFault.Unavailable;
+    registry.wake();
+    const before = leaving.ran.length;
+    for (let i = 0; i < 30; i++) await send(test, {object: `o${i}`});
+    expect(leaving.ran.length).toBe(before);
+    expect(staying.ran.length).toBeGreaterThan(0);
+  });
+
+  it('never runs a request at another endpoint that has the address', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await startStub('new-owner');
+    putConfiguration(registry, 1, [createRoute()]);
+    registry.set('endpoints/old-owner', {
+      id: 'old-owner',
+      service: 'pages',
+      address: stub.address,
+      zone: 'north-a',
+      slots: 4,
+      state: EndpointState.Ready,
+      coldLeftMs: 0,
+      bornAt: 1,
+    });
+    const test = await start(registry, 21);
+    await waitUntilServing(test);
+    expect((await send(test)).status).toBe(503);
+    expect(stub.ran).toEqual([]);
+  });
+
+  it('keeps the last view while the registry is away, and never goes back', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await startStub('e1');
+    putConfiguration(registry, 5, [createRoute()]);
+    putEndpoint(registry, stub);
+    const test = await start(registry, 22);
+    await waitUntilServing(test);
+    registry.fault = RegistryFault.NoAnswer;
+    registry.wake();
+    expect((await send(test)).status).toBe(200);
+    putConfiguration(registry, 4, [createRoute({prefix: '/old/'})]);
+    registry.fault = undefined;
+    await sleep(300);
+    expect((await send(test)).status).toBe(200);
+    putConfiguration(registry, 6, [createRoute({prefix: '/new/'})]);
+    await waitFor(
+      'the new configuration is in force',
+      async () => (await send(test)).status === 404,
+    );
+  });
+
+  it('lists again after the history was lost', async () => {
+    const registry = new MemoryRegistry();
+    const [first, second] = [await startStub('e1'), await startStub('e2')];
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, first);
+    const test = await start(registry, 23);
+    await waitUntilServing(test);
+    registry.isSilent = true;
+    registry.set('endpoints/e1');
+    putEndpoint(registry, second);
+    registry.isSilent = false;
+    registry.compact();
+    await waitFor('the second endpoint serves', async () => {
+      await send(test);
+      return second.ran.length > 0;
+    });
+    const before = first.ran.length;
+    for (let i = 0; i < 10; i++) await send(test);
+    expect(first.ran.length).toBe(before);
+  });
+
+  it('drops a removed endpoint at once, but one that lapsed in an outage late', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await startStub('e1');
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, stub);
+    const test = await start(registry, 24);
+    await waitUntilServing(test);
+    registry.fault = RegistryFault.NoAnswer;
+    registry.wake();
+    await sleep(50);
+    registry.set('endpoints/e1');
+    registry.fault = undefined;
+    await waitFor('the outage has ended', () =>
+      test.lines.some(({event}) => event === 'registry regained'),
+    );
+    expect((await send(test)).status).toBe(200);
+    await sleep(2_700);
+    expect((await send(test)).status).toBe(503);
+  });
+
+  it('learns changes from another instance while the registry turns it away', async () => {
+    const registry = new MemoryRegistry();
+    const cutOff = new MemoryRegistry();
+    const stub = await startStub('e1');
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, stub);
+    cutOff.fault = RegistryFault.Unavailable;
+    const first = await start(registry, 25);
+    const second = await start(cutOff, 26, {
+      seedAddresses: [first.settings.controlAddress],
+    });
+    await waitUntilServing(second);
+    expect((await send(second)).status).toBe(200);
+    putConfiguration(registry, 2, [createRoute({prefix: '/new/'})]);
+    await waitFor(
+      'the second instance has the configuration',
+      async () => (await send(second)).status === 404,
+    );
+  });
+
+  it('opens a watch again that is silent while others hear changes', async () => {
+    const registry = new MemoryRegistry();
+    const silent = new MemoryRegistry();
+    for (const each of [registry, silent]) {
+      putConfiguration(each, 1, [createRoute()]);
+    }
+    const first = await start(registry, 27);
+    const second = await start(silent, 28, {
+      seedAddresses: [first.settings.controlAddress],
+    });
+    await waitUntilServing(second);
+    silent.isSilent = true;
+    for (let i = 0; i < 5; i++) registry.set('other', {i});
+    await waitFor('the watch is opened again', () =>
+      second.lines.some(({event}) => event.startsWith('registry watch is')),
+    );
+  });
+
+  it('sends nothing to an evacuated zone until that ends', async () => {
+    const registry = new MemoryRegistry();
+    const [near, far] = [await startStub('e1'), await startStub('e2')];
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, near);
+    putEndpoint(registry, far, {zone: 'south-a'});
+    const test = await start(registry, 29);
+    await waitUntilServing(test);
+    registry.set('evacuations/north-a', {});
+    await sleep(150);
+    for (let i = 0; i < 20; i++) await send(test, {object: `o${i}`});
+    expect(near.ran).toEqual([]);
+    registry.set('evacuations/north-a');
+    await sleep(150);
+    for (let i = 0; i < 20; i++) await send(test, {object: `o${i}`});
+    expect(near.ran.length).toBeGreaterThan(0);
+  });
+
+  it('keeps requests with home regions in them', async () => {
+    const registry = new MemoryRegistry();
+    const [near, far] = [await startStub('e1'), await startStub('e2')];
+    putConfiguration(registry, 1, [createRoute({homeRegions: ['south']})]);
+    putEndpoint(registry, near);
+    putEndpoint(registry, far, {zone: 'south-a'});
+    const test = await start(registry, 30);
+    await waitUntilServing(test);
+    for (let i = 0; i < 20; i++) await send(test, {object: `o${i}`});
+    expect(near.ran).toEqual([]);
+    expect(far.ran).toHaveLength(20);
+  });
+
+  it('names the instances of the region and none that was killed', async () => {
+    const registry = new MemoryRegistry();
+    putConfiguration(registry, 1, [createRoute()]);
+    const first = await start(registry, 31);
+    const second = await start(registry, 32);
+    const {callerAddress} = second.settings;
+    await waitFor('both are named', async () =>
+      (await resolve(first, 'north')).includes(callerAddress),
+    );
+    await second.instance[Symbol.asyncDispose]();
+    await waitFor(
+      'the killed instance is left out',
+      async () => !(await resolve(first, 'north')).includes(callerAddress),
+    );
+    expect(await resolve(first, 'north')).toContain(
+      first.settings.callerAddress,
+    );
+  }, 20_000);
+});
--- /dev/null
+++ b/packages/instance/test/direct/planned_stop.test.ts
@@ -0,0 +1,68 @@
+import http from 'node:http';
+import {afterEach, describe, expect, it} from 'vitest';
+import {EndpointStub} from './endpoint_stub.js';
+import {
+  createRoute,
+  putConfiguration,
+  putEndpoint,
+  resolve,
+  send,
+  sleep,
+  startInstance,
+  waitFor,
+  waitUntilServing,
+} from './fleet.js';
+import {MemoryRegistry} from './memory_registry.js';
+
+describe('planned stop', () => {
+  const resources: AsyncDisposable[] = [];
+
+  afterEach(async () => {
+    for (const resource of resources.splice(0).reverse()) {
+      await resource[Symbol.asyncDispose]();
+    }
+  });
+
+  it('answers every request of callers with open connections and old answers of the directory', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await new EndpointStub('e1').start();
+    resources.push(stub);
+    stub.delayMs = 40;
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, stub, {slots: 50});
+    const first = await startInstance(registry, 40);
+    const second = await startInstance(registry, 41);
+    resources.push(first.instance, second.instance);
+    await waitUntilServing(first);
+    const {callerAddress} = first.settings;
+    await waitFor('both are named', async () =>
+      (await resolve(second, 'north')).includes(callerAddress),
+    );
+    const agent = new http.Agent({keepAlive: true});
+    let isStopped = false;
+    const results: Array<number | string> = [];
+    const callers = Array.from({length: 6}, async (_, i) => {
+      for (let n = 0; !isStopped; n++) {
+        try {
+          const answer = await send(first, {agent, object: `${i}-${n}`});
+          results.push(answer.status);
+        } catch (err) {
+          const {code} = err as NodeJS.ErrnoException;
+          results.push(code ?? 'failed');
+          // A refused connection has read nothing; the caller goes elsewhere.
+          if (code === 'ECONNREFUSED') return;
+        }
+      }
+    });
+    await sleep(200);
+    const stop = first.instance.stop();
+    await sleep(100);
+    expect(await resolve(second, 'north')).not.toContain(callerAddress);
+    await stop;
+    isStopped = true;
+    await Promise.all(callers);
+    agent.destroy();
+    expect(results.filter(result => result === 200).length).toBeGreaterThan(50);
+    expect(new Set(results)).toEqual(new Set([200, 'ECONNREFUSED']));
+  });
+});
--- a/packages/steering/src/direct/control_view.ts
+++ b/packages/steering/src/direct/control_view.ts
@@ -35,7 +35,7 @@
  * forward.
  */
 export class ControlView {
-  readonly book = new EndpointBook();
+  readonly book: EndpointBook;
   private config?: RouteConfiguration;
   private table = new RouteTable([]);
   private readonly evacuations = new Map<string, EvacuationChange>();
@@ -43,6 +43,14 @@
   private baseRevision = Infinity;
   private evacuationCount = 0;
 
+  /**
+   * Creates an empty view.
+   * @param drainMs - Time after which a leaving endpoint must get no requests, in milliseconds.
+   */
+  constructor(drainMs: number) {
+    this.book = new EndpointBook(drainMs);
+  }
+
   /** Revision up to which this view is complete. */
   get revision(): number {
     return this.syncedRevision;
--- a/packages/steering/src/direct/endpoint_book.ts
+++ b/packages/steering/src/direct/endpoint_book.ts
@@ -4,11 +4,10 @@
   EndpointState,
 } from './endpoint_entry.js';
 
-/**
- * Time after the return of the registry during which a removed entry may only have lapsed;
- * a live endpoint registers again within about two seconds.
- */
-const LAPSE_GRACE_MS = 2_300;
+/** A live endpoint whose entry lapsed registers again within about two seconds of the return. */
+const REGISTER_AGAIN_MS = 2_300;
+/** Part of the drain bound that a removed entry may be used for. */
+const DRAIN_PART = 0.85;
 
 /** Keeps what is known of one endpoint. */
 export interface KnownEndpoint {
@@ -41,11 +40,20 @@
   private readonly known = new Map<string, KnownEndpoint>();
   private readonly changes = new Map<string, EndpointChange>();
   private readonly byService = new Map<string, KnownEndpoint[]>();
+  private readonly lapseGraceMs: number;
   private outageEndedAt = -Infinity;
   private isRegistryAway = false;
   private highestRevision = 0;
   private versionCount = 0;
 
+  /**
+   * Creates an empty book.
+   * @param drainMs - Time after which a leaving endpoint must get no requests, in milliseconds.
+   */
+  constructor(drainMs: number) {
+    this.lapseGraceMs = Math.min(REGISTER_AGAIN_MS, drainMs * DRAIN_PART);
+  }
+
   /** Highest revision of all changes applied. */
   get revision(): number {
     return this.highestRevision;
@@ -96,7 +104,7 @@
     if (!entry || entry.state === EndpointState.Draining) {
       if (!before) return BookEffect.None;
       if (change.isRemoved && this.isLapsePossible(now)) {
-        before.lapsesAt = now + LAPSE_GRACE_MS;
+        before.lapsesAt = now + this.lapseGraceMs;
         return BookEffect.Lapsed;
       }
       this.known.delete(change.id);
@@ -197,6 +205,6 @@
   }
 
   private isLapsePossible(now: number): boolean {
-    return this.isRegistryAway || now < this.outageEndedAt + LAPSE_GRACE_MS;
+    return this.isRegistryAway || now < this.outageEndedAt + this.lapseGraceMs;
   }
 }
