Test the decisions of the straight path with properties

Cause: bounds over all instances, the merge of control state and placement had no tests. Conclusion: the state merge is independent of order and repetition.

--- /dev/null
+++ b/packages/steering/test/direct/bounds.test.ts
@@ -0,0 +1,158 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  ColdCounter,
+  getColdLimit,
+  RepeatAllowance,
+  SplitCounter,
+} from '../../src/direct/index.js';
+
+const RUNS = {numRuns: 1_000, seed: 20261204};
+
+function count(times: number[], end: number, windowMs: number): number {
+  return times.filter(at => at <= end && at > end - windowMs).length;
+}
+
+describe('getColdLimit', () => {
+  it('adds up to no more than the bound over all instances', () => {
+    fc.assert(
+      fc.property(
+        fc.double({min: 1, max: 60, noNaN: true}),
+        fc.integer({min: 1, max: 300}),
+        (perSecond, instances) => {
+          let sum = 0;
+          for (let rank = 0; rank < instances; rank++) {
+            sum += getColdLimit({perSecond}, {instances, rank});
+          }
+          expect(sum).toBeLessThanOrEqual(perSecond);
+          expect(sum).toBeGreaterThan(0);
+        },
+      ),
+      RUNS,
+    );
+  });
+});
+
+describe('ColdCounter', () => {
+  it('never lets more than the limit pass in any second', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({min: 0, max: 400}), {maxLength: 60}),
+        fc.integer({min: 1, max: 5}),
+        (gaps, limit) => {
+          const counter = new ColdCounter();
+          const sent: number[] = [];
+          let now = 0;
+          for (const gap of gaps) {
+            now += gap;
+            if (counter.take(now, limit)) sent.push(now);
+          }
+          for (const at of sent) {
+            const inSecond = sent.filter(
+              other => other >= at && other < at + 1_000,
+            );
+            expect(inSecond.length).toBeLessThanOrEqual(limit);
+          }
+        },
+      ),
+      RUNS,
+    );
+  });
+});
+
+describe('RepeatAllowance', () => {
+  it('keeps the bound of every window over all instances', () => {
+    const bounds = {ratio: 0.2, slack: 64, windowMs: 10_000};
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            instance: fc.integer({min: 0, max: 6}),
+            gapMs: fc.integer({min: 0, max: 300}),
+            repeats: fc.integer({min: 0, max: 4}),
+          }),
+          {maxLength: 200},
+        ),
+        requests => {
+          const allowances = Array.from(
+            {length: 7},
+            () => new RepeatAllowance(bounds),
+          );
+          const requestTimes: number[] = [];
+          const repeatTimes: number[] = [];
+          let now = 0;
+          for (const {instance, gapMs, repeats} of requests) {
+            now += gapMs;
+            requestTimes.push(now);
+            allowances[instance]?.addRequest(now);
+            for (let i = 0; i < repeats; i++) {
+              if (allowances[instance]?.take(now, 7)) repeatTimes.push(now);
+            }
+          }
+          for (const end of repeatTimes) {
+            const {windowMs} = bounds;
+            // Requests count in the window of the repeats, the one before or half a window before.
+            const counts = [0, windowMs / 2, windowMs].map(shift =>
+              count(requestTimes, end - shift, windowMs),
+            );
+            const allowed = bounds.ratio * Math.max(...counts) + bounds.slack;
+            expect(count(repeatTimes, end, windowMs)).toBeLessThanOrEqual(
+              allowed,
+            );
+          }
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('grants less where more instances share the slack', () => {
+    const count = (instances: number) => {
+      const allowance = new RepeatAllowance({
+        ratio: 0,
+        slack: 70,
+        windowMs: 10_000,
+      });
+      let granted = 0;
+      while (allowance.take(0, instances)) granted++;
+      return granted;
+    };
+    expect(count(1)).toBe(56);
+    expect(count(7)).toBe(8);
+  });
+});
+
+describe('SplitCounter', () => {
+  it('keeps the shares close to the weights also for few objects', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 99}),
+        fc.array(fc.double({min: 0, max: 0.999, noNaN: true}), {
+          minLength: 3,
+          maxLength: 20,
+        }),
+        (weight, objects) => {
+          const split = new SplitCounter([
+            {service: 'first', weight},
+            {service: 'second', weight: 100 - weight},
+          ]);
+          let first = 0;
+          for (let i = 0; i < 400; i++) {
+            const object = objects[i % objects.length] ?? 0;
+            if (split.choose(object) === 'first') first++;
+          }
+          expect(Math.abs(first / 400 - weight / 100)).toBeLessThan(0.1);
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('sends nothing to a target of weight 0', () => {
+    const split = new SplitCounter([
+      {service: 'none', weight: 0},
+      {service: 'all', weight: 1},
+    ]);
+    for (let i = 0; i < 100; i++) expect(split.choose(i / 100)).toBe('all');
+  });
+});
--- /dev/null
+++ b/packages/steering/test/direct/control_view.test.ts
@@ -0,0 +1,234 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  BookEffect,
+  type ControlChanges,
+  ControlView,
+  type EndpointChange,
+  EndpointState,
+  RequestKind,
+  type RouteConfiguration,
+} from '../../src/direct/index.js';
+
+const RUNS = {numRuns: 1_000, seed: 20261204};
+const DRAIN_MS = 2_500;
+
+function createChange(
+  id: string,
+  revision: number,
+  state?: EndpointState,
+): EndpointChange {
+  if (!state) return {id, revision, isRemoved: true};
+  return {
+    id,
+    revision,
+    isRemoved: false,
+    entry: {
+      id,
+      service: 'pages',
+      address: '127.0.0.1:1',
+      zone: 'a',
+      slots: 4,
+      state,
+      coldLeftMs: 0,
+      bornAt: 1,
+    },
+  };
+}
+
+function createChanges(changes: Partial<ControlChanges>): ControlChanges {
+  return {
+    revision: 0,
+    isFull: false,
+    endpoints: [],
+    evacuations: [],
+    ...changes,
+  };
+}
+
+function createConfiguration(version: number): RouteConfiguration {
+  return {
+    version,
+    routes: [
+      {
+        name: `r${version}`,
+        host: 'shop.example',
+        prefix: '/',
+        kind: RequestKind.Safe,
+        targets: [{service: 'pages', weight: 1}],
+        timeoutMs: 0,
+        objectiveMs: 0,
+        priority: 0,
+        attempts: 1,
+        isSticky: false,
+        homeRegions: [],
+      },
+    ],
+    services: new Map(),
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+}
+
+/** Changes in the order of the store, with consecutive revisions. */
+const HISTORY = fc
+  .array(
+    fc.record({
+      id: fc.constantFrom('e1', 'e2', 'e3'),
+      state: fc.constantFrom(
+        EndpointState.Ready,
+        EndpointState.Draining,
+        undefined,
+      ),
+    }),
+    {minLength: 1, maxLength: 20},
+  )
+  .map(steps => steps.map(({id, state}, i) => createChange(id, i + 1, state)));
+
+function getUsable(view: ControlView): string[] {
+  return view.book.getByService('pages').map(({entry}) => entry.id);
+}
+
+describe('ControlView', () => {
+  it('ends in the same state whatever the order and number of deliveries', () => {
+    fc.assert(
+      fc.property(
+        HISTORY.chain(history =>
+          fc.tuple(
+            fc.constant(history),
+            fc.shuffledSubarray([...history, ...history], {
+              minLength: history.length * 2,
+              maxLength: history.length * 2,
+            }),
+          ),
+        ),
+        ([history, deliveries]) => {
+          const inOrder = new ControlView(DRAIN_MS);
+          inOrder.apply(createChanges({endpoints: history}), 0);
+          const mixed = new ControlView(DRAIN_MS);
+          for (const change of deliveries) {
+            mixed.apply(createChanges({endpoints: [change]}), 0);
+          }
+          expect(getUsable(mixed)).toEqual(getUsable(inOrder));
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('never uses an endpoint again after a later leave was heard', () => {
+    fc.assert(
+      fc.property(HISTORY, fc.integer({min: 0, max: 19}), (history, cut) => {
+        const view = new ControlView(DRAIN_MS);
+        view.apply(createChanges({endpoints: history}), 0);
+        view.apply(createChanges({endpoints: history.slice(0, cut)}), 1);
+        for (const id of getUsable(view)) {
+          const last = history.filter(change => change.id === id).at(-1);
+          expect(last?.entry?.state).toBe(EndpointState.Ready);
+        }
+      }),
+      RUNS,
+    );
+  });
+
+  it('hands another view all that it lacks', () => {
+    fc.assert(
+      fc.property(HISTORY, fc.integer({min: 0, max: 20}), (history, known) => {
+        const first = new ControlView(DRAIN_MS);
+        const second = new ControlView(DRAIN_MS);
+        const old = history.slice(0, known);
+        for (const view of [first, second]) {
+          view.apply(
+            createChanges({endpoints: old, revision: old.length, isFull: true}),
+            0,
+          );
+        }
+        first.apply(
+          createChanges({endpoints: history, revision: history.length}),
+          0,
+        );
+        second.apply(first.getChangesAfter(second.revision), 0);
+        expect(getUsable(second)).toEqual(getUsable(first));
+        expect(second.revision).toBe(first.revision);
+      }),
+      RUNS,
+    );
+  });
+
+  it('never goes back to an older configuration', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({min: 1, max: 50}), {minLength: 1}),
+        versions => {
+          const view = new ControlView(DRAIN_MS);
+          let highest = 0;
+          for (const version of versions) {
+            view.apply(
+              createChanges({configuration: createConfiguration(version)}),
+              0,
+            );
+            highest = Math.max(highest, version);
+            expect(view.configuration?.version).toBe(highest);
+            expect(view.routes.find('shop.example:80', '/x?y')?.name).toBe(
+              `r${highest}`,
+            );
+          }
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('drops what a full listing does not name, but not what is newer', () => {
+    const view = new ControlView(DRAIN_MS);
+    view.apply(
+      createChanges({
+        endpoints: [
+          createChange('e1', 1, EndpointState.Ready),
+          createChange('e2', 9, EndpointState.Ready),
+        ],
+        evacuations: [{zone: 'a', isActive: true, revision: 2}],
+        revision: 9,
+      }),
+      0,
+    );
+    view.apply(createChanges({revision: 5, isFull: true}), 0);
+    expect(getUsable(view)).toEqual(['e2']);
+    expect(view.isEvacuated('a')).toBe(false);
+  });
+
+  it('keeps a lapsed entry for a time that is shorter than the drain bound', () => {
+    for (const drainMs of [2_000, 2_500, 60_000]) {
+      const view = new ControlView(drainMs);
+      const join = createChange('e1', 1, EndpointState.Ready);
+      view.apply(createChanges({endpoints: [join]}), 0);
+      view.book.markRegistryAway();
+      view.book.markRegistryBack(1_000);
+      const effects = view.apply(
+        createChanges({endpoints: [createChange('e1', 2)]}),
+        1_001,
+      );
+      expect(effects.endpoints[0]?.effect).toBe(BookEffect.Lapsed);
+      view.book.expire(1_001 + Math.min(2_300, drainMs * 0.85));
+      expect(getUsable(view)).toEqual([]);
+    }
+  });
+
+  it('takes the longer cold time of one life and the new one of the next', () => {
+    const view = new ControlView(DRAIN_MS);
+    const cold = (revision: number, coldLeftMs: number, bornAt: number) => {
+      const change = createChange('e1', revision, EndpointState.Ready);
+      if (change.entry) Object.assign(change.entry, {coldLeftMs, bornAt});
+      return createChanges({endpoints: [change]});
+    };
+    view.apply(cold(1, 3_000, 1), 0);
+    view.apply(cold(2, 1_000, 1), 500);
+    expect(view.book.get('e1')?.coldUntil).toBe(3_000);
+    view.apply(cold(3, 3_000, 2), 10_000);
+    expect(view.book.get('e1')?.coldUntil).toBe(13_000);
+  });
+});
--- /dev/null
+++ b/packages/steering/test/direct/placement.test.ts
@@ -0,0 +1,160 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  type Candidate,
+  chooseEndpoint,
+  choosePreference,
+  EndpointLoad,
+  hash32,
+  rankEndpoints,
+  type RankedEndpoint,
+} from '../../src/direct/index.js';
+
+const RUNS = {numRuns: 1_000, seed: 20261204};
+
+function createEndpoints(count: number): RankedEndpoint[] {
+  return Array.from({length: count}, (_, i) => ({
+    id: `e${i}`,
+    hash: hash32(`e${i}`),
+    weight: 1,
+  }));
+}
+
+function createCandidate(changes: Partial<Candidate> = {}): Candidate {
+  return {
+    id: 'e0',
+    rank: 0,
+    slots: 4,
+    depth: 0,
+    serviceMs: 100,
+    travelMs: 1,
+    failureRatio: 0,
+    isBlocked: false,
+    ...changes,
+  };
+}
+
+describe('rankEndpoints', () => {
+  it('moves only the objects of an endpoint that leaves', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 2, max: 40}),
+        fc.string(),
+        fc.nat(),
+        (count, object, leaver) => {
+          const all = createEndpoints(count);
+          const left = `e${leaver % count}`;
+          const rest = all.filter(({id}) => id !== left);
+          const before = rankEndpoints(hash32(object), all, count);
+          const after = rankEndpoints(hash32(object), rest, count);
+          expect(after).toEqual(before.filter(id => id !== left));
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('gives endpoints objects in proportion to their weights', () => {
+    const endpoints = createEndpoints(4).map((endpoint, i) => ({
+      ...endpoint,
+      weight: i === 0 ? 3 : 1,
+    }));
+    const counts = new Map<string, number>();
+    for (let i = 0; i < 6_000; i++) {
+      const first = rankEndpoints(hash32(`object ${i}`), endpoints, 1)[0] ?? '';
+      counts.set(first, (counts.get(first) ?? 0) + 1);
+    }
+    expect(counts.get('e0')).toBeGreaterThan(2_800);
+    expect(counts.get('e0')).toBeLessThan(3_200);
+    expect(counts.get('e1')).toBeGreaterThan(880);
+    expect(counts.get('e1')).toBeLessThan(1_120);
+  });
+});
+
+describe('choosePreference', () => {
+  it('keeps requests at home where every region has room', () => {
+    const supplies = ['a', 'b', 'c'].map(region => ({
+      region,
+      slots: 30,
+      demand: 10,
+    }));
+    expect(choosePreference(supplies, 0.75)).toBe(1_000);
+  });
+
+  it('spreads the demand of a region that is short of slots', () => {
+    const supplies = [
+      {region: 'a', slots: 48, demand: 19},
+      {region: 'b', slots: 8, demand: 19},
+      {region: 'c', slots: 40, demand: 19},
+    ];
+    const preference = choosePreference(supplies, 0.75);
+    expect(preference).toBeGreaterThan(1);
+    expect(preference).toBeLessThan(10);
+  });
+});
+
+describe('chooseEndpoint', () => {
+  const options = {remainingMs: 1_000, queueLimit: 5};
+
+  it('keeps an object where it is cached while the wait there is short', () => {
+    const first = createCandidate({depth: 5});
+    const second = createCandidate({id: 'e1', rank: 1});
+    expect(chooseEndpoint([first, second], options).id).toBe('e0');
+  });
+
+  it('moves an object where the wait costs more than a cold cache', () => {
+    const first = createCandidate({depth: 8, slots: 1, serviceMs: 100});
+    const second = createCandidate({id: 'e1', rank: 1});
+    const wide = {remainingMs: 5_000, queueLimit: 20};
+    expect(chooseEndpoint([first, second], wide).id).toBe('e1');
+  });
+
+  it('refuses at once what no endpoint can finish in time', () => {
+    const full = createCandidate({depth: 30});
+    const choice = chooseEndpoint([full], options);
+    expect(choice.id).toBeUndefined();
+    expect(choice.retryAfterMs).toBeGreaterThan(0);
+    const late = createCandidate({serviceMs: 2_000});
+    expect(chooseEndpoint([late], options).id).toBeUndefined();
+  });
+
+  it('never chooses a blocked endpoint', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.record({depth: fc.nat(12), isBlocked: fc.boolean()}), {
+          maxLength: 4,
+        }),
+        states => {
+          const candidates = states.map((state, rank) =>
+            createCandidate({...state, id: `e${rank}`, rank}),
+          );
+          const {id} = chooseEndpoint(candidates, options);
+          const chosen = candidates.find(candidate => candidate.id === id);
+          expect(chosen?.isBlocked ?? false).toBe(false);
+        },
+      ),
+      RUNS,
+    );
+  });
+});
+
+describe('EndpointLoad', () => {
+  it('pauses an unreachable endpoint and then tries one request at a time', () => {
+    const load = new EndpointLoad();
+    load.observeFailure(true, 0);
+    expect(load.isUsable(100)).toBe(false);
+    expect(load.isUsable(301)).toBe(true);
+    load.inFlight = 1;
+    expect(load.isUsable(302)).toBe(false);
+    load.observeAnswer(10, 400);
+    expect(load.isUsable(401)).toBe(true);
+  });
+
+  it('counts the requests of others from the report, less as it ages', () => {
+    const load = new EndpointLoad();
+    load.inFlight = 1;
+    load.observeReport({running: 3, waiting: 2, slots: 4}, 0);
+    expect(load.getDepth(0)).toBe(5);
+    expect(load.getDepth(500)).toBe(3);
+  });
+});
