Wait before a full log pipe is tried again

The log of front-hawassa-a-1 stops at its restart: its pipe was full, and the write was tried again at once, for the rest of the life of the process, on its processor. Ruled out: the start itself (0.9 s from the stop to the start, served before without a stall).

--- a/packages/common/src/telemetry/create_line_logger.ts
+++ b/packages/common/src/telemetry/create_line_logger.ts
@@ -4,17 +4,27 @@
 
 /** Time for which lines are collected before they are written, in milliseconds. */
 const FLUSH_INTERVAL_MS = 100;
+/** Pause after the reader of the log took nothing, in milliseconds. */
+const FULL_PAUSE_MS = 200;
 /** Characters held while the reader of the log is slow; further lines are dropped and counted. */
 const MAX_HELD_CHARS = 1_000_000;
+/** Longest wait for the reader at the end of the process, in milliseconds. */
+const DISPOSE_TIMEOUT_MS = 200;
 const STDOUT = 1;
 
+/** Writes bytes and reports how many were taken, or why none were. */
+export type WriteBytes = (
+  bytes: Buffer,
+  done: (err: NodeJS.ErrnoException | null, written: number) => void,
+) => void;
+
 /** Configures a logger that never blocks. */
 export interface LineLoggerOptions {
   timers: TimerService;
   /** Fields that every line carries, such as the instance id. */
   fields: Record<string, string>;
-  /** Writes text and calls back when the next may be written; standard output by default. */
-  writeText?: (text: string, done: () => void) => void;
+  /** Writes bytes as `fs.write` does; to standard output by default. */
+  writeBytes?: WriteBytes;
 }
 
 /** Writes lines and gives out what is left at the end. */
@@ -29,7 +39,7 @@
  * @param options - Clock, common fields and where text goes.
  */
 export function createLineLogger(options: LineLoggerOptions): LineLogger {
-  const writeText = options.writeText ?? writeToStdout;
+  const writeBytes = options.writeBytes ?? writeToStdout;
   const common = JSON.stringify(options.fields).slice(1, -1);
   let held: string[] = [];
   let heldChars = 0;
@@ -45,11 +55,24 @@
     held = [];
     heldChars = 0;
     isWriting = true;
-    writeText(text, () => {
+    writeAll(Buffer.from(text), () => {
       isWriting = false;
       if (held.length > 0) schedule();
     });
   };
+  const writeAll = (bytes: Buffer, done: () => void) => {
+    writeBytes(bytes, (err, written) => {
+      if (err?.code === 'EAGAIN') {
+        // Trying again at once would take the whole processor from the requests.
+        options.timers.after(FULL_PAUSE_MS, () => writeAll(bytes, done));
+      } else if (err || written >= bytes.length) {
+        // A failed write loses its lines: there is no other place to report it to.
+        done();
+      } else {
+        writeAll(bytes.subarray(written), done);
+      }
+    });
+  };
   const schedule = () => {
     if (isDue || isWriting) return;
     isDue = true;
@@ -84,29 +107,18 @@
       return dropped;
     },
     async [Symbol.asyncDispose]() {
-      while (isWriting) await options.timers.sleep(1);
-      if (held.length === 0) return;
-      await new Promise<void>(resolve => {
-        writeText(held.join(''), resolve);
-        held = [];
-      });
+      const endAt = options.timers.now() + DISPOSE_TIMEOUT_MS;
+      flush();
+      while (isWriting && options.timers.now() < endAt) {
+        await options.timers.sleep(1);
+      }
     },
   };
 }
 
-function writeToStdout(text: string, done: () => void): void {
-  writeAll(Buffer.from(text), done);
-}
-
-/** A failed write loses the lines: there is no other place to report it to. */
-function writeAll(bytes: Buffer, done: () => void): void {
-  write(STDOUT, bytes, (err, written) => {
-    if (err?.code === 'EAGAIN') {
-      writeAll(bytes, done);
-    } else if (err || written >= bytes.length) {
-      done();
-    } else {
-      writeAll(bytes.subarray(written), done);
-    }
-  });
+function writeToStdout(
+  bytes: Buffer,
+  done: (err: NodeJS.ErrnoException | null, written: number) => void,
+): void {
+  write(STDOUT, bytes, done);
 }
--- a/packages/common/src/telemetry/index.ts
+++ b/packages/common/src/telemetry/index.ts
@@ -15,5 +15,6 @@
   createLineLogger,
   type LineLogger,
   type LineLoggerOptions,
+  type WriteBytes,
 } from './create_line_logger.js';
 export type {EventLogger} from './event_logger.js';
