--- a/packages/common/src/telemetry/create_line_logger.ts
+++ b/packages/common/src/telemetry/create_line_logger.ts
@@ -8,6 +8,8 @@
 const FULL_PAUSE_MS = 200;
 /** Characters held while the reader of the log is slow; further lines are dropped and counted. */
 const MAX_HELD_CHARS = 1_000_000;
+/** Bytes of a write that a pipe takes whole or not at all. */
+const MAX_WRITE_BYTES = 4_096;
 /** Longest wait for the reader at the end of the process, in milliseconds. */
 const DISPOSE_TIMEOUT_MS = 200;
 const STDOUT = 1;
@@ -61,7 +63,8 @@
     });
   };
   const writeAll = (bytes: Buffer, done: () => void) => {
-    writeBytes(bytes, (err, written) => {
+    const part = bytes.subarray(0, MAX_WRITE_BYTES);
+    writeBytes(part, (err, written) => {
       if (err?.code === 'EAGAIN') {
         // Trying again at once would take the whole processor from the requests.
         options.timers.after(FULL_PAUSE_MS, () => writeAll(bytes, done));
