Send idempotent requests elsewhere while an endpoint is silent

Change: after 2.5 times the expected time an idempotent request is sent to a second endpoint within its allowance; an endpoint that answers none of several requests gets no more; open attempts are logged.

--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -181,7 +181,7 @@
       // An endpoint that turns cold later has had these requests in the same second.
       state.cold.take(now, Infinity);
     }
-    state.load.inFlight++;
+    state.load.begin(now);
     return true;
   }
 
--- a/packages/instance/src/direct/request_handler.ts
+++ b/packages/instance/src/direct/request_handler.ts
@@ -33,6 +33,9 @@
 const ANSWER_GRACE_MS = 60;
 /** Time to open a connection to an endpoint; a lost packet is sent again after a second. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Times the expected time after which an answer is unlikely to come, and the least such time. */
+const PATIENCE_FACTOR = 2.5;
+const MIN_PATIENCE_MS = 100;
 /** Least time left for which a request is sent to an endpoint at all, in milliseconds. */
 const MIN_REMAINING_MS = 20;
 /** Longest part of the caller's remaining time after which it is asked to return. */
@@ -123,6 +126,8 @@
   attempt: Attempt;
   startedAt: number;
   depth: number;
+  /** Time after which an idempotent request is sent to another endpoint as well. */
+  patienceMs: number;
 }
 
 interface FinishedAttempt {
@@ -228,56 +233,92 @@
     service: string,
     body: Buffer | undefined,
   ): Promise<void> {
-    let lastDecision = Decision.NoEndpoint;
-    for (let sent = 0; sent < Math.max(1, route.attempts); sent++) {
-      if (this.isFinished) return;
-      if (sent > 0 && !this.options.selector.takeRepeat(service)) {
-        this.options.metrics.repeats.inc({service, cause: 'no-allowance'});
-        break;
-      }
-      const open = this.begin(route, service, body);
-      if (!open) {
-        if (sent === 0) lastDecision = Decision.NoRoom;
-        break;
+    const pending = new Map<OpenAttempt, Promise<FinishedAttempt>>();
+    let decision = Decision.NoRoom;
+    for (let sent = 0; ;) {
+      const open = this.mayRepeat(sent, route, service)
+        ? this.begin(route, service, body)
+        : undefined;
+      if (open) {
+        sent++;
+        pending.set(open, this.await(open));
       }
-      const finished = await this.await(open);
+      if (pending.size === 0) break;
+      const isHedgeable =
+        open !== undefined && isIdempotent(route.kind) && sent < route.attempts;
+      const finished = await this.awaitFirst(
+        pending,
+        isHedgeable ? open.patienceMs : Infinity,
+      );
       if (this.isFinished) return;
-      const {result} = finished;
-      switch (result.outcome) {
-        case AttemptOutcome.Answered:
-          if (this.isAnswerFinal(finished, sent)) {
-            this.passOn(result.answer as EndpointAnswer);
-            return;
-          }
-          lastDecision = Decision.Broken;
-          break;
-        case AttemptOutcome.Refused:
-          lastDecision = Decision.Refused;
-          break;
-        case AttemptOutcome.NotSent:
-          lastDecision = Decision.NoEndpoint;
-          break;
-        default:
-          lastDecision =
-            result.outcome === AttemptOutcome.TimedOut
-              ? Decision.TimedOut
-              : Decision.Broken;
-          this.mayHaveRun = true;
-          if (!isIdempotent(route.kind)) {
-            this.finishFailed(lastDecision);
-            return;
-          }
+      if (!finished) continue;
+      pending.delete(finished.open);
+      if (this.isAnswerFinal(finished, sent, pending.size)) {
+        this.passOn(finished.result.answer as EndpointAnswer);
+        this.cancelOpen();
+        return;
       }
+      decision = this.noteFailure(finished.result.outcome);
+      if (this.mayHaveRun && !isIdempotent(route.kind)) break;
+    }
+    if (!this.isFinished) this.finishFailed(decision);
+  }
+
+  /** The first attempt is free; others need the route's permission and the allowance. */
+  private mayRepeat(sent: number, route: Route, service: string): boolean {
+    if (sent === 0) return true;
+    if (sent >= route.attempts) return false;
+    const {selector, metrics} = this.options;
+    if (selector.takeRepeat(service)) return true;
+    metrics.repeats.inc({service, cause: 'no-allowance'});
+    return false;
+  }
+
+  /** Waits for the first attempt that ends; undefined where none does in time. */
+  private async awaitFirst(
+    pending: ReadonlyMap<OpenAttempt, Promise<FinishedAttempt>>,
+    patienceMs: number,
+  ): Promise<FinishedAttempt | undefined> {
+    const ends = [...pending.values()];
+    if (!Number.isFinite(patienceMs)) return Promise.race(ends);
+    let timer: Disposable | undefined;
+    const patience = new Promise<undefined>(resolve => {
+      timer = this.options.timers.after(patienceMs, () => resolve(undefined));
+    });
+    try {
+      return await Promise.race([...ends, patience]);
+    } finally {
+      timer?.[Symbol.dispose]();
+    }
+  }
+
+  private noteFailure(outcome: AttemptOutcome): Decision {
+    switch (outcome) {
+      case AttemptOutcome.Refused:
+        return Decision.Refused;
+      case AttemptOutcome.NotSent:
+        return Decision.NoEndpoint;
+      case AttemptOutcome.TimedOut:
+        this.mayHaveRun = true;
+        return Decision.TimedOut;
+      default:
+        this.mayHaveRun = true;
+        return Decision.Broken;
     }
-    if (!this.isFinished) this.finishFailed(lastDecision);
   }
 
   /** A failure of an idempotent request is tried once more elsewhere while time is left. */
-  private isAnswerFinal(finished: FinishedAttempt, sent: number): boolean {
+  private isAnswerFinal(
+    finished: FinishedAttempt,
+    sent: number,
+    pendingCount: number,
+  ): boolean {
+    const {answer, outcome} = finished.result;
+    if (!answer || outcome !== AttemptOutcome.Answered) return false;
     const route = this.route as Route;
-    const status = finished.result.answer?.status ?? 0;
-    if (status < 500 || !isIdempotent(route.kind)) return true;
-    if (sent + 1 >= route.attempts) return true;
+    if (answer.status < 500 || !isIdempotent(route.kind)) return true;
+    if (pendingCount > 0) return false;
+    if (sent >= route.attempts) return true;
     const {selector, timers} = this.options;
     const neededMs = 2 * selector.getServiceMs(this.service as string);
     return this.endAt - timers.now() < neededMs;
@@ -300,10 +341,11 @@
       remainingMs,
       isReturning: this.isReturning,
     });
-    if (!endpoint || !candidate || !selector.begin(endpoint)) {
-      this.retryAfterMs = choice.retryAfterMs || NOT_READY_RETRY_AFTER_MS;
+    if (choice.id === undefined) {
+      this.retryAfterMs = choice.retryAfterMs;
       return undefined;
     }
+    if (!endpoint || !candidate || !selector.begin(endpoint)) return undefined;
     const {entry} = endpoint;
     this.tried.add(entry.id);
     const colon = entry.address.lastIndexOf(':');
@@ -328,7 +370,13 @@
       },
       this.options,
     );
-    const open = {endpoint, attempt, startedAt: now, depth: candidate.depth};
+    const open = {
+      endpoint,
+      attempt,
+      startedAt: now,
+      depth: candidate.depth,
+      patienceMs: PATIENCE_FACTOR * choice.finishMs + MIN_PATIENCE_MS,
+    };
     this.open.add(open);
     return open;
   }
@@ -346,7 +394,7 @@
     const now = timers.now();
     const elapsedMs = now - startedAt;
     const load = selector.getLoad(endpoint);
-    load.inFlight = Math.max(0, load.inFlight - 1);
+    load.end();
     if (result.connectMs !== undefined) {
       selector.observeConnect(endpoint, result.connectMs);
     }
@@ -377,15 +425,9 @@
     const service = endpoint.entry.service;
     metrics.attempts.inc({service, outcome: result.outcome});
     metrics.attemptSeconds.observe({service}, elapsedMs / 1_000);
-    this.attempts.push({
-      endpoint: endpoint.entry.id,
-      revision: endpoint.revision,
-      entryAgeMs: Math.round(startedAt - endpoint.learnedAt),
-      depth: Math.round(depth * 10) / 10,
-      outcome: result.outcome,
-      reason: result.reason,
-      ms: Math.round(elapsedMs),
-    });
+    this.attempts.push(
+      createRecord(open, result.outcome, result.reason, elapsedMs),
+    );
   }
 
   private passOn(answer: EndpointAnswer): void {
@@ -510,13 +552,35 @@
         remainingMs: Math.round(this.deadlineAt - now),
         retryAfterMs: status === 503 ? this.retryAfterMs : undefined,
         ms: Math.round(ms),
-        attempts: this.attempts,
+        attempts: [
+          ...this.attempts,
+          ...[...this.open].map(open =>
+            createRecord(open, 'open', '', now - open.startedAt),
+          ),
+        ],
       },
       now,
     );
   }
 }
 
+function createRecord(
+  {endpoint, startedAt, depth}: OpenAttempt,
+  outcome: string,
+  reason: string,
+  ms: number,
+): AttemptRecord {
+  return {
+    endpoint: endpoint.entry.id,
+    revision: endpoint.revision,
+    entryAgeMs: Math.round(startedAt - endpoint.learnedAt),
+    depth: Math.round(depth * 10) / 10,
+    outcome,
+    reason,
+    ms: Math.round(ms),
+  };
+}
+
 function parseLoad(header: string | undefined) {
   if (header === undefined) return undefined;
   const [running, waiting, slots] = header.split(',').map(Number);
--- a/packages/instance/test/direct/answers.test.ts
+++ b/packages/instance/test/direct/answers.test.ts
@@ -23,6 +23,7 @@
     stub = await new EndpointStub('e1').start();
     putConfiguration(registry, Date.now(), [
       createRoute({attempts: 1}),
+      createRoute({name: 'hedged', prefix: '/hedged/', attempts: 2}),
       createRoute({
         name: 'orders',
         prefix: '/orders/',
@@ -123,6 +124,23 @@
     expect(stub.ran).toHaveLength(1);
   });
 
+  it('sends an idempotent request to a second endpoint while the first is silent', async () => {
+    const second = await new EndpointStub('e2').start();
+    putEndpoint(registry, second, {bornAt: Date.now()});
+    await sleep(150);
+    for (let i = 0; i < 20; i++) await send(instance, {object: `warm${i}`});
+    stub.handle = () => {};
+    for (let i = 0; i < 20; i++) {
+      const answer = await send(instance, {
+        path: '/hedged/1',
+        object: `warm${i}`,
+      });
+      expect(answer).toMatchObject({status: 200, body: 'answer of e2'});
+    }
+    registry.set('endpoints/e2');
+    await second[Symbol.asyncDispose]();
+  });
+
   it('says not-run with a time to return where the endpoint refuses', async () => {
     stub.handle = (req, res, self) => self.refuse(req, res);
     const answer = await send(instance, {path: '/orders/1', method: 'POST'});
--- a/packages/steering/src/direct/endpoint_load.ts
+++ b/packages/steering/src/direct/endpoint_load.ts
@@ -6,6 +6,10 @@
 const FIRST_PAUSE_MS = 300;
 /** Longest pause after repeated failures, in milliseconds. */
 const MAX_PAUSE_MS = 3_000;
+/** Times the usual time without any answer after which an endpoint counts as silent. */
+const SILENCE_FACTOR = 4;
+/** Least silence that counts, in milliseconds. */
+const MIN_SILENCE_MS = 400;
 /** Consecutive failures on open connections after which an endpoint is paused. */
 const FAILURES_BEFORE_PAUSE = 3;
 
@@ -18,10 +22,11 @@
 
 /** Tracks what one instance knows of the load and health of one endpoint. */
 export class EndpointLoad {
-  /** Requests of this instance that the endpoint has not answered. */
-  inFlight = 0;
   /** Monotonic time of the last answer. */
   answeredAt = -Infinity;
+  private openRequests = 0;
+  /** Time of the oldest request since the endpoint last answered one. */
+  private unansweredSince = Infinity;
   private othersLoad = 0;
   private reportedAt = -Infinity;
   private serviceMs = 0;
@@ -31,6 +36,26 @@
   private pausedUntil = -Infinity;
   private isTrialDue = false;
 
+  /** Requests of this instance that the endpoint has not answered. */
+  get inFlight(): number {
+    return this.openRequests;
+  }
+
+  /**
+   * Counts a request that is sent.
+   * @param now - Monotonic time in milliseconds.
+   */
+  begin(now: number): void {
+    this.openRequests++;
+    if (this.unansweredSince === Infinity) this.unansweredSince = now;
+  }
+
+  /** Counts a request that has ended in any way. */
+  end(): void {
+    this.openRequests = Math.max(0, this.openRequests - 1);
+    if (this.openRequests === 0) this.unansweredSince = Infinity;
+  }
+
   /** Moving average of the time that a request runs, in milliseconds; 0 where unknown. */
   get averageServiceMs(): number {
     return this.serviceMs;
@@ -108,16 +133,28 @@
    * @param now - Monotonic time in milliseconds.
    */
   isUsable(now: number): boolean {
-    if (now < this.pausedUntil) return false;
+    if (now < this.pausedUntil || this.isSilent(now)) return false;
     return !this.isTrialDue || this.inFlight === 0;
   }
 
+  /** Several requests are open and none has been answered for far longer than usual. */
+  private isSilent(now: number): boolean {
+    if (this.openRequests < 2) return false;
+    const queued = Math.max(1, this.openRequests / 4);
+    const limitMs = Math.max(
+      MIN_SILENCE_MS,
+      SILENCE_FACTOR * this.serviceMs * queued,
+    );
+    return now - this.unansweredSince > limitMs;
+  }
+
   /**
    * Takes over that the endpoint answered, without a measure of its speed.
    * @param now - Monotonic time in milliseconds.
    */
   observeReachable(now: number): void {
     this.answeredAt = now;
+    this.unansweredSince = this.openRequests > 0 ? now : Infinity;
     this.failuresInRow = 0;
     this.pauseMs = 0;
     this.pausedUntil = -Infinity;
--- a/packages/steering/test/direct/placement.test.ts
+++ b/packages/steering/test/direct/placement.test.ts
@@ -164,15 +164,27 @@
     load.observeFailure(true, 0);
     expect(load.isUsable(100)).toBe(false);
     expect(load.isUsable(301)).toBe(true);
-    load.inFlight = 1;
+    load.begin(301);
     expect(load.isUsable(302)).toBe(false);
     load.observeAnswer(10, 400);
     expect(load.isUsable(401)).toBe(true);
   });
 
+  it('sends no more to an endpoint that answers none of several requests', () => {
+    const load = new EndpointLoad();
+    load.observeAnswer(50, 0);
+    load.begin(1_000);
+    load.begin(1_010);
+    expect(load.isUsable(1_300)).toBe(true);
+    expect(load.isUsable(1_500)).toBe(false);
+    load.end();
+    load.observeAnswer(50, 1_600);
+    expect(load.isUsable(1_700)).toBe(true);
+  });
+
   it('counts the requests of others from the report, less as it ages', () => {
     const load = new EndpointLoad();
-    load.inFlight = 1;
+    load.begin(0);
     load.observeReport({running: 3, waiting: 2, slots: 4}, 0);
     expect(load.getDepth(0)).toBe(5);
     expect(load.getDepth(500)).toBe(3);
