Keep requests in their region while demand is low

Change: instances announce their open requests; a service below 22 % of its slots for 3 s is placed for a demand of 30 %, with hysteresis, so that small differences of views do not matter.

--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -4,6 +4,7 @@
   chooseEndpoint,
   choosePreference,
   ColdCounter,
+  DemandLevel,
   type ControlView,
   EndpointLoad,
   type EndpointChoice,
@@ -28,8 +29,8 @@
 const QUEUE_LIMIT = 5;
 /** Part of a region's slots up to which its callers prefer its own endpoints. */
 const MAX_UTILIZATION = 0.75;
-/** Utilization of all slots for which the preference is chosen. */
-const PLANNED_UTILIZATION = 0.6;
+/** Weight of a new sample in the average of open requests. */
+const OPEN_REQUESTS_SMOOTHING = 0.1;
 /** Time of a request where nothing has been measured, in milliseconds. */
 const DEFAULT_SERVICE_MS = 150;
 /** Times of travel there and back where nothing has been measured, in milliseconds. */
@@ -80,6 +81,8 @@
   private readonly ranked = new Map<string, RankedEndpoint[]>();
   private readonly splits = new WeakMap<Route, SplitCounter>();
   private readonly allowances = new Map<string, RepeatAllowance>();
+  private readonly openRequests = new Map<string, number>();
+  private readonly demands = new Map<string, DemandLevel>();
   private readonly serviceMs = new Map<string, number>();
   private readonly longestDeadlines = new Map<string, number>();
   private rankedVersion = -1;
@@ -285,11 +288,49 @@
     return this.serviceMs.get(service) ?? DEFAULT_SERVICE_MS;
   }
 
-  /** Drops what is known of endpoints that are gone. */
+  /** Averages of the requests that are open at the endpoints of each service. */
+  get averageOpenRequests(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.openRequests);
+  }
+
+  /** Drops what is known of endpoints that are gone, and follows the demand. */
   sweep(): void {
-    for (const id of this.states.keys()) {
-      if (!this.view.book.get(id)) this.states.delete(id);
+    const open = new Map<string, number>();
+    for (const service of this.openRequests.keys()) open.set(service, 0);
+    for (const [id, {load}] of this.states) {
+      const endpoint = this.view.book.get(id);
+      if (!endpoint) {
+        this.states.delete(id);
+        continue;
+      }
+      const {service} = endpoint.entry;
+      open.set(service, (open.get(service) ?? 0) + load.inFlight);
     }
+    for (const [service, count] of open) this.followDemand(service, count);
+  }
+
+  private followDemand(service: string, count: number): void {
+    const before = this.openRequests.get(service) ?? count;
+    const average = before + OPEN_REQUESTS_SMOOTHING * (count - before);
+    this.openRequests.set(service, Math.round(average * 100) / 100);
+    const slots = this.view.book
+      .getByService(service)
+      .reduce((sum, {entry}) => sum + entry.slots, 0);
+    if (slots === 0) return;
+    const now = this.timers.now();
+    const utilization = this.members.getOpenRequests(service, now) / slots;
+    if (this.getDemand(service).update(utilization, now)) {
+      this.rankedVersion = -1;
+    }
+  }
+
+  private getDemand(service: string): DemandLevel {
+    let demand = this.demands.get(service);
+    if (!demand) {
+      demand = new DemandLevel();
+      this.demands.set(service, demand);
+    }
+    return demand;
   }
 
   private createCandidate(
@@ -446,7 +487,10 @@
           homes.length === 0 || (region !== undefined && homes.includes(region))
         );
       });
-    const preference = this.getPreference(endpoints);
+    const preference = this.getPreference(
+      endpoints,
+      this.getDemand(service).plannedUtilization,
+    );
     return endpoints.map(endpoint => {
       const {id, slots, zone} = endpoint.entry;
       const isOwn = this.getRegion(zone) === this.settings.region;
@@ -459,7 +503,10 @@
   }
 
   /** Assumes the same demand in every zone, so that all instances choose alike. */
-  private getPreference(endpoints: readonly KnownEndpoint[]): number {
+  private getPreference(
+    endpoints: readonly KnownEndpoint[],
+    plannedUtilization: number,
+  ): number {
     const {regionsByZone} = this.settings;
     const slotsByRegion = new Map<string, number>();
     let total = 0;
@@ -475,7 +522,7 @@
       slots: slotsByRegion.get(region) ?? 0,
       demand:
         (total *
-          PLANNED_UTILIZATION *
+          plannedUtilization *
           zones.filter(other => other === region).length) /
         zones.length,
     }));
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -85,10 +85,16 @@
     callerAddress: settings.callerAddress,
     bornAt,
     isServing: isReady(),
+    openRequests: selector.averageOpenRequests,
     heartbeat,
   });
   const members = new MemberTable(self);
-  const selector = new EndpointSelector(settings, view, members, timers);
+  const selector: EndpointSelector = new EndpointSelector(
+    settings,
+    view,
+    members,
+    timers,
+  );
   const handler = new RequestHandler({
     view,
     selector,
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -14,6 +14,7 @@
 } from './endpoint_entry.js';
 export {BookEffect, EndpointBook, type KnownEndpoint} from './endpoint_book.js';
 export {SlidingCounter} from './sliding_counter.js';
+export {DemandLevel} from './demand_level.js';
 export {RepeatAllowance, type RepeatBounds} from './repeat_allowance.js';
 export {
   ColdCounter,
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -11,6 +11,8 @@
   bornAt: number;
   /** Whether callers should be sent to it. */
   isServing: boolean;
+  /** Requests that the instance has open at the endpoints of each service, averaged. */
+  openRequests: Readonly<Record<string, number>>;
   /** Rises with every heartbeat of the process. */
   heartbeat: number;
 }
@@ -112,6 +114,19 @@
     return [...this.members.values()].map(({info}) => info);
   }
 
+  /**
+   * Returns the requests that all live instances have open at the endpoints of a service.
+   * @param service - Name of the service.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getOpenRequests(service: string, now: number): number {
+    let sum = 0;
+    for (const {openRequests} of this.getAnnouncements(now)) {
+      sum += openRequests[service] ?? 0;
+    }
+    return sum;
+  }
+
   /** Returns the most instances that may be alive, this one included. */
   getCount(): number {
     return this.members.size + 1;
--- a/packages/steering/test/direct/member_table.test.ts
+++ b/packages/steering/test/direct/member_table.test.ts
@@ -11,6 +11,7 @@
     callerAddress: '127.0.0.1:2',
     bornAt: 1,
     isServing: true,
+    openRequests: {pages: 2},
     heartbeat: 1,
     ...changes,
   };
@@ -69,6 +70,14 @@
     expect(table.getCount()).toBe(1);
   });
 
+  it('adds up the open requests of live instances', () => {
+    const table = createTable();
+    table.merge([createInfo()], 0);
+    expect(table.getOpenRequests('pages', 100)).toBe(4);
+    expect(table.getOpenRequests('pages', 10_000)).toBe(2);
+    expect(table.getOpenRequests('other', 100)).toBe(0);
+  });
+
   it('does not name an instance that is only registered', () => {
     const table = createTable();
     table.learn([createInfo()], 0);
--- a/packages/steering/test/direct/placement.test.ts
+++ b/packages/steering/test/direct/placement.test.ts
@@ -4,6 +4,7 @@
   type Candidate,
   chooseEndpoint,
   choosePreference,
+  DemandLevel,
   EndpointLoad,
   hash32,
   rankEndpoints,
@@ -190,3 +191,24 @@
     expect(load.getDepth(500)).toBe(3);
   });
 });
+
+describe('DemandLevel', () => {
+  it('plans for low demand only after a while, and for high demand at once', () => {
+    const level = new DemandLevel();
+    expect(level.update(0.1, 0)).toBe(false);
+    expect(level.update(0.1, 2_900)).toBe(false);
+    expect(level.update(0.1, 3_000)).toBe(true);
+    expect(level.plannedUtilization).toBe(0.3);
+    expect(level.update(0.3, 4_000)).toBe(false);
+    expect(level.update(0.4, 5_000)).toBe(true);
+    expect(level.plannedUtilization).toBe(0.6);
+  });
+
+  it('does not follow single low measurements', () => {
+    const level = new DemandLevel();
+    for (let now = 0; now < 20_000; now += 500) {
+      level.update(now % 2_000 === 0 ? 0.5 : 0.1, now);
+      expect(level.plannedUtilization).toBe(0.6);
+    }
+  });
+});
