Let one instance of a region follow the registry and tell the others

A removal around an outage is passed on as a possible lapse. Ruled out: reads that may be stale, which would age evacuations and leaves. Tests: one follower of a region, its replacement within 2 s.

--- a/packages/instance/src/direct/control_sync.ts
+++ b/packages/instance/src/direct/control_sync.ts
@@ -21,7 +21,11 @@
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 1_000;
 /** Pause between watches; changes that come together are read in one call. */
-const WATCH_PAUSE_MS = 60;
+const WATCH_PAUSE_MS = 80;
+/** Time between checks of whether this instance should follow the registry, in milliseconds. */
+const ROLE_CHECK_MS = 100;
+/** Time for which another instance must follow before this one stops, in milliseconds. */
+const STOP_FOLLOWING_AFTER_MS = 3_000;
 /** Lifetime of this instance's registration, in milliseconds. */
 const REGISTRATION_TTL_MS = 600_000;
 const REGISTRATION_INTERVAL_MS = 240_000;
@@ -53,13 +57,24 @@
   private position?: number;
   private isAway = false;
   private isReopening = false;
+  private isFollowingNow = false;
+  private replacedSince = Infinity;
+  private roleChecks?: AsyncDisposable;
   private readonly loops: Array<Promise<void>> = [];
 
   constructor(private readonly options: ControlSyncOptions) {}
 
+  /** Whether this instance follows the registry and the registry answers it. */
+  get isFollowing(): boolean {
+    return this.isFollowingNow && !this.isAway;
+  }
+
   /** Starts following the registry and registering this instance. */
   start(): void {
     this.loops.push(this.follow(), this.register());
+    this.roleChecks = this.options.timers.every(ROLE_CHECK_MS, () => {
+      if (this.watchAbort && !this.checkRole()) this.endWatch();
+    });
   }
 
   /**
@@ -81,20 +96,30 @@
       peerRevision: revision,
     });
     this.behindSince = undefined;
-    this.isReopening = true;
-    this.watchAbort.abort();
+    this.endWatch();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    await this.roleChecks?.[Symbol.asyncDispose]();
     this.abort.abort();
     this.watchAbort?.abort();
     await Promise.all(this.loops);
   }
 
+  /** Ends the waiting watch without taking the registry for lost. */
+  private endWatch(): void {
+    this.isReopening = true;
+    this.watchAbort?.abort();
+  }
+
   private async follow(): Promise<void> {
     let pauseMs = FIRST_PAUSE_MS;
     const {signal} = this.abort;
     while (!signal.aborted) {
+      if (this.position !== undefined && !this.checkRole()) {
+        await this.options.timers.sleep(ROLE_CHECK_MS, signal);
+        continue;
+      }
       try {
         this.position =
           this.position === undefined
@@ -123,10 +148,30 @@
     }
   }
 
+  /** Follows where no other of the region does; stops once another has done so for a while. */
+  private checkRole(): boolean {
+    const {members, timers, logger} = this.options;
+    const now = timers.now();
+    if (members.shouldFollow(now)) {
+      this.replacedSince = Infinity;
+      if (!this.isFollowingNow) logger.info('following registry');
+      this.isFollowingNow = true;
+      return true;
+    }
+    if (this.replacedSince === Infinity) this.replacedSince = now;
+    if (now - this.replacedSince >= STOP_FOLLOWING_AFTER_MS) {
+      if (this.isFollowingNow) logger.info('no longer following registry');
+      this.isFollowingNow = false;
+      this.isAway = false;
+    }
+    return this.isFollowingNow;
+  }
+
   private async list(): Promise<number> {
     const {source} = this.options;
     const listed = await source.store.list(source.prefix);
     this.noteBack();
+    this.isFollowingNow = true;
     this.apply(listed, true);
     return listed.revision;
   }
--- a/packages/instance/src/direct/peer_exchange.ts
+++ b/packages/instance/src/direct/peer_exchange.ts
@@ -17,7 +17,6 @@
   fromWireConfiguration,
   toWireConfiguration,
   type PeerHello,
-  type PeerReply,
 } from './peer_message.js';
 
 /** Time between two rounds of exchanges, in milliseconds. */
@@ -28,6 +27,8 @@
 const CALL_TIMEOUT_MS = 600;
 /** Silence after which an instance is asked only once in a while, in milliseconds. */
 const QUIET_AFTER_MS = 4_000;
+/** Most instances told of a change at once; further ones hear of it in their next round. */
+const MAX_NOTIFIED = 16;
 /** Part of the rounds in which a silent instance or a seed is asked as well. */
 const PROBE_PART = 0.25;
 
@@ -60,6 +61,8 @@
     ReturnType<typeof createPeerClient<PeerRouter>>
   >();
   private readonly inFlight = new Set<string>();
+  /** What each other instance last said of its own state. */
+  private readonly lastHeard = new Map<string, PeerHello>();
   private rounds?: AsyncDisposable;
 
   constructor(private readonly options: PeerExchangeOptions) {}
@@ -75,18 +78,23 @@
    * @param hello - What it says.
    * @returns What it lacks.
    */
-  receive(hello: PeerHello): PeerReply {
-    this.learn(hello);
-    const {view} = this.options;
-    const {configuration} = view;
-    const reply: PeerReply = this.createHello();
-    if (view.revision > hello.revision) {
-      reply.changes = view.getChangesAfter(hello.revision);
-    }
-    if (configuration && configuration.version > hello.configurationVersion) {
-      reply.configuration = toWireConfiguration(configuration);
+  receive(hello: PeerHello): PeerHello {
+    this.learn(hello, hello.members[0]?.id ?? 'unknown');
+    return this.createHello(hello);
+  }
+
+  /** Tells the other instances of the region at once what changed here. */
+  notifyRegion(): void {
+    const {members, self} = this.options;
+    const {region} = self();
+    const others = members
+      .getOthers()
+      .filter(other => other.region === region)
+      .slice(0, MAX_NOTIFIED);
+    for (const {id, controlAddress} of others) {
+      const known = this.lastHeard.get(id);
+      void this.exchange(controlAddress, known);
     }
-    return reply;
   }
 
   /** Tells some other instances at once what changed here. */
@@ -116,6 +124,10 @@
       (isQuiet ? silent : live).push(controlAddress);
     }
     const targets = new Set(pick(live, FANOUT, random));
+    const followers = members.getFollowers(now);
+    for (const {controlAddress} of followers.slice(0, FANOUT)) {
+      targets.add(controlAddress);
+    }
     if (live.length === 0 || random() < PROBE_PART) {
       const own = self().controlAddress;
       const others = [...silent, ...seedAddresses].filter(
@@ -127,30 +139,15 @@
     return [...targets].filter(address => !this.inFlight.has(address));
   }
 
-  private async exchange(address: string): Promise<void> {
-    const {metrics, logger, view} = this.options;
+  private async exchange(address: string, known?: PeerHello): Promise<void> {
+    const {metrics, logger} = this.options;
     this.inFlight.add(address);
     try {
       const reply = await this.getClient(address).direct.exchange.mutate(
-        this.createHello(),
+        this.createHello(known),
       );
       metrics.peerCalls.inc({result: 'ok'});
-      this.learn(reply);
-      const {changes, configuration} = reply;
-      if (changes || configuration) {
-        this.options.apply(
-          {
-            revision: view.revision,
-            isFull: false,
-            endpoints: [],
-            evacuations: [],
-            ...changes,
-            configuration:
-              configuration && fromWireConfiguration(configuration),
-          },
-          address,
-        );
-      }
+      this.learn(reply, address);
       this.options.notePeerRevision(reply.revision);
     } catch (err) {
       metrics.peerCalls.inc({result: 'failed'});
@@ -163,19 +160,44 @@
     }
   }
 
-  private createHello(): PeerHello {
+  /** Tells the own state, with what another instance lacks where its state is known. */
+  private createHello(other?: PeerHello): PeerHello {
     const {view, members, timers} = this.options;
-    return {
+    const {configuration} = view;
+    const hello: PeerHello = {
       members: members.getAnnouncements(timers.now()),
       revision: view.isComplete ? view.revision : 0,
-      configurationVersion: view.configuration?.version ?? 0,
+      configurationVersion: configuration?.version ?? 0,
     };
+    if (!other) return hello;
+    if (view.revision > other.revision) {
+      hello.changes = view.getChangesAfter(other.revision);
+    }
+    if (configuration && configuration.version > other.configurationVersion) {
+      hello.configuration = toWireConfiguration(configuration);
+    }
+    return hello;
   }
 
-  private learn(hello: PeerHello): void {
-    const {members, timers, logger} = this.options;
+  private learn(hello: PeerHello, from: string): void {
+    const {members, timers, logger, view} = this.options;
     const joined = members.merge(hello.members, timers.now());
     for (const id of joined) logger.info('instance joined', {peer: id});
+    const sender = hello.members[0];
+    if (sender) this.lastHeard.set(sender.id, {...hello, changes: undefined});
+    const {changes, configuration} = hello;
+    if (!changes && !configuration) return;
+    this.options.apply(
+      {
+        revision: view.revision,
+        isFull: false,
+        endpoints: [],
+        evacuations: [],
+        ...changes,
+        configuration: configuration && fromWireConfiguration(configuration),
+      },
+      from,
+    );
   }
 
   private getClient(address: string) {
@@ -196,7 +218,7 @@
  * Creates the router of exchanges between instances.
  * @param receive - Answers another instance.
  */
-export function createPeerRouter(receive: (hello: PeerHello) => PeerReply) {
+export function createPeerRouter(receive: (hello: PeerHello) => PeerHello) {
   return router({
     direct: router({
       exchange: procedure
@@ -216,6 +238,8 @@
     members: Array.isArray(hello?.members) ? hello.members : [],
     revision: Number(hello?.revision ?? 0),
     configurationVersion: Number(hello?.configurationVersion ?? 0),
+    changes: hello?.changes,
+    configuration: hello?.configuration,
   };
 }
 
--- a/packages/instance/src/direct/peer_message.ts
+++ b/packages/instance/src/direct/peer_message.ts
@@ -12,11 +12,7 @@
   revision: number;
   /** Version of the sender's configuration; 0 where it has none. */
   configurationVersion: number;
-}
-
-/** What the other instance answers. */
-export interface PeerReply extends PeerHello {
-  /** What the asking instance lacks. */
+  /** What the receiver may lack. */
   changes?: Omit<ControlChanges, 'configuration'>;
   configuration?: WireConfiguration;
 }
--- a/packages/instance/src/direct/request_handler.ts
+++ b/packages/instance/src/direct/request_handler.ts
@@ -34,8 +34,8 @@
 /** Time to open a connection to an endpoint; a lost packet is sent again after a second. */
 const CONNECT_TIMEOUT_MS = 400;
 /** Times the expected time after which an answer is unlikely to come, and the least such time. */
-const PATIENCE_FACTOR = 2.5;
-const MIN_PATIENCE_MS = 100;
+const PATIENCE_FACTOR = 4;
+const MIN_PATIENCE_MS = 150;
 /** Least time left for which a request is sent to an endpoint at all, in milliseconds. */
 const MIN_REMAINING_MS = 20;
 /** Longest part of the caller's remaining time after which it is asked to return. */
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -5,6 +5,7 @@
   ControlView,
   type MemberInfo,
   MemberTable,
+  type ViewEffects,
 } from '@primrosestage/steering';
 import {Registry} from 'prom-client';
 import {parseAddress} from '../http/parse_address.js';
@@ -85,6 +86,7 @@
     callerAddress: settings.callerAddress,
     bornAt,
     isServing: isReady(),
+    isFollowing: sync.isFollowing,
     openRequests: selector.averageOpenRequests,
     heartbeat,
   });
@@ -143,6 +145,7 @@
       logger.info('evacuation changed', {zone, isActive, revision, from});
       metrics.controlChanges.inc({kind: 'evacuation'});
     }
+    if (from === 'registry' && hasEffects(effects)) peers.notifyRegion();
     if (view.isComplete) void startServing();
     const {configuration} = effects;
     if (!configuration) return;
@@ -182,7 +185,7 @@
     metrics,
     apply,
   });
-  const peers = new PeerExchange({
+  const peers: PeerExchange = new PeerExchange({
     view,
     members,
     self,
@@ -292,6 +295,14 @@
   };
 }
 
+function hasEffects(effects: ViewEffects): boolean {
+  return (
+    effects.configuration !== undefined ||
+    effects.endpoints.length > 0 ||
+    effects.evacuations.length > 0
+  );
+}
+
 function listen(server: http.Server, address: string): Promise<void> {
   const {host, port} = parseAddress(address);
   return new Promise((resolve, reject) => {
--- a/packages/instance/test/direct/control.test.ts
+++ b/packages/instance/test/direct/control.test.ts
@@ -129,7 +129,9 @@
     await waitUntilServing(test);
     registry.fault = RegistryFault.NoAnswer;
     registry.wake();
-    await sleep(50);
+    await waitFor('the outage is seen', () =>
+      test.lines.some(({event}) => event === 'registry lost'),
+    );
     registry.set('endpoints/e1');
     registry.fault = undefined;
     await waitFor('the outage has ended', () =>
@@ -178,6 +180,28 @@
     );
   });
 
+  it('lets one instance of a region follow the registry and tell the others at once', async () => {
+    const registry = new MemoryRegistry();
+    putConfiguration(registry, 1, [createRoute()]);
+    const first = await start(registry, 33);
+    const second = await start(registry, 34);
+    await waitUntilServing(second);
+    await waitFor('the second no longer follows', () =>
+      second.lines.some(({event}) => event.startsWith('no longer following')),
+    );
+    putConfiguration(registry, 2, [createRoute({prefix: '/new/'})]);
+    await sleep(250);
+    expect((await send(second)).status).toBe(404);
+    await first.instance[Symbol.asyncDispose]();
+    putConfiguration(registry, 3, [createRoute()]);
+    const startedAt = performance.now();
+    await waitFor(
+      'the second follows again',
+      async () => (await send(second)).status !== 404,
+    );
+    expect(performance.now() - startedAt).toBeLessThan(2_000);
+  }, 20_000);
+
   it('sends nothing to an evacuated zone until that ends', async () => {
     const registry = new MemoryRegistry();
     const [near, far] = [await startStub('e1'), await startStub('e2')];
--- a/packages/steering/src/direct/endpoint_book.ts
+++ b/packages/steering/src/direct/endpoint_book.ts
@@ -103,7 +103,9 @@
     const {entry} = change;
     if (!entry || entry.state === EndpointState.Draining) {
       if (!before) return BookEffect.None;
-      if (change.isRemoved && this.isLapsePossible(now)) {
+      if (change.isRemoved && (change.isLapse || this.isLapsePossible(now))) {
+        // Others that hear of it from here must not take it for a leave either.
+        this.changes.set(change.id, {...change, isLapse: true});
         before.lapsesAt = now + this.lapseGraceMs;
         return BookEffect.Lapsed;
       }
--- a/packages/steering/src/direct/endpoint_entry.ts
+++ b/packages/steering/src/direct/endpoint_entry.ts
@@ -28,4 +28,6 @@
   entry?: EndpointEntry;
   /** Whether the registration was removed, as opposed to unreadable. */
   isRemoved: boolean;
+  /** Whether the removal came around an outage of the registry, so that it may be a lapse. */
+  isLapse?: boolean;
 }
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -11,6 +11,8 @@
   bornAt: number;
   /** Whether callers should be sent to it. */
   isServing: boolean;
+  /** Whether it follows the registry itself at the moment. */
+  isFollowing: boolean;
   /** Requests that the instance has open at the endpoints of each service, averaged. */
   openRequests: Readonly<Record<string, number>>;
   /** Rises with every heartbeat of the process. */
@@ -19,6 +21,11 @@
 
 /** Time without a new heartbeat after which callers are no longer sent to an instance. */
 const SUSPECT_AFTER_MS = 3_000;
+/**
+ * Time without a new heartbeat after which another instance follows the registry in place of one.
+ * A change must be in force within two seconds, also where the follower has just died.
+ */
+const REPLACE_FOLLOWER_AFTER_MS = 1_200;
 /** Time without a new heartbeat after which an instance no longer counts for divided bounds. */
 const FORGET_AFTER_MS = 30_000;
 
@@ -68,7 +75,12 @@
     const selfId = this.self().id;
     for (const info of infos) {
       if (info.id === selfId || this.members.has(info.id)) continue;
-      const registered = {...info, isServing: false, heartbeat: 0};
+      const registered = {
+        ...info,
+        isServing: false,
+        isFollowing: false,
+        heartbeat: 0,
+      };
       this.members.set(info.id, {info: registered, heardAt: now});
     }
   }
@@ -114,6 +126,28 @@
     return [...this.members.values()].map(({info}) => info);
   }
 
+  /**
+   * Returns the instances of this one's region that follow the registry, this one not included.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getFollowers(now: number): MemberInfo[] {
+    const {region} = this.self();
+    return [...this.members.values()]
+      .filter(({heardAt}) => now - heardAt < REPLACE_FOLLOWER_AFTER_MS)
+      .map(({info}) => info)
+      .filter(info => info.isFollowing && info.region === region);
+  }
+
+  /**
+   * Says whether this instance should follow the registry: the first of a region does, and the
+   * others where none ahead of them does.
+   * @param now - Monotonic time in milliseconds.
+   */
+  shouldFollow(now: number): boolean {
+    const {id} = this.self();
+    return !this.getFollowers(now).some(follower => follower.id < id);
+  }
+
   /**
    * Returns the requests that all live instances have open at the endpoints of a service.
    * @param service - Name of the service.
--- a/packages/steering/test/direct/member_table.test.ts
+++ b/packages/steering/test/direct/member_table.test.ts
@@ -11,6 +11,7 @@
     callerAddress: '127.0.0.1:2',
     bornAt: 1,
     isServing: true,
+    isFollowing: false,
     openRequests: {pages: 2},
     heartbeat: 1,
     ...changes,
@@ -70,6 +71,19 @@
     expect(table.getCount()).toBe(1);
   });
 
+  it('lets the first of a region follow, and the next when it falls silent', () => {
+    const table = new MemberTable(() => createInfo({id: 'c'}));
+    expect(table.shouldFollow(0)).toBe(true);
+    table.merge([createInfo({isFollowing: true})], 0);
+    expect(table.shouldFollow(100)).toBe(false);
+    expect(table.shouldFollow(1_200)).toBe(true);
+    const other = createInfo({id: 'a', region: 'other', isFollowing: true});
+    table.merge([other], 2_000);
+    expect(table.shouldFollow(2_000)).toBe(true);
+    table.merge([createInfo({isFollowing: false, heartbeat: 2})], 2_000);
+    expect(table.shouldFollow(2_000)).toBe(true);
+  });
+
   it('adds up the open requests of live instances', () => {
     const table = createTable();
     table.merge([createInfo()], 0);
