--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -2,9 +2,7 @@
 import {
   type Candidate,
   chooseEndpoint,
-  choosePreference,
   ColdCounter,
-  DemandLevel,
   type ControlView,
   EndpointLoad,
   type EndpointChoice,
@@ -12,34 +10,24 @@
   hash32,
   type KnownEndpoint,
   type MemberTable,
-  RepeatAllowance,
-  type RankedEndpoint,
-  rankEndpoints,
   type Route,
   SplitCounter,
   WarmObjects,
 } from '@primrosestage/steering';
 import type {DirectSettings} from './direct_settings.js';
+import {ObjectPlacement} from './object_placement.js';
 
 /** Endpoints that share an object's requests. */
 const CANDIDATES = 3;
-/** Endpoints looked at when the first of the ranking cannot be used. */
-const RANKED = 8;
 /** Requests that may wait at an endpoint beyond its slots. */
 const QUEUE_LIMIT = 5;
-/** Part of a region's slots up to which its callers prefer its own endpoints. */
-const MAX_UTILIZATION = 0.75;
-/** Weight of a new sample in the average of open requests. */
-const OPEN_REQUESTS_SMOOTHING = 0.1;
 /** Time of a request where nothing has been measured, in milliseconds. */
 const DEFAULT_SERVICE_MS = 150;
 /** Times of travel there and back where nothing has been measured, in milliseconds. */
 const DEFAULT_TRAVEL_MS = {zone: 1, region: 4, world: 60};
 /** Part of the longest deadline of a route below which a caller must have tried before. */
 const RETURNING_PART = 0.97;
-/** Most rankings that are kept. */
-const MAX_RANKINGS = 20_000;
-/** Time of silence after which a request to an endpoint that was unreachable counts as its start. */
+/** Weight of a new measurement of the time of travel. */
 const WEIGHT_OF_NEW_TRAVEL = 0.3;
 
 /** Describes a request for an endpoint. */
@@ -77,15 +65,10 @@
 /** Chooses endpoints from the control view and what this instance has seen of them. */
 export class EndpointSelector {
   private readonly states = new Map<string, EndpointState>();
-  private readonly rankings = new Map<string, string[]>();
-  private readonly ranked = new Map<string, RankedEndpoint[]>();
   private readonly splits = new WeakMap<Route, SplitCounter>();
-  private readonly allowances = new Map<string, RepeatAllowance>();
-  private readonly openRequests = new Map<string, number>();
-  private readonly demands = new Map<string, DemandLevel>();
   private readonly serviceMs = new Map<string, number>();
   private readonly longestDeadlines = new Map<string, number>();
-  private rankedVersion = -1;
+  private readonly placement: ObjectPlacement;
 
   /**
    * Creates the selector.
@@ -99,7 +82,14 @@
     private readonly view: ControlView,
     private readonly members: MemberTable,
     private readonly timers: TimerService,
-  ) {}
+  ) {
+    this.placement = new ObjectPlacement(settings, view, members, timers);
+  }
+
+  /** Averages of the requests that are open at the endpoints of each service. */
+  get averageOpenRequests(): Readonly<Record<string, number>> {
+    return this.placement.averageOpenRequests;
+  }
 
   /**
    * Chooses the service of a request by the weights of its route.
@@ -135,9 +125,8 @@
    * @param request - What is asked for.
    */
   select(request: SelectionRequest): Selection {
-    this.refreshRankings();
     const now = this.timers.now();
-    const ids = this.getRanking(request);
+    const ids = this.placement.rank(request);
     const candidates: Candidate[] = [];
     for (const id of ids) {
       if (request.tried.has(id)) continue;
@@ -260,26 +249,6 @@
     state.travelMs = before + WEIGHT_OF_NEW_TRAVEL * (connectMs - before);
   }
 
-  /**
-   * Counts a request for a service.
-   * @param service - Name of the service.
-   */
-  countRequest(service: string): void {
-    this.getAllowance(service).addRequest(this.timers.now());
-  }
-
-  /**
-   * Takes a repeat from this instance's part of the bound.
-   * @param service - Name of the service.
-   * @returns Whether the repeat may be sent.
-   */
-  takeRepeat(service: string): boolean {
-    return this.getAllowance(service).take(
-      this.timers.now(),
-      this.members.getCount(),
-    );
-  }
-
   /**
    * Returns the usual time of a request of a service, in milliseconds.
    * @param service - Name of the service.
@@ -288,49 +257,15 @@
     return this.serviceMs.get(service) ?? DEFAULT_SERVICE_MS;
   }
 
-  /** Averages of the requests that are open at the endpoints of each service. */
-  get averageOpenRequests(): Readonly<Record<string, number>> {
-    return Object.fromEntries(this.openRequests);
-  }
-
   /** Drops what is known of endpoints that are gone, and follows the demand. */
   sweep(): void {
     const open = new Map<string, number>();
-    for (const service of this.openRequests.keys()) open.set(service, 0);
     for (const [id, {load}] of this.states) {
-      const endpoint = this.view.book.get(id);
-      if (!endpoint) {
-        this.states.delete(id);
-        continue;
-      }
-      const {service} = endpoint.entry;
-      open.set(service, (open.get(service) ?? 0) + load.inFlight);
+      const service = this.view.book.get(id)?.entry.service;
+      if (service === undefined) this.states.delete(id);
+      else open.set(service, (open.get(service) ?? 0) + load.inFlight);
     }
-    for (const [service, count] of open) this.followDemand(service, count);
-  }
-
-  private followDemand(service: string, count: number): void {
-    const before = this.openRequests.get(service) ?? count;
-    const average = before + OPEN_REQUESTS_SMOOTHING * (count - before);
-    this.openRequests.set(service, Math.round(average * 100) / 100);
-    const slots = this.view.book
-      .getByService(service)
-      .reduce((sum, {entry}) => sum + entry.slots, 0);
-    if (slots === 0) return;
-    const now = this.timers.now();
-    const utilization = this.members.getOpenRequests(service, now) / slots;
-    if (this.getDemand(service).update(utilization, now)) {
-      this.rankedVersion = -1;
-    }
-  }
-
-  private getDemand(service: string): DemandLevel {
-    let demand = this.demands.get(service);
-    if (!demand) {
-      demand = new DemandLevel();
-      this.demands.set(service, demand);
-    }
-    return demand;
+    this.placement.followDemand(open);
   }
 
   private createCandidate(
@@ -390,32 +325,15 @@
     return this.view.configuration?.services.get(name);
   }
 
-  private getAllowance(service: string): RepeatAllowance {
-    let allowance = this.allowances.get(service);
-    if (!allowance) {
-      const {bounds} = this.settings;
-      allowance = new RepeatAllowance({
-        ratio: bounds.repeatRatio,
-        slack: bounds.repeatSlack,
-        windowMs: bounds.repeatWindowMs,
-      });
-      this.allowances.set(service, allowance);
-    }
-    return allowance;
-  }
-
   private getTravelMs(endpoint: KnownEndpoint, state: EndpointState): number {
     if (state.travelMs !== undefined) return state.travelMs;
     const {zone} = endpoint.entry;
     if (zone === this.settings.zone) return DEFAULT_TRAVEL_MS.zone;
-    const isSameRegion = this.getRegion(zone) === this.settings.region;
+    const isSameRegion =
+      this.settings.regionsByZone.get(zone) === this.settings.region;
     return isSameRegion ? DEFAULT_TRAVEL_MS.region : DEFAULT_TRAVEL_MS.world;
   }
 
-  private getRegion(zone: string): string | undefined {
-    return this.settings.regionsByZone.get(zone);
-  }
-
   private getState(endpoint: KnownEndpoint): EndpointState {
     const {id, bornAt} = endpoint.entry;
     let state = this.states.get(id);
@@ -432,100 +350,4 @@
     }
     return state;
   }
-
-  private refreshRankings(): void {
-    if (
-      this.rankedVersion === this.view.version &&
-      this.rankings.size < MAX_RANKINGS
-    ) {
-      return;
-    }
-    this.rankedVersion = this.view.version;
-    this.rankings.clear();
-    this.ranked.clear();
-  }
-
-  private getRanking({route, service, objectKey}: SelectionRequest): string[] {
-    const homes = route.homeRegions.join();
-    const key = `${service} ${objectKey} ${homes}`;
-    let ranking = this.rankings.get(key);
-    if (!ranking) {
-      const endpoints = this.getRanked(service, route.homeRegions);
-      ranking = rankEndpoints(
-        hash32(`${service} ${objectKey}`),
-        endpoints,
-        RANKED,
-      );
-      this.rankings.set(key, ranking);
-    }
-    return ranking;
-  }
-
-  private getRanked(
-    service: string,
-    homes: readonly string[],
-  ): RankedEndpoint[] {
-    const key = `${service} ${homes.join()}`;
-    let ranked = this.ranked.get(key);
-    if (!ranked) {
-      ranked = this.rankService(service, homes);
-      this.ranked.set(key, ranked);
-    }
-    return ranked;
-  }
-
-  private rankService(
-    service: string,
-    homes: readonly string[],
-  ): RankedEndpoint[] {
-    const endpoints = this.view.book
-      .getByService(service)
-      .filter(({entry}) => !this.view.isEvacuated(entry.zone))
-      .filter(({entry}) => {
-        const region = this.getRegion(entry.zone);
-        return (
-          homes.length === 0 || (region !== undefined && homes.includes(region))
-        );
-      });
-    const preference = this.getPreference(
-      endpoints,
-      this.getDemand(service).plannedUtilization,
-    );
-    return endpoints.map(endpoint => {
-      const {id, slots, zone} = endpoint.entry;
-      const isOwn = this.getRegion(zone) === this.settings.region;
-      return {
-        id,
-        hash: this.getState(endpoint).hash,
-        weight: isOwn ? slots * preference : slots,
-      };
-    });
-  }
-
-  /** Assumes the same demand in every zone, so that all instances choose alike. */
-  private getPreference(
-    endpoints: readonly KnownEndpoint[],
-    plannedUtilization: number,
-  ): number {
-    const {regionsByZone} = this.settings;
-    const slotsByRegion = new Map<string, number>();
-    let total = 0;
-    for (const {entry} of endpoints) {
-      const region = this.getRegion(entry.zone) ?? '';
-      const before = slotsByRegion.get(region) ?? 0;
-      slotsByRegion.set(region, before + entry.slots);
-      total += entry.slots;
-    }
-    const zones = [...regionsByZone.values()];
-    const supplies = [...new Set(zones)].map(region => ({
-      region,
-      slots: slotsByRegion.get(region) ?? 0,
-      demand:
-        (total *
-          plannedUtilization *
-          zones.filter(other => other === region).length) /
-        zones.length,
-    }));
-    return choosePreference(supplies, MAX_UTILIZATION);
-  }
 }
--- /dev/null
+++ b/packages/instance/src/direct/observe_attempt.ts
@@ -0,0 +1,60 @@
+import type {LoadReport} from '@primrosestage/steering';
+import {AttemptOutcome, type AttemptResult} from './attempt.js';
+import type {EndpointSelector} from './endpoint_selector.js';
+import type {OpenAttempt} from './start_attempt.js';
+
+/**
+ * Takes over what an attempt shows of its endpoint.
+ * @param open - The attempt.
+ * @param result - How it ended.
+ * @param selector - Keeps what is known of endpoints.
+ * @param ended - When it ended, on the monotonic clock, and the object.
+ */
+export function observeAttempt(
+  open: OpenAttempt,
+  result: AttemptResult,
+  selector: EndpointSelector,
+  ended: {at: number; objectKey: string},
+): void {
+  const {endpoint, startedAt, depth} = open;
+  const load = selector.getLoad(endpoint);
+  load.end();
+  if (result.connectMs !== undefined) {
+    selector.observeConnect(endpoint, result.connectMs);
+  }
+  const report = parseLoad(result.load);
+  if (report) load.observeReport(report, ended.at);
+  switch (result.outcome) {
+    case AttemptOutcome.Answered:
+      if ((result.answer?.status ?? 0) >= 500) {
+        selector.observeRefusal(endpoint);
+      } else {
+        const {objectKey} = ended;
+        const elapsedMs = ended.at - startedAt;
+        selector.observeAnswer(endpoint, elapsedMs, {depth, objectKey});
+      }
+      break;
+    case AttemptOutcome.Refused:
+      selector.observeRefusal(endpoint);
+      break;
+    case AttemptOutcome.NotSent:
+      selector.observeFailure(endpoint, true);
+      break;
+    case AttemptOutcome.Broken:
+    case AttemptOutcome.TimedOut:
+      selector.observeFailure(endpoint, false);
+      break;
+    case AttemptOutcome.Cancelled:
+      break;
+  }
+}
+
+function parseLoad(header: string | undefined): LoadReport | undefined {
+  if (header === undefined) return undefined;
+  const [running, waiting, slots] = header.split(',').map(Number);
+  const isValid = [running, waiting, slots].every(
+    value => value !== undefined && Number.isFinite(value) && value >= 0,
+  );
+  if (!isValid) return undefined;
+  return {running: running ?? 0, waiting: waiting ?? 0, slots: slots ?? 0};
+}
--- a/packages/instance/src/direct/peer_exchange.ts
+++ b/packages/instance/src/direct/peer_exchange.ts
@@ -37,7 +37,8 @@
   view: ControlView;
   members: MemberTable;
   self: () => MemberInfo;
-  seedAddresses: readonly string[];
+  /** Returns control addresses of some instances; they may be stale. */
+  getSeedAddresses: () => readonly string[];
   timers: TimerService;
   logger: EventLogger;
   metrics: DirectMetrics;
@@ -115,7 +116,7 @@
   }
 
   private chooseTargets(): string[] {
-    const {members, timers, random, seedAddresses, self} = this.options;
+    const {members, timers, random, getSeedAddresses, self} = this.options;
     const now = timers.now();
     const live: string[] = [];
     const silent: string[] = [];
@@ -130,7 +131,7 @@
     }
     if (live.length === 0 || random() < PROBE_PART) {
       const own = self().controlAddress;
-      const others = [...silent, ...seedAddresses].filter(
+      const others = [...silent, ...getSeedAddresses()].filter(
         address => address !== own,
       );
       const count = live.length === 0 ? FANOUT : 1;
--- /dev/null
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -0,0 +1,420 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {TimerService} from '@primrosestage/common';
+import {
+  type ControlView,
+  isIdempotent,
+  type Route,
+} from '@primrosestage/steering';
+import {
+  AttemptOutcome,
+  type AttemptResult,
+  type EndpointAnswer,
+} from './attempt.js';
+import {
+  BodyFault,
+  readBody,
+  readDeadlineMs,
+  readObjectKey,
+} from './caller_request.js';
+import type {DirectMetrics} from './direct_metrics.js';
+import type {EndpointAgent} from './endpoint_agent.js';
+import type {EndpointSelector} from './endpoint_selector.js';
+import {observeAttempt} from './observe_attempt.js';
+import type {RepeatGate} from './repeat_gate.js';
+import type {AttemptRecord, RequestLog} from './request_log.js';
+import {
+  ANSWER_GRACE_MS,
+  createAttemptRecord,
+  type OpenAttempt,
+  startAttempt,
+} from './start_attempt.js';
+import type {WireNames} from './wire_names.js';
+import {writeAnswer} from './write_answer.js';
+
+/** Largest body that is held in memory for a request. */
+const MAX_HELD_BODY_BYTES = 16 * 1024 * 1024;
+/** Deadline of a request that states none, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 10_000;
+/** Longest part of the caller's remaining time after which it is asked to return. */
+const MAX_RETRY_AFTER_PART = 1 / 3;
+/** Time to return for callers that come before the first configuration, in milliseconds. */
+const NOT_READY_RETRY_AFTER_MS = 300;
+/** Spread of the times to return, so that refused callers do not come back together. */
+const RETRY_AFTER_SPREAD = 0.5;
+
+/** Holds what handling a request needs. */
+export interface RequestExchangeOptions {
+  view: ControlView;
+  selector: EndpointSelector;
+  repeats: RepeatGate;
+  agent: EndpointAgent;
+  timers: TimerService;
+  names: WireNames;
+  metrics: DirectMetrics;
+  log: RequestLog;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
+}
+
+/** Names who decided the final status of a request, besides the endpoint. */
+enum Decision {
+  Endpoint = 'endpoint',
+  NoConfiguration = 'no-configuration',
+  NoRoute = 'no-route',
+  BadRequest = 'bad-request',
+  TooLarge = 'too-large',
+  NoEndpoint = 'no-endpoint',
+  NoRoom = 'no-room',
+  Refused = 'refused-by-endpoints',
+  Broken = 'connection-broken',
+  TimedOut = 'timeout',
+  CallerLeft = 'caller-left',
+}
+
+interface FinishedAttempt {
+  open: OpenAttempt;
+  result: AttemptResult;
+}
+
+/** Carries one request from its arrival to its final answer. */
+export class RequestExchange {
+  private readonly arrivedAt: number;
+  private readonly requestId: string;
+  private readonly attempts: AttemptRecord[] = [];
+  private readonly tried = new Set<string>();
+  private readonly open = new Set<OpenAttempt>();
+  private isCallerGone = false;
+  private isFinished = false;
+  private mayHaveRun = false;
+  private route?: Route;
+  private service?: string;
+  private objectKey = '';
+  private isReturning = false;
+  private deadlineAt = 0;
+  private endAt = 0;
+  private retryAfterMs?: number;
+
+  constructor(
+    private readonly req: IncomingMessage,
+    private readonly res: ServerResponse,
+    private readonly options: RequestExchangeOptions,
+  ) {
+    this.arrivedAt = options.timers.now();
+    this.requestId = String(req.headers[options.names.requestId] ?? '');
+    res.on('close', () => this.handleClose());
+    res.on('error', () => this.handleClose());
+    req.on('aborted', () => this.handleClose());
+  }
+
+  /** Carries the request to its final answer; never fails. */
+  async run(): Promise<void> {
+    try {
+      await this.handle();
+    } catch (err) {
+      // A request that cannot be written again as it is, such as one with an odd path.
+      this.options.log.writeFault(this.requestId, err);
+      this.finish(this.mayHaveRun ? 502 : 400, Decision.BadRequest);
+    }
+  }
+
+  private async handle(): Promise<void> {
+    const {view, names, timers, selector} = this.options;
+    const {configuration} = view;
+    if (!configuration) {
+      this.retryAfterMs = NOT_READY_RETRY_AFTER_MS;
+      this.finish(503, Decision.NoConfiguration);
+      return;
+    }
+    const route = view.routes.find(
+      this.req.headers.host ?? '',
+      this.req.url ?? '',
+    );
+    if (!route) {
+      this.finish(404, Decision.NoRoute);
+      return;
+    }
+    this.route = route;
+    if (this.requestId === '') {
+      this.finish(400, Decision.BadRequest);
+      return;
+    }
+    const deadlineMs = readDeadlineMs(this.req, names) ?? DEFAULT_DEADLINE_MS;
+    this.deadlineAt = this.arrivedAt + deadlineMs;
+    const timeoutMs = route.timeoutMs > 0 ? route.timeoutMs : Infinity;
+    this.isReturning = selector.isReturning(route, deadlineMs);
+    this.endAt = Math.min(this.deadlineAt, this.arrivedAt + timeoutMs);
+    this.objectKey =
+      (route.isSticky ? readObjectKey(this.req, names) : undefined) ??
+      this.requestId;
+    const maxBytes = Math.min(
+      MAX_HELD_BODY_BYTES,
+      configuration.limits.maxBodyBytes,
+    );
+    const body = await readBody(this.req, maxBytes);
+    if (body === BodyFault.TooLarge) {
+      this.finish(413, Decision.TooLarge);
+      return;
+    }
+    // After a stall the end of the connection may lie behind the request; it is read first.
+    await new Promise(resolve => setImmediate(resolve));
+    if (body === BodyFault.Aborted || this.isCallerGone) {
+      this.logEnd(0, Decision.CallerLeft);
+      return;
+    }
+    this.service = selector.chooseService(route, this.objectKey);
+    if (this.service === undefined) {
+      this.finish(503, Decision.NoEndpoint);
+      return;
+    }
+    this.options.repeats.countRequest(this.service);
+    const end = timers.after(
+      Math.max(0, this.endAt - timers.now()) + ANSWER_GRACE_MS,
+      () => this.handleTimeout(),
+    );
+    try {
+      await this.sendUntilAnswered(route, this.service, body);
+    } finally {
+      end[Symbol.dispose]();
+    }
+  }
+
+  /** Sends the request, again where that is allowed, until there is a final answer. */
+  private async sendUntilAnswered(
+    route: Route,
+    service: string,
+    body: Buffer | undefined,
+  ): Promise<void> {
+    const pending = new Map<OpenAttempt, Promise<FinishedAttempt>>();
+    let decision = Decision.NoRoom;
+    for (let sent = 0; ;) {
+      const open = this.mayRepeat(sent, route, service)
+        ? this.begin(route, service, body)
+        : undefined;
+      if (open) {
+        sent++;
+        pending.set(open, this.await(open));
+      }
+      if (pending.size === 0) break;
+      const isHedgeable =
+        open !== undefined && isIdempotent(route.kind) && sent < route.attempts;
+      const finished = await this.awaitFirst(
+        pending,
+        isHedgeable ? open.patienceMs : Infinity,
+      );
+      if (this.isFinished) return;
+      if (!finished) continue;
+      pending.delete(finished.open);
+      if (this.isAnswerFinal(finished, sent, pending.size)) {
+        this.passOn(finished.result.answer as EndpointAnswer);
+        this.cancelOpen();
+        return;
+      }
+      decision = this.noteFailure(finished.result.outcome);
+      if (this.mayHaveRun && !isIdempotent(route.kind)) break;
+    }
+    if (!this.isFinished) this.finishFailed(decision);
+  }
+
+  /** The first attempt is free; others need the route's permission and the allowance. */
+  private mayRepeat(sent: number, route: Route, service: string): boolean {
+    if (sent === 0) return true;
+    if (sent >= route.attempts) return false;
+    const {repeats, metrics} = this.options;
+    if (repeats.take(service)) return true;
+    metrics.repeats.inc({service, cause: 'no-allowance'});
+    return false;
+  }
+
+  /** Waits for the first attempt that ends; undefined where none does in time. */
+  private async awaitFirst(
+    pending: ReadonlyMap<OpenAttempt, Promise<FinishedAttempt>>,
+    patienceMs: number,
+  ): Promise<FinishedAttempt | undefined> {
+    const ends = [...pending.values()];
+    if (!Number.isFinite(patienceMs)) return Promise.race(ends);
+    let timer: Disposable | undefined;
+    const patience = new Promise<undefined>(resolve => {
+      timer = this.options.timers.after(patienceMs, () => resolve(undefined));
+    });
+    try {
+      return await Promise.race([...ends, patience]);
+    } finally {
+      timer?.[Symbol.dispose]();
+    }
+  }
+
+  private noteFailure(outcome: AttemptOutcome): Decision {
+    switch (outcome) {
+      case AttemptOutcome.Refused:
+        return Decision.Refused;
+      case AttemptOutcome.NotSent:
+        return Decision.NoEndpoint;
+      case AttemptOutcome.TimedOut:
+        this.mayHaveRun = true;
+        return Decision.TimedOut;
+      default:
+        this.mayHaveRun = true;
+        return Decision.Broken;
+    }
+  }
+
+  /** A failure of an idempotent request is tried once more elsewhere while time is left. */
+  private isAnswerFinal(
+    finished: FinishedAttempt,
+    sent: number,
+    pendingCount: number,
+  ): boolean {
+    const {answer, outcome} = finished.result;
+    if (!answer || outcome !== AttemptOutcome.Answered) return false;
+    const route = this.route as Route;
+    if (answer.status < 500 || !isIdempotent(route.kind)) return true;
+    if (pendingCount > 0) return false;
+    if (sent >= route.attempts) return true;
+    const {selector, timers} = this.options;
+    const neededMs = 2 * selector.getServiceMs(this.service as string);
+    return this.endAt - timers.now() < neededMs;
+  }
+
+  private begin(
+    route: Route,
+    service: string,
+    body: Buffer | undefined,
+  ): OpenAttempt | undefined {
+    const {req, requestId, objectKey, tried, isReturning} = this;
+    const remainingMs = this.endAt - this.options.timers.now();
+    const {open, ...refusal} = startAttempt(
+      {
+        req,
+        requestId,
+        body,
+        selection: {
+          route,
+          service,
+          objectKey,
+          tried,
+          remainingMs,
+          isReturning,
+        },
+      },
+      this.options,
+    );
+    if (open) {
+      this.tried.add(open.endpoint.entry.id);
+      this.open.add(open);
+    } else if ('retryAfterMs' in refusal) {
+      this.retryAfterMs = refusal.retryAfterMs;
+    }
+    return open;
+  }
+
+  private async await(open: OpenAttempt): Promise<FinishedAttempt> {
+    const {selector, timers, metrics} = this.options;
+    const result = await open.attempt.result;
+    this.open.delete(open);
+    const at = timers.now();
+    observeAttempt(open, result, selector, {at, objectKey: this.objectKey});
+    const ms = at - open.startedAt;
+    const {service} = open.endpoint.entry;
+    metrics.attempts.inc({service, outcome: result.outcome});
+    metrics.attemptSeconds.observe({service}, ms / 1_000);
+    this.attempts.push(
+      createAttemptRecord(open, result.outcome, result.reason, ms),
+    );
+    return {open, result};
+  }
+
+  private passOn(answer: EndpointAnswer): void {
+    this.isFinished = true;
+    if (!this.res.destroyed) {
+      writeAnswer(answer, this.res, this.req.method === 'HEAD');
+    }
+    this.logEnd(answer.status, Decision.Endpoint);
+  }
+
+  private handleTimeout(): void {
+    if (this.isFinished) return;
+    const mayHaveRun = this.mayHaveRun || this.open.size > 0;
+    this.mayHaveRun = mayHaveRun;
+    this.finishFailed(Decision.TimedOut);
+    this.cancelOpen();
+  }
+
+  private finishFailed(decision: Decision): void {
+    if (!this.mayHaveRun) {
+      this.finish(503, decision);
+      return;
+    }
+    this.finish(decision === Decision.TimedOut ? 504 : 502, decision);
+  }
+
+  private finish(status: number, decision: Decision): void {
+    const headers: Record<string, string> = {'content-length': '0'};
+    if (this.requestId !== '') {
+      headers[this.options.names.requestId] = this.requestId;
+    }
+    if (status === 503) headers['retry-after'] = this.getRetryAfter();
+    if (status === 413) headers['connection'] = 'close';
+    if (this.isFinished) return;
+    this.isFinished = true;
+    if (!this.res.destroyed) this.res.writeHead(status, headers).end();
+    this.logEnd(status, decision);
+  }
+
+  /** Spreads the times to return, within what the caller honours. */
+  private getRetryAfter(): string {
+    const wantedMs = this.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS;
+    const spread = 1 + RETRY_AFTER_SPREAD * this.options.random();
+    const remainingMs = Math.max(
+      0,
+      this.deadlineAt - this.options.timers.now(),
+    );
+    const limitMs =
+      this.deadlineAt === 0 ? Infinity : remainingMs * MAX_RETRY_AFTER_PART;
+    this.retryAfterMs = Math.round(Math.min(limitMs, wantedMs * spread));
+    return (this.retryAfterMs / 1_000).toFixed(3);
+  }
+
+  private handleClose(): void {
+    if (this.res.writableFinished || this.isCallerGone) return;
+    this.isCallerGone = true;
+    if (this.isFinished) return;
+    this.isFinished = true;
+    // Work that cannot be repeated is let finish: the caller may have left just before the answer.
+    if (!this.route || isIdempotent(this.route.kind)) this.cancelOpen();
+    this.logEnd(0, Decision.CallerLeft);
+  }
+
+  private cancelOpen(): void {
+    for (const {attempt} of this.open) attempt.cancel();
+  }
+
+  private logEnd(status: number, decision: Decision): void {
+    const {metrics, log, timers, view} = this.options;
+    const now = timers.now();
+    const service = this.service ?? '';
+    const ms = now - this.arrivedAt;
+    metrics.requests.inc({service, status, decided_by: decision});
+    if (service !== '') metrics.requestSeconds.observe({service}, ms / 1_000);
+    log.write(
+      {
+        id: this.requestId,
+        route: this.route?.name,
+        service: this.service,
+        configuration: view.configuration?.version,
+        object: this.objectKey === this.requestId ? undefined : this.objectKey,
+        status,
+        decidedBy: decision,
+        remainingMs: Math.round(this.deadlineAt - now),
+        retryAfterMs: status === 503 ? this.retryAfterMs : undefined,
+        ms: Math.round(ms),
+        attempts: [
+          ...this.attempts,
+          ...[...this.open].map(open =>
+            createAttemptRecord(open, 'open', '', now - open.startedAt),
+          ),
+        ],
+      },
+      now,
+    );
+  }
+}
--- a/packages/instance/src/direct/request_log.ts
+++ b/packages/instance/src/direct/request_log.ts
@@ -1,4 +1,4 @@
-import type {EventLogger} from '@primrosestage/common';
+import {getErrorMessage, type EventLogger} from '@primrosestage/common';
 
 /** Most lines per second about requests that ended well; others are always tried. */
 const MAX_ROUTINE_LINES_PER_S = 100;
@@ -56,6 +56,15 @@
     this.logger.info('request', {...record, ...omitted});
   }
 
+  /**
+   * Logs an error that ended a request.
+   * @param id - Id of the request.
+   * @param err - The error.
+   */
+  writeFault(id: string, err: unknown): void {
+    this.logger.error('request failed', {id, reason: getErrorMessage(err)});
+  }
+
   private hasRoom(now: number): boolean {
     const second = Math.floor(now / 1_000);
     if (second !== this.second) {
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -7,7 +7,7 @@
   MemberTable,
   type ViewEffects,
 } from '@primrosestage/steering';
-import {Registry} from 'prom-client';
+import type {Registry} from 'prom-client';
 import {parseAddress} from '../http/parse_address.js';
 import {createRpcHandler} from '../rpc/index.js';
 import type {ControlSource} from './control_source.js';
@@ -19,6 +19,7 @@
 import {EndpointSelector} from './endpoint_selector.js';
 import {createPeerRouter, PeerExchange} from './peer_exchange.js';
 import {ConnectionTracker, runPlannedStop} from './planned_stop.js';
+import {RepeatGate} from './repeat_gate.js';
 import {RequestHandler} from './request_handler.js';
 import {RequestLog} from './request_log.js';
 import type {ServicePaths, WireNames} from './wire_names.js';
@@ -42,6 +43,8 @@
   source: ControlSource;
   names: WireNames;
   paths: ServicePaths;
+  /** Where metrics are registered. */
+  registry: Registry;
   /** Address of the metrics, `host:port`. */
   metricsAddress?: string;
   timers: TimerService;
@@ -58,6 +61,11 @@
 export interface DirectInstance extends AsyncDisposable {
   /** Stops without cutting a request. */
   stop(): Promise<void>;
+  /**
+   * Takes over settings that may change while the instance runs: bounds and seeds.
+   * @param settings - The settings that were read again.
+   */
+  reload(settings: DirectSettings): void;
 }
 
 /**
@@ -68,9 +76,12 @@
 export async function runDirect(
   options: DirectOptions,
 ): Promise<DirectInstance> {
-  const {settings, timers, logger, names, source} = options;
-  const registry = new Registry();
-  const metrics = createDirectMetrics(registry);
+  const {timers, logger, names, source} = options;
+  const settings = {
+    ...options.settings,
+    bounds: {...options.settings.bounds},
+  };
+  const metrics = createDirectMetrics(options.registry);
   const view = new ControlView(settings.bounds.drainMs);
   const agent = new EndpointAgent();
   const bornAt = timers.wallNow();
@@ -100,6 +111,7 @@
   const handler = new RequestHandler({
     view,
     selector,
+    repeats: new RepeatGate(settings.bounds, members, timers),
     agent,
     timers,
     names,
@@ -189,7 +201,7 @@
     view,
     members,
     self,
-    seedAddresses: settings.seedAddresses,
+    getSeedAddresses: () => settings.seedAddresses,
     timers,
     logger,
     metrics,
@@ -223,9 +235,11 @@
     createRpcHandler(createPeerRouter(hello => peers.receive(hello))),
   );
   const metricsServer = http.createServer((_req, res) => {
-    registry.metrics().then(
+    options.registry.metrics().then(
       text => {
-        res.writeHead(200, {'content-type': registry.contentType}).end(text);
+        res
+          .writeHead(200, {'content-type': options.registry.contentType})
+          .end(text);
       },
       err => {
         logger.error('metrics failed', {reason: String(err)});
@@ -262,6 +276,11 @@
   peers.start();
   logger.info('instance started', {zone: settings.zone, bornAt});
   return {
+    reload: ({bounds, seedAddresses}) => {
+      // Parts hold the object of the bounds, so its fields are replaced.
+      Object.assign(settings.bounds, bounds);
+      settings.seedAddresses = seedAddresses;
+    },
     stop: async () => {
       isStopping = true;
       heartbeat++;
--- /dev/null
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -0,0 +1,134 @@
+import type {IncomingMessage} from 'node:http';
+import type {TimerService} from '@primrosestage/common';
+import type {KnownEndpoint} from '@primrosestage/steering';
+import {parseAddress} from '../http/parse_address.js';
+import {copyHeaders} from './caller_request.js';
+import type {EndpointAgent} from './endpoint_agent.js';
+import type {EndpointSelector, SelectionRequest} from './endpoint_selector.js';
+import type {AttemptRecord} from './request_log.js';
+import {
+  type Attempt,
+  type AttemptRequest,
+  sendAttempt,
+} from './send_attempt.js';
+import type {WireNames} from './wire_names.js';
+
+/** Time to open a connection to an endpoint; a lost packet is sent again after a second. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Time past the end for an answer of the endpoint that is on its way. */
+export const ANSWER_GRACE_MS = 60;
+/** Times the expected time after which an answer is unlikely to come, and the least such time. */
+const PATIENCE_FACTOR = 4;
+const MIN_PATIENCE_MS = 150;
+/** Least time left for which a request is sent to an endpoint at all, in milliseconds. */
+const MIN_REMAINING_MS = 20;
+
+/** Holds what starting an attempt needs. */
+export interface AttemptStartOptions {
+  selector: EndpointSelector;
+  agent: EndpointAgent;
+  timers: TimerService;
+  names: WireNames;
+}
+
+/** Describes the request that an attempt sends. */
+export interface AttemptSource {
+  req: IncomingMessage;
+  requestId: string;
+  body: Buffer | undefined;
+  selection: SelectionRequest;
+}
+
+/** An attempt that has not ended. */
+export interface OpenAttempt {
+  endpoint: KnownEndpoint;
+  attempt: Attempt;
+  startedAt: number;
+  /** Estimated depth of the endpoint when the request was sent. */
+  depth: number;
+  /** Time after which an idempotent request is sent to another endpoint as well. */
+  patienceMs: number;
+}
+
+/** Holds the attempt, or the time after which room is expected. */
+export type AttemptStart =
+  | {readonly open: OpenAttempt}
+  | {readonly open?: undefined; readonly retryAfterMs?: number};
+
+/**
+ * Chooses an endpoint and sends the request to it.
+ * @param source - The request.
+ * @param options - Selector, pool and clock.
+ */
+export function startAttempt(
+  source: AttemptSource,
+  options: AttemptStartOptions,
+): AttemptStart {
+  const {selector, timers, names} = options;
+  const {req, body, selection} = source;
+  const {remainingMs} = selection;
+  if (remainingMs < MIN_REMAINING_MS) return {};
+  const {choice, endpoint, candidate} = selector.select(selection);
+  if (choice.id === undefined) return {retryAfterMs: choice.retryAfterMs};
+  if (!endpoint || !candidate || !selector.begin(endpoint)) return {};
+  const {entry} = endpoint;
+  const headers: Record<string, string | string[] | number> = copyHeaders(
+    req.rawHeaders,
+    new Set([names.deadlineMs, names.expectedEndpoint, 'content-length']),
+  );
+  headers[names.deadlineMs] = String(Math.max(1, Math.floor(remainingMs)));
+  headers[names.expectedEndpoint] = entry.id;
+  if (body !== undefined) headers['content-length'] = body.length;
+  const {host, port} = parseAddress(entry.address);
+  const request: AttemptRequest = {
+    host,
+    port,
+    method: req.method ?? 'GET',
+    path: req.url ?? '/',
+    headers,
+    body,
+    requestId: source.requestId,
+    timeoutMs: remainingMs + ANSWER_GRACE_MS,
+    connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs),
+  };
+  let attempt: Attempt;
+  try {
+    attempt = sendAttempt(request, options);
+  } catch (err) {
+    selector.getLoad(endpoint).end();
+    throw err;
+  }
+  return {
+    open: {
+      endpoint,
+      attempt,
+      startedAt: timers.now(),
+      depth: candidate.depth,
+      patienceMs: PATIENCE_FACTOR * choice.finishMs + MIN_PATIENCE_MS,
+    },
+  };
+}
+
+/**
+ * Describes an attempt for the log.
+ * @param open - The attempt.
+ * @param outcome - How it ended, or that it has not.
+ * @param reason - Why there is no answer.
+ * @param ms - Its duration in milliseconds.
+ */
+export function createAttemptRecord(
+  {endpoint, startedAt, depth}: OpenAttempt,
+  outcome: string,
+  reason: string,
+  ms: number,
+): AttemptRecord {
+  return {
+    endpoint: endpoint.entry.id,
+    revision: endpoint.revision,
+    entryAgeMs: Math.round(startedAt - endpoint.learnedAt),
+    depth: Math.round(depth * 10) / 10,
+    outcome,
+    reason,
+    ms: Math.round(ms),
+  };
+}
--- a/packages/instance/test/direct/answers.test.ts
+++ b/packages/instance/test/direct/answers.test.ts
@@ -190,6 +190,26 @@
     expect(answer.body).toHaveLength(3_000_000);
   });
 
+  it('states the length of an answer to HEAD without a body', async () => {
+    stub.handle = (req, res, self) => {
+      res.writeHead(200, {...self.headersFor(req), 'content-length': '42'});
+      res.end();
+    };
+    const answer = await send(instance, {method: 'HEAD'});
+    expect(answer).toMatchObject({status: 200, body: ''});
+    expect(answer.headers['content-length']).toBe('42');
+  });
+
+  it('breaks a long answer off where the endpoint does', async () => {
+    stub.handle = (req, res, self) => {
+      res.writeHead(200, self.headersFor(req));
+      res.write('x'.repeat(3_000_000));
+      setTimeout(() => req.socket.resetAndDestroy(), 100);
+    };
+    const answer = await send(instance).catch(() => undefined);
+    expect(answer?.isComplete ?? false).toBe(false);
+  });
+
   it('refuses a path of no route with 404 and none of a known one', async () => {
     expect((await send(instance, {host: 'none.example'})).status).toBe(404);
   });
--- a/packages/instance/test/direct/fleet.ts
+++ b/packages/instance/test/direct/fleet.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import {RealTimerService, type EventLogger} from '@primrosestage/common';
 import type {RegistryItem} from '@primrosestage/control';
+import {Registry} from 'prom-client';
 import {
   EndpointState,
   RequestKind,
@@ -183,6 +184,7 @@
     settings,
     source,
     names: NAMES,
+    registry: new Registry(),
     paths: {directory: '/directory', readiness: '/ready'},
     timers: new RealTimerService(),
     logger,
