Bound the wait of first requests by half of their objective

Change: a first request is refused where travel and queue take more than half of its objective; a free slot is always used; callers that came back may wait 1.2 objectives.

--- a/packages/steering/src/direct/choose_endpoint.ts
+++ b/packages/steering/src/direct/choose_endpoint.ts
@@ -42,9 +42,11 @@
 const EVICTION_COST = 0.5;
 /** Part of the usual time by which an endpoint of lower rank counts as slower. */
 const RANK_COST = 0.15;
-/** Most times the objective after which a first request is still sent. */
-const LATENESS_LIMIT = 2;
-/** Factor on the queue bound for callers that have come back: they have no further try. */
+/** Part of the objective that a first request may spend on travel and behind others. */
+const WAIT_PART = 0.5;
+/** The same for callers that have come back: they have no further try. */
+const RETURNING_WAIT_PART = 1.2;
+/** Factor on the queue bound for callers that have come back. */
 const RETURNING_QUEUE_FACTOR = 1.6;
 /** Shortest and longest time after which a refused caller is asked to return, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
@@ -64,7 +66,7 @@
   let best: Candidate | undefined;
   let bestCost = Infinity;
   let roomInMs = Infinity;
-  const limitMs = getTimeLimit(options);
+  const waitLimitMs = getWaitLimit(options);
   const queueLimit =
     options.queueLimit * (options.isReturning ? RETURNING_QUEUE_FACTOR : 1);
   for (const candidate of candidates) {
@@ -72,7 +74,9 @@
     const {depth, slots, serviceMs} = candidate;
     const excess = depth - slots + 1 - queueLimit;
     const finishMs = getFinishMs(candidate);
-    if (excess > 0 || finishMs > limitMs) {
+    const waitMs = getWaitMs(candidate);
+    const isTooLong = waitMs > 0 && waitMs + candidate.travelMs > waitLimitMs;
+    if (excess > 0 || isTooLong || finishMs > options.remainingMs) {
       const drainMs = (Math.max(1, excess) * serviceMs) / Math.max(1, slots);
       roomInMs = Math.min(roomInMs, drainMs);
       continue;
@@ -93,11 +97,14 @@
   return {retryAfterMs};
 }
 
-/** A first request that would be late anyway leaves its place to one that would not. */
-function getTimeLimit(options: ChoiceOptions): number {
-  const {remainingMs, objectiveMs, isReturning} = options;
-  if (isReturning || objectiveMs <= 0) return remainingMs;
-  return Math.min(remainingMs, objectiveMs * LATENESS_LIMIT);
+/**
+ * Bounds the wait rather than the finish: a queue that makes every answer late serves nobody in
+ * time, while a free slot is used also where the object is not cached and the answer will be late.
+ */
+function getWaitLimit(options: ChoiceOptions): number {
+  const {objectiveMs, isReturning} = options;
+  if (objectiveMs <= 0) return Infinity;
+  return objectiveMs * (isReturning ? RETURNING_WAIT_PART : WAIT_PART);
 }
 
 /** Objects are expected to be cached where they rank first. */
@@ -105,10 +112,15 @@
   return candidate.isWarm || candidate.rank === 0;
 }
 
+/** Estimates the time behind the requests that wait already. */
+function getWaitMs({depth, slots, serviceMs}: Candidate): number {
+  const ahead = Math.max(0, depth - slots + 1);
+  return (serviceMs * ahead) / Math.max(1, slots);
+}
+
 /** Estimates the time until an answer: travel, the queue ahead, and the work itself. */
 function getFinishMs(candidate: Candidate): number {
-  const {depth, slots, serviceMs, travelMs} = candidate;
-  const ahead = Math.max(0, depth - slots + 1);
+  const {serviceMs, travelMs} = candidate;
   const workMs = serviceMs * (isCached(candidate) ? 1 : UNCACHED_FACTOR);
-  return travelMs + (serviceMs * ahead) / Math.max(1, slots) + workMs;
+  return travelMs + getWaitMs(candidate) + workMs;
 }
