--- a/packages/instance/src/http/listen.ts
+++ b/packages/instance/src/http/listen.ts
@@ -98,6 +98,9 @@
   server: http.Server,
   connections: Map<Socket, ConnectionUse>,
 ): Promise<void> {
+  // The kernel resets connections that wait to be accepted. An immediate runs right after the
+  // event loop has accepted all of them, so that hardly any is left.
+  await new Promise(resolve => setImmediate(resolve));
   // The close of http.Server would end idle connections at once.
   net.Server.prototype.close.call(server);
   const endAt = performance.now() + CLOSE_TIMEOUT_MS;
