--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import type {WireNames} from '../../src/direct/index.js';
 import {NAMES} from './names.js';
 
 /** Handles a request of the stub in place of its usual answer. */
@@ -13,6 +14,8 @@
 export class EndpointStub implements AsyncDisposable {
   /** Ids of the requests that ran, in order. */
   readonly ran: string[] = [];
+  /** Time at which each request began to run, on the monotonic clock. */
+  readonly ranAt: number[] = [];
   /** Ids of the requests whose connection closed before they were answered. */
   readonly cut: string[] = [];
   /** Deadline header of each request. */
@@ -23,7 +26,10 @@
   private readonly server: http.Server;
   private readonly sockets = new Set<Socket>();
 
-  constructor(readonly id: string) {
+  constructor(
+    readonly id: string,
+    private readonly names: WireNames = NAMES,
+  ) {
     this.server = http.createServer((req, res) => this.receive(req, res));
     this.server.on('connection', socket => {
       this.sockets.add(socket);
@@ -41,9 +47,10 @@
     return this.sockets.size;
   }
 
-  async start(): Promise<this> {
+  /** Starts to listen, on a port of its own where none is given. */
+  async start(port = 0): Promise<this> {
     await new Promise<void>(resolve => {
-      this.server.listen(0, '127.0.0.1', resolve);
+      this.server.listen(port, '127.0.0.1', resolve);
     });
     return this;
   }
@@ -51,9 +58,9 @@
   /** Headers of a usual answer. */
   headersFor(req: http.IncomingMessage): Record<string, string> {
     return {
-      [NAMES.requestId]: String(req.headers[NAMES.requestId]),
-      [NAMES.stamp]: `stamp-${this.id}`,
-      [NAMES.load]: '1,0,4',
+      [this.names.requestId]: String(req.headers[this.names.requestId]),
+      [this.names.stamp]: `stamp-${this.id}`,
+      [this.names.load]: '1,0,4',
     };
   }
 
@@ -66,8 +73,8 @@
   /** States that the request has not run. */
   refuse(req: http.IncomingMessage, res: http.ServerResponse): void {
     res.writeHead(503, {
-      [NAMES.requestId]: String(req.headers[NAMES.requestId]),
-      [NAMES.notRun]: '1',
+      [this.names.requestId]: String(req.headers[this.names.requestId]),
+      [this.names.notRun]: '1',
     });
     res.end();
   }
@@ -78,17 +85,18 @@
   }
 
   private receive(req: http.IncomingMessage, res: http.ServerResponse): void {
-    const id = String(req.headers[NAMES.requestId]);
-    if (req.headers[NAMES.expectedEndpoint] !== this.id) {
-      res.writeHead(421, {[NAMES.notRun]: '1'}).end();
+    const id = String(req.headers[this.names.requestId]);
+    if (req.headers[this.names.expectedEndpoint] !== this.id) {
+      res.writeHead(421, {[this.names.notRun]: '1'}).end();
       return;
     }
-    this.deadlines.push(Number(req.headers[NAMES.deadlineMs]));
+    this.deadlines.push(Number(req.headers[this.names.deadlineMs]));
     const chunks: Buffer[] = [];
     req.on('data', (chunk: Buffer) => chunks.push(chunk));
     req.on('end', () => {
       this.bodies.push(Buffer.concat(chunks).toString());
       this.ran.push(id);
+      this.ranAt.push(performance.now());
       res.on('close', () => {
         if (!res.writableFinished) this.cut.push(id);
       });
