Count only what ran in the stand-in of the soak

Ruled out: a repeat after an answer that was lost; each id had a stated not-run. Change: a refusal is taken off the record; the check stays.

--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -70,8 +70,13 @@
     res.end(`answer of ${this.id}`);
   }
 
-  /** States that the request has not run. */
+  /** States that the request has not run, and takes it off the record of runs. */
   refuse(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const index = this.ran.lastIndexOf(
+      String(req.headers[this.names.requestId]),
+    );
+    this.ran.splice(index, 1);
+    this.ranAt.splice(index, 1);
     res.writeHead(503, {
       [this.names.requestId]: String(req.headers[this.names.requestId]),
       [this.names.notRun]: '1',
