Run the direct path from TOML files of the operator

Cause: routes, evacuations and discovery of the direct path could only be used on the platform. Change: primrosestage direct runs an instance from a settings and a state file that is read again when it changes; an invalid state is reported and changes nothing; check-direct validates both. Ruled out: a second way to hold the state; the file is one more registry. Measured: three tests without a platform: routes, evacuation, drain, invalid files.

--- /dev/null
+++ b/packages/control/src/settings/direct_settings_schema.ts
@@ -0,0 +1,97 @@
+import {z} from 'zod';
+
+const ADDRESS = z.string().regex(/^[\w.-]+:\d+$/, 'host:port');
+const MILLISECONDS = z.number().int().min(0);
+
+/** Checks the settings of an instance that sends requests straight to endpoints. */
+export const DIRECT_SETTINGS_SCHEMA = z.strictObject({
+  id: z.string().min(1),
+  zone: z.string().min(1),
+  /** Region of each zone. */
+  zones: z.record(z.string(), z.string()),
+  callerAddress: ADDRESS,
+  readinessAddress: ADDRESS,
+  directoryAddress: ADDRESS,
+  controlAddress: ADDRESS,
+  metricsAddress: ADDRESS.optional(),
+  seedAddresses: z.array(ADDRESS).default([]),
+  /** File of routes, services, endpoints and evacuations, beside the settings. */
+  state: z.string().min(1),
+  bounds: z
+    .strictObject({
+      repeatRatio: z.number().min(0).default(0.1),
+      repeatSlack: z.number().min(0).default(10),
+      repeatWindowMs: MILLISECONDS.default(10_000),
+      coldFactor: z.number().min(0).default(1),
+      coldSlack: z.number().min(0).default(0),
+      drainMs: MILLISECONDS.default(3_000),
+      stopTimeoutMs: MILLISECONDS.default(10_000),
+      maxDirectoryTtlMs: MILLISECONDS.default(5_000),
+    })
+    .prefault({}),
+});
+
+/** Checks the routes, services, endpoints and evacuations of an operator. */
+export const DIRECT_STATE_SCHEMA = z.strictObject({
+  /** Rises with each change of routes and services. */
+  version: z.number().int().min(1),
+  /** Zones to whose endpoints nothing more is sent. */
+  evacuatedZones: z.array(z.string()).default([]),
+  limits: z
+    .strictObject({
+      maxHeaderBytes: z.number().int().default(16_384),
+      maxBodyBytes: z.number().int().default(1_048_576),
+      headerTimeoutMs: MILLISECONDS.default(5_000),
+      idleTimeoutMs: MILLISECONDS.default(60_000),
+    })
+    .prefault({}),
+  routes: z.array(
+    z.strictObject({
+      name: z.string().min(1),
+      host: z.string().min(1),
+      prefix: z.string().regex(/^\/(.*\/)?$/, 'begins and ends with a slash'),
+      kind: z.enum(['safe', 'unsafe', 'download']),
+      targets: z
+        .array(
+          z.strictObject({
+            service: z.string().min(1),
+            weight: z.number().min(0).default(1),
+          }),
+        )
+        .min(1),
+      timeoutMs: MILLISECONDS.default(0),
+      objectiveMs: MILLISECONDS.default(0),
+      priority: z.number().int().min(0).default(0),
+      attempts: z.number().int().min(1).default(2),
+      isSticky: z.boolean().default(false),
+      homeRegions: z.array(z.string()).default([]),
+    }),
+  ),
+  services: z.array(
+    z.strictObject({
+      name: z.string().min(1),
+      healthPath: z.string().default('/healthz'),
+      maxConnections: z.number().int().min(0).default(0),
+      coldMs: MILLISECONDS.default(0),
+      coldPerSecond: z.number().min(0).default(0),
+    }),
+  ),
+  endpoints: z.array(
+    z.strictObject({
+      id: z.string().min(1),
+      service: z.string().min(1),
+      address: ADDRESS,
+      zone: z.string().min(1),
+      slots: z.number().int().min(1),
+      state: z.enum(['ready', 'draining']).default('ready'),
+      coldLeftMs: MILLISECONDS.default(0),
+      bornAt: z.number().int().default(0),
+    }),
+  ),
+});
+
+/** Settings of an instance that sends requests straight to endpoints. */
+export type DirectFileSettings = z.infer<typeof DIRECT_SETTINGS_SCHEMA>;
+
+/** Routes, services, endpoints and evacuations of an operator. */
+export type DirectFileState = z.infer<typeof DIRECT_STATE_SCHEMA>;
--- a/packages/control/src/settings/index.ts
+++ b/packages/control/src/settings/index.ts
@@ -8,3 +8,8 @@
   INSTANCE_SETTINGS_SCHEMA,
   SYSTEM_SETTINGS_SCHEMA,
 } from './settings_schema.js';
+export {
+  type DirectFileSettings,
+  type DirectFileState,
+} from './direct_settings_schema.js';
+export {loadDirectSettings, loadDirectState} from './load_direct_settings.js';
--- a/packages/instance/src/cli/main.ts
+++ b/packages/instance/src/cli/main.ts
@@ -2,6 +2,8 @@
 import {
   buildTopology,
   InstanceState,
+  loadDirectSettings,
+  loadDirectState,
   type LoadedSettings,
   loadSettings,
   MemoryStore,
@@ -9,6 +11,7 @@
 } from '@primrosestage/control';
 import {cac} from 'cac';
 import {serve} from '../serve.js';
+import {runDirectCommand} from './run_direct_command.js';
 
 /** Exit code for settings or arguments that are not valid. */
 const EXIT_USAGE = 2;
@@ -24,6 +27,18 @@
     .option('--settings <file>', 'TOML settings of the instance')
     .option('--embedded-store', 'Keep an in-memory store inside the process')
     .action(runServe);
+  cli
+    .command('direct <file>', 'Run an instance without owners of endpoints')
+    .action(runDirectCommand);
+  cli
+    .command(
+      'check-direct <file>',
+      'Check settings and state of such an instance',
+    )
+    .action((file: string) => {
+      loadDirectState(loadDirectSettings(file).state);
+      process.stdout.write(`${file}: valid\n`);
+    });
   cli
     .command('check <file>', 'Check settings without starting')
     .action((file: string) => {
--- /dev/null
+++ b/packages/instance/src/cli/run_direct_command.ts
@@ -0,0 +1,60 @@
+import process from 'node:process';
+import {createLineLogger, RealTimerService} from '@primrosestage/common';
+import {loadDirectSettings, loadDirectState} from '@primrosestage/control';
+import {Registry} from 'prom-client';
+import {createFileSource} from '../direct/file_registry.js';
+import {runDirect, type WireNames} from '../direct/index.js';
+
+/** Headers towards callers and endpoints of the product's own interface. */
+const WIRE_NAMES: WireNames = {
+  requestId: 'primrose-request-id',
+  deadlineMs: 'primrose-deadline-ms',
+  objectCookie: 'primrose-object',
+  stamp: 'primrose-stamp',
+  expectedEndpoint: 'primrose-expected-endpoint',
+  load: 'primrose-load',
+  notRun: 'primrose-not-run',
+};
+
+/**
+ * Runs an instance that sends requests straight to endpoints, from files of the operator.
+ * @param file - Path of the settings.
+ * @throws SettingsError where the settings or the state are not valid.
+ */
+export async function runDirectCommand(file: string): Promise<void> {
+  const {zones, state, metricsAddress, ...settings} = loadDirectSettings(file);
+  loadDirectState(state);
+  const timers = new RealTimerService();
+  const logger = createLineLogger({timers, fields: {instance: settings.id}});
+  const instance = await runDirect({
+    settings: {
+      ...settings,
+      region: zones[settings.zone] ?? '',
+      regionsByZone: new Map(Object.entries(zones)),
+    },
+    source: createFileSource(state, timers),
+    names: WIRE_NAMES,
+    paths: {directory: '/v1/directory', readiness: '/readyz'},
+    registry: new Registry(),
+    metricsAddress,
+    timers,
+    logger,
+    random: Math.random,
+    formatDirectory: (addresses, ttlMs) =>
+      JSON.stringify({addresses, ttlSeconds: ttlMs / 1_000}),
+    readCallerPlace: url => ({
+      zone: url.searchParams.get('zone') ?? '',
+      region: url.searchParams.get('region') ?? '',
+    }),
+  });
+  let isStopping = false;
+  process.on('SIGTERM', () => {
+    if (isStopping) return;
+    isStopping = true;
+    void instance.stop().then(async () => {
+      await instance[Symbol.asyncDispose]();
+      await logger[Symbol.asyncDispose]();
+      process.exit(0);
+    });
+  });
+}
--- /dev/null
+++ b/packages/instance/test/direct/file_registry.test.ts
@@ -0,0 +1,92 @@
+import {cpSync, mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {RealTimerService} from '@primrosestage/common';
+import {loadDirectSettings} from '@primrosestage/control';
+import {afterEach, describe, expect, it} from 'vitest';
+import {createFileSource} from '../../src/direct/file_registry.js';
+import {EndpointStub} from './endpoint_stub.js';
+import {
+  send,
+  startInstance,
+  waitFor,
+  waitUntilServing,
+  type TestInstance,
+} from './fleet.js';
+import {MemoryRegistry} from './memory_registry.js';
+
+describe('createFileSource', () => {
+  const resources: AsyncDisposable[] = [];
+
+  afterEach(async () => {
+    for (const resource of resources.splice(0).reverse()) {
+      await resource[Symbol.asyncDispose]();
+    }
+  });
+
+  const copyExample = () => {
+    const dir = mkdtempSync(path.join(tmpdir(), 'primrose-direct-'));
+    cpSync('examples/direct', dir, {recursive: true});
+    return path.join(dir, 'north-a-1.toml');
+  };
+  const change = (file: string, from: string | RegExp, to: string) =>
+    writeFileSync(
+      file,
+      readFileSync(file, 'utf8').replace(from, () => to),
+    );
+
+  const start = async (file: string, number: number): Promise<TestInstance> => {
+    const source = createFileSource(file, new RealTimerService());
+    const test = await startInstance(new MemoryRegistry(), number, {}, source);
+    resources.push(test.instance);
+    await waitUntilServing(test);
+    return test;
+  };
+
+  it('serves, evacuates, drains and changes routes as the file says', async () => {
+    const {state} = loadDirectSettings(copyExample());
+    const stub = await new EndpointStub('catalogue-1').start();
+    resources.push(stub);
+    change(state, '127.0.0.1:7200', stub.address);
+    const test = await start(state, 50);
+    expect((await send(test)).body).toBe('answer of catalogue-1');
+    const waitForStatus = (status: number) =>
+      waitFor(
+        `callers get ${status}`,
+        async () => (await send(test)).status === status,
+      );
+    change(state, 'evacuatedZones = []', 'evacuatedZones = ["north-a"]');
+    await waitForStatus(503);
+    change(state, 'evacuatedZones = ["north-a"]', 'evacuatedZones = []');
+    await waitForStatus(200);
+    change(state, /$/, 'state = "draining"\n');
+    await waitForStatus(503);
+    change(state, 'state = "draining"\n', '');
+    await waitForStatus(200);
+    change(state, 'prefix = "/"', 'prefix = "/new/"');
+    change(state, 'version = 1', 'version = 2');
+    await waitForStatus(404);
+  });
+
+  it('keeps the last valid state and says what is wrong with the next', async () => {
+    const {state} = loadDirectSettings(copyExample());
+    const stub = await new EndpointStub('catalogue-1').start();
+    resources.push(stub);
+    change(state, '127.0.0.1:7200', stub.address);
+    const test = await start(state, 51);
+    change(state, 'kind = "safe"', 'kind = "odd"');
+    await waitFor('the fault is reported', () =>
+      test.lines.some(
+        ({event, fields}) =>
+          event === 'registry lost' && String(fields.reason).includes('kind'),
+      ),
+    );
+    expect((await send(test)).status).toBe(200);
+  });
+
+  it('refuses settings whose zone is not listed', () => {
+    const file = copyExample();
+    change(file, 'zone = "north-a"', 'zone = "west-a"');
+    expect(() => loadDirectSettings(file)).toThrow('a zone listed under zones');
+  });
+});
--- a/packages/instance/test/direct/fleet.ts
+++ b/packages/instance/test/direct/fleet.ts
@@ -153,6 +153,7 @@
   registry: MemoryRegistry,
   number: number,
   changes: Partial<DirectSettings> = {},
+  otherSource?: ControlSource,
 ): Promise<TestInstance> {
   const host = `127.0.7.${number}`;
   const at = (offset: number) => `${host}:${getTestPort(offset)}`;
@@ -182,7 +183,7 @@
   };
   const instance = await runDirect({
     settings,
-    source,
+    source: otherSource ?? source,
     names: NAMES,
     registry: new Registry(),
     paths: {directory: '/directory', readiness: '/ready'},
