Read the end of a caller's connection before a request is sent on

Each was ended a millisecond after it was sent: its close lay behind it in the same buffer, and the event loop reads a connection once per turn. Change: two turns. The test stands an instance still with request and close in the buffer; it failed before with 5 of 5 requests sent on, and passes.

--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -155,8 +155,7 @@
       this.finish(413, Decision.TooLarge);
       return;
     }
-    // After a stall the end of the connection may lie behind the request; it is read first.
-    await new Promise(resolve => setImmediate(resolve));
+    await readPendingClose();
     if (body === BodyFault.Aborted || this.isCallerGone) {
       this.logEnd(0, Decision.CallerLeft);
       return;
@@ -418,3 +417,17 @@
     );
   }
 }
+
+/**
+ * Waits until the end of a caller's connection has been read where it has arrived already. After a
+ * stall it may lie right behind the request, and the event loop reads once per turn: the end of
+ * the connection in the turn after the request.
+ */
+async function readPendingClose(): Promise<void> {
+  await nextTurn();
+  await nextTurn();
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- a/packages/instance/test/direct/answers.test.ts
+++ b/packages/instance/test/direct/answers.test.ts
@@ -1,8 +1,11 @@
+import {once} from 'node:events';
+import net from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {RequestKind} from '@primrosestage/steering';
 import {EndpointStub, type StubHandler} from './endpoint_stub.js';
 import {
   createRoute,
+  HOST,
   putConfiguration,
   putEndpoint,
   send,
@@ -167,6 +170,30 @@
     expect(stub.cut).toHaveLength(1);
   });
 
+  it('guards against sending on what a caller gave up while the instance stood still', async () => {
+    const [host, port] = instance.settings.callerAddress.split(':');
+    const sockets = await Promise.all(
+      Array.from({length: 5}, async () => {
+        const socket = net.connect({host, port: Number(port)});
+        socket.on('error', () => {});
+        await once(socket, 'connect');
+        return socket;
+      }),
+    );
+    await sleep(50);
+    const head = `GET /page HTTP/1.1\r\nHost: ${HOST}\r\n${NAMES.deadlineMs}: 2000\r\n`;
+    for (const [i, socket] of sockets.entries()) {
+      socket.write(`${head}${NAMES.requestId}: left-${i}\r\n\r\n`);
+      socket.end();
+    }
+    // Request and end of the connection are both there when the event loop goes on.
+    await new Promise(resolve => setImmediate(resolve));
+    const standsUntil = performance.now() + 100;
+    while (performance.now() < standsUntil);
+    await sleep(200);
+    expect(stub.ran).toEqual([]);
+  });
+
   it('answers at the timeout of the route', async () => {
     stub.delayMs = 3_000;
     const startedAt = performance.now();
