Keep one list of hop-by-hop headers

Cause: the list stood in http/headers.ts and in direct/caller_request.ts, alike but for Host, which the first path sets itself and the direct path passes on. Change: one list without Host; headers.ts leaves Host out beside it.

--- a/packages/instance/src/direct/caller_request.ts
+++ b/packages/instance/src/direct/caller_request.ts
@@ -1,20 +1,7 @@
 import type {IncomingMessage} from 'node:http';
+import {HOP_BY_HOP_HEADERS} from '../http/hop_by_hop_headers.js';
 import type {WireNames} from './wire_names.js';
 
-/** Headers that concern one connection only and are not passed on. */
-const HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'expect',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 /**
  * Copies headers, except those that concern one connection or are set by this instance.
  * @param rawHeaders - Names and values in turn.
@@ -30,7 +17,11 @@
   for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
     const name = (rawHeaders[i] ?? '').toLowerCase();
     const value = rawHeaders[i + 1] ?? '';
-    if (HOP_HEADERS.has(name) || omitted.has(name) || hopHeaders?.has(name)) {
+    if (
+      HOP_BY_HOP_HEADERS.has(name) ||
+      omitted.has(name) ||
+      hopHeaders?.has(name)
+    ) {
       continue;
     }
     const before = headers[name];
--- a/packages/instance/src/http/headers.ts
+++ b/packages/instance/src/http/headers.ts
@@ -1,19 +1,6 @@
 import type http from 'node:http';
 import {HeaderName} from '@primrosestage/common';
-
-const HOP_BY_HOP_HEADERS = new Set([
-  'connection',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+import {HOP_BY_HOP_HEADERS} from './hop_by_hop_headers.js';
 
 /** Headers that each instance sets itself; values from a caller or backend server are dropped. */
 const CONTRACT_HEADERS = new Set<string>(
@@ -34,6 +21,7 @@
   return Object.fromEntries(
     Object.entries(headers).filter(
       ([name]) =>
+        name !== 'host' &&
         !HOP_BY_HOP_HEADERS.has(name) &&
         !CONTRACT_HEADERS.has(name) &&
         !named.has(name),
