Start the requests of a backlog in turns of the event loop

Cause: a request was started two turns after it was read, but all requests of a backlog were started in one turn. Besides, the close of a connection is reported some turns after its end has been read. Ruled out: more turns before the start, which do not bound the length of a turn. Test: turn_queue.test.ts, a backlog of 12 slow starts; without the bound all start in one turn.

--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -2,20 +2,19 @@
 import type {TimerService} from '@primrosestage/common';
 import {
   type ControlView,
+  getReturnMs,
   isIdempotent,
   type Route,
 } from '@primrosestage/steering';
-import {
-  AttemptOutcome,
-  type AttemptResult,
-  type EndpointAnswer,
-} from './attempt.js';
+import {AttemptOutcome, type EndpointAnswer} from './attempt.js';
 import {
   BodyFault,
   readBody,
   readDeadlineMs,
   readObjectKey,
 } from './caller_request.js';
+import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
+import {Decision, getFailureStatus} from './decision.js';
 import type {DirectMetrics} from './direct_metrics.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import type {EndpointSelector} from './endpoint_selector.js';
@@ -28,6 +27,7 @@
   type OpenAttempt,
   startAttempt,
 } from './start_attempt.js';
+import type {TurnQueue} from './turn_queue.js';
 import type {WireNames} from './wire_names.js';
 import {writeAnswer} from './write_answer.js';
 
@@ -35,12 +35,8 @@
 const MAX_HELD_BODY_BYTES = 16 * 1024 * 1024;
 /** Deadline of a request that states none, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 10_000;
-/** Longest part of the caller's remaining time after which it is asked to return. */
-const MAX_RETRY_AFTER_PART = 1 / 3;
 /** Time to return for callers that come before the first configuration, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 300;
-/** Spread of the times to return, so that refused callers do not come back together. */
-const RETRY_AFTER_SPREAD = 0.5;
 
 /** Holds what handling a request needs. */
 export interface RequestExchangeOptions {
@@ -48,6 +44,8 @@
   selector: EndpointSelector;
   repeats: RepeatGate;
   agent: EndpointAgent;
+  /** Delays requests until the ends of callers' connections have been read. */
+  turns: TurnQueue;
   timers: TimerService;
   names: WireNames;
   metrics: DirectMetrics;
@@ -56,26 +54,6 @@
   random: () => number;
 }
 
-/** Names who decided the final status of a request, besides the endpoint. */
-enum Decision {
-  Endpoint = 'endpoint',
-  NoConfiguration = 'no-configuration',
-  NoRoute = 'no-route',
-  BadRequest = 'bad-request',
-  TooLarge = 'too-large',
-  NoEndpoint = 'no-endpoint',
-  NoRoom = 'no-room',
-  Refused = 'refused-by-endpoints',
-  Broken = 'connection-broken',
-  TimedOut = 'timeout',
-  CallerLeft = 'caller-left',
-}
-
-interface FinishedAttempt {
-  open: OpenAttempt;
-  result: AttemptResult;
-}
-
 /** Carries one request from its arrival to its final answer. */
 export class RequestExchange {
   private readonly arrivedAt: number;
@@ -155,9 +133,9 @@
       this.finish(413, Decision.TooLarge);
       return;
     }
-    await readPendingClose();
-    if (body === BodyFault.Aborted || this.isCallerGone) {
-      this.logEnd(0, Decision.CallerLeft);
+    await this.options.turns.enter();
+    if (body === BodyFault.Aborted || this.hasCallerLeft()) {
+      if (!this.isFinished) this.endWithoutCaller();
       return;
     }
     this.service = selector.chooseService(route, this.objectKey);
@@ -183,7 +161,7 @@
     service: string,
     body: Buffer | undefined,
   ): Promise<void> {
-    const pending = new Map<OpenAttempt, Promise<FinishedAttempt>>();
+    const race = new AttemptRace(this.options.timers);
     let decision = Decision.NoRoom;
     for (let sent = 0; ;) {
       const open = this.mayRepeat(sent, route, service)
@@ -191,19 +169,17 @@
         : undefined;
       if (open) {
         sent++;
-        pending.set(open, this.await(open));
+        race.add(open, this.await(open));
       }
-      if (pending.size === 0) break;
+      if (race.size === 0) break;
       const isHedgeable =
         open !== undefined && isIdempotent(route.kind) && sent < route.attempts;
-      const finished = await this.awaitFirst(
-        pending,
+      const finished = await race.takeFirst(
         isHedgeable ? open.patienceMs : Infinity,
       );
       if (this.isFinished) return;
       if (!finished) continue;
-      pending.delete(finished.open);
-      if (this.isAnswerFinal(finished, sent, pending.size)) {
+      if (this.isAnswerFinal(finished, sent, race.size)) {
         this.passOn(finished.result.answer as EndpointAnswer);
         this.cancelOpen();
         return;
@@ -224,24 +200,6 @@
     return false;
   }
 
-  /** Waits for the first attempt that ends; undefined where none does in time. */
-  private async awaitFirst(
-    pending: ReadonlyMap<OpenAttempt, Promise<FinishedAttempt>>,
-    patienceMs: number,
-  ): Promise<FinishedAttempt | undefined> {
-    const ends = [...pending.values()];
-    if (!Number.isFinite(patienceMs)) return Promise.race(ends);
-    let timer: Disposable | undefined;
-    const patience = new Promise<undefined>(resolve => {
-      timer = this.options.timers.after(patienceMs, () => resolve(undefined));
-    });
-    try {
-      return await Promise.race([...ends, patience]);
-    } finally {
-      timer?.[Symbol.dispose]();
-    }
-  }
-
   private noteFailure(outcome: AttemptOutcome): Decision {
     switch (outcome) {
       case AttemptOutcome.Refused:
@@ -339,11 +297,7 @@
   }
 
   private finishFailed(decision: Decision): void {
-    if (!this.mayHaveRun) {
-      this.finish(503, decision);
-      return;
-    }
-    this.finish(decision === Decision.TimedOut ? 504 : 502, decision);
+    this.finish(getFailureStatus(decision, this.mayHaveRun), decision);
   }
 
   private finish(status: number, decision: Decision): void {
@@ -359,24 +313,33 @@
     this.logEnd(status, decision);
   }
 
-  /** Spreads the times to return, within what the caller honours. */
   private getRetryAfter(): string {
-    const wantedMs = this.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS;
-    const spread = 1 + RETRY_AFTER_SPREAD * this.options.random();
-    const remainingMs = Math.max(
-      0,
-      this.deadlineAt - this.options.timers.now(),
-    );
-    const limitMs =
-      this.deadlineAt === 0 ? Infinity : remainingMs * MAX_RETRY_AFTER_PART;
-    this.retryAfterMs = Math.round(Math.min(limitMs, wantedMs * spread));
+    const {timers, random} = this.options;
+    this.retryAfterMs = getReturnMs({
+      roomInMs: this.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS,
+      remainingMs:
+        this.deadlineAt === 0
+          ? Infinity
+          : Math.max(0, this.deadlineAt - timers.now()),
+      random: random(),
+    });
     return (this.retryAfterMs / 1_000).toFixed(3);
   }
 
+  /** The end of a connection is known some turns before its close is reported. */
+  private hasCallerLeft(): boolean {
+    const {socket} = this.req;
+    return this.isCallerGone || socket.readableEnded || socket.destroyed;
+  }
+
   private handleClose(): void {
     if (this.res.writableFinished || this.isCallerGone) return;
     this.isCallerGone = true;
     if (this.isFinished) return;
+    this.endWithoutCaller();
+  }
+
+  private endWithoutCaller(): void {
     this.isFinished = true;
     // Work that cannot be repeated is let finish: the caller may have left just before the answer.
     if (!this.route || isIdempotent(this.route.kind)) this.cancelOpen();
@@ -417,17 +380,3 @@
     );
   }
 }
-
-/**
- * Waits until the end of a caller's connection has been read where it has arrived already. After a
- * stall it may lie right behind the request, and the event loop reads once per turn: the end of
- * the connection in the turn after the request.
- */
-async function readPendingClose(): Promise<void> {
-  await nextTurn();
-  await nextTurn();
-}
-
-function nextTurn(): Promise<void> {
-  return new Promise(resolve => setImmediate(resolve));
-}
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -22,6 +22,7 @@
 import {RepeatGate} from './repeat_gate.js';
 import {RequestHandler} from './request_handler.js';
 import {RequestLog} from './request_log.js';
+import {TurnQueue} from './turn_queue.js';
 import type {ServicePaths, WireNames} from './wire_names.js';
 
 /** Largest header that is accepted before the configuration states a limit. */
@@ -113,6 +114,7 @@
     selector,
     repeats: new RepeatGate(settings.bounds, members, timers),
     agent,
+    turns: new TurnQueue(timers),
     timers,
     names,
     metrics,
--- /dev/null
+++ b/packages/instance/test/direct/turn_queue.test.ts
@@ -0,0 +1,44 @@
+import {RealTimerService} from '@primrosestage/common';
+import {describe, expect, it} from 'vitest';
+import {TurnQueue} from '../../src/direct/turn_queue.js';
+
+describe('TurnQueue', () => {
+  const standStill = (ms: number) => {
+    const until = performance.now() + ms;
+    while (performance.now() < until);
+  };
+
+  it('starts requests in the order of their arrival', async () => {
+    const queue = new TurnQueue(new RealTimerService());
+    const started: number[] = [];
+    await Promise.all(
+      [0, 1, 2, 3].map(async i => {
+        await queue.enter();
+        started.push(i);
+      }),
+    );
+    expect(started).toEqual([0, 1, 2, 3]);
+    expect(queue.size).toBe(0);
+  });
+
+  it('guards against starting a backlog without reading connections in between', async () => {
+    const queue = new TurnQueue(new RealTimerService());
+    let turns = 0;
+    let isDone = false;
+    const countTurn = () => {
+      turns++;
+      if (!isDone) setImmediate(countTurn);
+    };
+    setImmediate(countTurn);
+    const startedInTurn = new Map<number, number>();
+    await Promise.all(
+      Array.from({length: 12}, async () => {
+        await queue.enter();
+        standStill(10);
+        startedInTurn.set(turns, (startedInTurn.get(turns) ?? 0) + 1);
+      }),
+    );
+    isDone = true;
+    expect(Math.max(...startedInTurn.values())).toBe(1);
+  });
+});
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -41,3 +41,4 @@
 } from './control_view.js';
 export {MemberTable, type MemberInfo} from './member_table.js';
 export {WarmObjects} from './warm_objects.js';
+export {getReturnMs, type ReturnOptions} from './return_time.js';
