Exchange heartbeats instead of all announcements between instances

Cause: each exchange named all instances with all they announce, 0.3 KB each in both directions: some 10 KB at 30 instances, which is most of what instances spend for control and grows with the square of the fleet. Besides, a process that started while the time of day was behind that of its predecessor was taken for the older one and left out of the directory for 30 s. Change: an exchange has the sender's announcement, heartbeats by id, announcements that changed within 1.5 s, and a digest of all announcements; only where digests differ does the reply have them all. An announcement has a version, so that one with a later heartbeat but older content does not replace a newer. A process that hears of a later start under its own id announces itself above it. Ruled out: leaving out what the other one is likely to know, which needs state for each peer and loses news where a reply is lost.

--- /dev/null
+++ b/packages/instance/src/direct/announcement.ts
@@ -0,0 +1,66 @@
+import type {TimerService} from '@primrosestage/common';
+import type {MemberInfo} from '@primrosestage/steering';
+import type {DirectSettings} from './direct_settings.js';
+
+/** Describes what changes of an instance while it runs. */
+export interface AnnouncedState {
+  /** Least start time with which others take this process for the newest of its id. */
+  leastBornAt: number;
+  isServing: boolean;
+  isFollowing: boolean;
+  openRequests: Readonly<Record<string, number>>;
+}
+
+/** Creates the announcements of one instance and counts their heartbeats and versions. */
+export class Announcement {
+  private bornAt: number;
+  private beats = 0;
+  private version = 0;
+  private last = '';
+
+  /**
+   * Creates the announcements of a process that has just started.
+   * @param settings - Id, place and addresses.
+   * @param timers - The clock.
+   */
+  constructor(
+    private readonly settings: DirectSettings,
+    timers: TimerService,
+  ) {
+    this.bornAt = timers.wallNow();
+  }
+
+  /** Counts a heartbeat. */
+  beat(): void {
+    this.beats++;
+  }
+
+  /**
+   * Creates an announcement. A change of the state counts as a heartbeat, so that it is news.
+   * @param state - The state of the instance.
+   */
+  create(state: AnnouncedState): MemberInfo {
+    const {leastBornAt, isServing, isFollowing, openRequests} = state;
+    const {settings} = this;
+    this.bornAt = Math.max(this.bornAt, leastBornAt);
+    const current = `${this.bornAt} ${isServing} ${isFollowing}`;
+    if (current !== this.last) {
+      this.last = current;
+      this.version++;
+      this.beats++;
+    }
+    return {
+      id: settings.id,
+      zone: settings.zone,
+      region: settings.region,
+      controlAddress: settings.controlAddress,
+      callerAddress: settings.callerAddress,
+      bornAt: this.bornAt,
+      version: this.version,
+      isServing,
+      isFollowing,
+      openRequests,
+      heartbeat: this.bornAt + this.beats,
+    };
+  }
+}
--- a/packages/instance/src/direct/peer_exchange.ts
+++ b/packages/instance/src/direct/peer_exchange.ts
@@ -2,6 +2,8 @@
   createAgent,
   connectTcp,
   getErrorMessage,
+  Step,
+  StepError,
   type EventLogger,
   type TimerService,
 } from '@primrosestage/common';
@@ -80,7 +82,7 @@
    * @returns What it lacks.
    */
   receive(hello: PeerHello): PeerHello {
-    this.learn(hello, hello.members[0]?.id ?? 'unknown');
+    this.learn(hello, hello.sender.id);
     return this.createHello(hello);
   }
 
@@ -163,14 +165,24 @@
 
   /** Tells the own state, with what another instance lacks where its state is known. */
   private createHello(other?: PeerHello): PeerHello {
-    const {view, members, timers} = this.options;
+    const {view, members, timers, self} = this.options;
     const {configuration} = view;
+    const now = timers.now();
+    const digest = members.getDigest(now);
     const hello: PeerHello = {
-      members: members.getAnnouncements(timers.now()),
+      sender: self(),
+      heartbeats: members.getHeartbeats(now),
+      digest,
+      members: members.getNews(now),
       revision: view.isComplete ? view.revision : 0,
       configurationVersion: configuration?.version ?? 0,
     };
     if (!other) return hello;
+    if (other.digest !== digest) {
+      const later = members.getLaterProcess(other.sender);
+      hello.members = members.getAnnouncements(now).slice(1);
+      if (later) hello.members.push(later);
+    }
     if (view.revision > other.revision) {
       hello.changes = view.getChangesAfter(other.revision);
     }
@@ -182,11 +194,17 @@
 
   private learn(hello: PeerHello, from: string): void {
     const {members, timers, logger, view} = this.options;
-    const joined = members.merge(hello.members, timers.now());
+    const now = timers.now();
+    const {sender, heartbeats, changes, configuration} = hello;
+    const joined = members.merge([sender, ...hello.members], now);
+    members.mergeHeartbeats(heartbeats, now);
     for (const id of joined) logger.info('instance joined', {peer: id});
-    const sender = hello.members[0];
-    if (sender) this.lastHeard.set(sender.id, {...hello, changes: undefined});
-    const {changes, configuration} = hello;
+    this.lastHeard.set(sender.id, {
+      ...hello,
+      members: [],
+      changes: undefined,
+      configuration: undefined,
+    });
     if (!changes && !configuration) return;
     this.options.apply(
       {
@@ -232,15 +250,28 @@
 /** Router of another instance. */
 export type PeerRouter = ReturnType<typeof createPeerRouter>;
 
-/** Instances of one version speak to each other; only the outline is checked. */
+/**
+ * Instances of one version speak to each other; only the outline is checked.
+ * @throws StepError where the sender or its heartbeats are missing.
+ */
 function parseHello(input: unknown): PeerHello {
-  const hello = input as Partial<PeerHello> | undefined;
+  const hello = (input ?? {}) as Partial<PeerHello>;
+  const {sender, heartbeats} = hello;
+  if (typeof sender?.id !== 'string' || typeof heartbeats !== 'object') {
+    throw new StepError(
+      {step: Step.Membership, peer: String(sender?.id ?? 'unknown')},
+      'exchange without sender or heartbeats',
+    );
+  }
   return {
-    members: Array.isArray(hello?.members) ? hello.members : [],
-    revision: Number(hello?.revision ?? 0),
-    configurationVersion: Number(hello?.configurationVersion ?? 0),
-    changes: hello?.changes,
-    configuration: hello?.configuration,
+    sender,
+    heartbeats,
+    digest: Number(hello.digest ?? 0),
+    members: Array.isArray(hello.members) ? hello.members : [],
+    revision: Number(hello.revision ?? 0),
+    configurationVersion: Number(hello.configurationVersion ?? 0),
+    changes: hello.changes,
+    configuration: hello.configuration,
   };
 }
 
--- a/packages/instance/src/direct/peer_message.ts
+++ b/packages/instance/src/direct/peer_message.ts
@@ -1,12 +1,19 @@
 import type {
   ControlChanges,
+  Heartbeats,
   MemberInfo,
   RouteConfiguration,
 } from '@primrosestage/steering';
 
 /** What an instance tells another in an exchange. */
 export interface PeerHello {
-  /** Announcements of the instances that the sender has heard of lately, its own first. */
+  /** The sender's own announcement. */
+  sender: MemberInfo;
+  /** Last heartbeats of the instances that the sender has heard of lately. */
+  heartbeats: Heartbeats;
+  /** Digest of their announcements. */
+  digest: number;
+  /** Announcements that the receiver may lack. */
   members: MemberInfo[];
   /** Revision up to which the sender has followed the registry; 0 where it has no view. */
   revision: number;
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -10,6 +10,7 @@
 import type {Registry} from 'prom-client';
 import {parseAddress} from '../http/parse_address.js';
 import {createRpcHandler} from '../rpc/index.js';
+import {Announcement} from './announcement.js';
 import type {ControlSource} from './control_source.js';
 import {ControlSync} from './control_sync.js';
 import {createDirectMetrics} from './direct_metrics.js';
@@ -85,24 +86,18 @@
   const metrics = createDirectMetrics(options.registry);
   const view = new ControlView(settings.bounds.drainMs);
   const agent = new EndpointAgent();
-  const bornAt = timers.wallNow();
   let isStopping = false;
-  let heartbeat = 0;
   let isServing = false;
   const isReady = () => !isStopping && isServing;
-  const self = (): MemberInfo => ({
-    id: settings.id,
-    zone: settings.zone,
-    region: settings.region,
-    controlAddress: settings.controlAddress,
-    callerAddress: settings.callerAddress,
-    bornAt,
-    isServing: isReady(),
-    isFollowing: sync.isFollowing,
-    openRequests: selector.averageOpenRequests,
-    heartbeat,
-  });
-  const members = new MemberTable(self);
+  const announcement = new Announcement(settings, timers);
+  const self = (): MemberInfo =>
+    announcement.create({
+      leastBornAt: members.leastOwnBornAt,
+      isServing: isReady(),
+      isFollowing: sync.isFollowing,
+      openRequests: selector.averageOpenRequests,
+    });
+  const members: MemberTable = new MemberTable(self);
   const selector: EndpointSelector = new EndpointSelector(
     settings,
     view,
@@ -182,7 +177,6 @@
     isServingStarted = true;
     await listen(front, settings.callerAddress);
     isServing = true;
-    heartbeat++;
     logger.info('serving', {
       configuration: view.configuration?.version,
       revision: view.revision,
@@ -262,7 +256,7 @@
       : undefined,
   ]);
   const subscriptions = [
-    timers.every(HEARTBEAT_MS, () => heartbeat++),
+    timers.every(HEARTBEAT_MS, () => announcement.beat()),
     timers.every(SWEEP_MS, () => {
       const now = timers.now();
       for (const id of view.book.expire(now)) {
@@ -276,7 +270,10 @@
   ];
   sync.start();
   peers.start();
-  logger.info('instance started', {zone: settings.zone, bornAt});
+  logger.info('instance started', {
+    zone: settings.zone,
+    bornAt: self().bornAt,
+  });
   return {
     reload: ({bounds, seedAddresses}) => {
       // Parts hold the object of the bounds, so its fields are replaced.
@@ -285,7 +282,6 @@
     },
     stop: async () => {
       isStopping = true;
-      heartbeat++;
       await runPlannedStop({
         tracker,
         timers,
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -39,6 +39,6 @@
   type EvacuationChange,
   type ViewEffects,
 } from './control_view.js';
-export {MemberTable, type MemberInfo} from './member_table.js';
+export {MemberTable, type Heartbeats, type MemberInfo} from './member_table.js';
 export {WarmObjects} from './warm_objects.js';
 export {getReturnMs, type ReturnOptions} from './return_time.js';
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -1,3 +1,5 @@
+import {hash32} from './hash_fraction.js';
+
 /** Describes an instance as it announces itself. */
 export interface MemberInfo {
   id: string;
@@ -7,18 +9,26 @@
   controlAddress: string;
   /** Address for callers, `host:port`. */
   callerAddress: string;
-  /** Start of the process in Unix milliseconds. */
+  /** Start of the process in Unix milliseconds; higher than that of its earlier processes. */
   bornAt: number;
+  /** Rises with every change of what follows in an announcement, within one process. */
+  version: number;
   /** Whether callers should be sent to it. */
   isServing: boolean;
   /** Whether it follows the registry itself at the moment. */
   isFollowing: boolean;
   /** Requests that the instance has open at the endpoints of each service, averaged. */
   openRequests: Readonly<Record<string, number>>;
-  /** Rises with every heartbeat of the process. */
+  /**
+   * Rises with every heartbeat of the process, from the start of the process on. It rises slower
+   * than time in milliseconds, so that a later process begins above an earlier one.
+   */
   heartbeat: number;
 }
 
+/** Last heartbeat of each instance by its id. */
+export type Heartbeats = Readonly<Record<string, number>>;
+
 /** Time without a new heartbeat after which callers are no longer sent to an instance. */
 const SUSPECT_AFTER_MS = 3_000;
 /**
@@ -28,10 +38,17 @@
 const REPLACE_FOLLOWER_AFTER_MS = 1_200;
 /** Time without a new heartbeat after which an instance no longer counts for divided bounds. */
 const FORGET_AFTER_MS = 30_000;
+/** Heartbeats that one process can be ahead of its last announcement; more are a restart. */
+const MAX_HEARTBEAT_STEP = 1_000;
+
+/** Time for which a changed announcement is passed on without being asked for. */
+const NEWS_MS = 1_500;
 
 interface Member {
   info: MemberInfo;
   heardAt: number;
+  /** Monotonic time at which this instance heard of the last change of the announcement. */
+  changedAt: number;
 }
 
 /**
@@ -40,6 +57,7 @@
  */
 export class MemberTable {
   private readonly members = new Map<string, Member>();
+  private ownBornAtFloor = 0;
 
   /**
    * Creates the table.
@@ -47,6 +65,14 @@
    */
   constructor(private readonly self: () => MemberInfo) {}
 
+  /**
+   * Least start time with which others take this instance for the newest process of its id. It
+   * is above the own start where the time of day stepped back between two processes.
+   */
+  get leastOwnBornAt(): number {
+    return this.ownBornAtFloor;
+  }
+
   /**
    * Takes over announcements.
    * @param infos - Announcements, each from its instance or passed on by another.
@@ -55,17 +81,88 @@
    */
   merge(infos: readonly MemberInfo[], now: number): string[] {
     const joined: string[] = [];
-    const selfId = this.self().id;
+    const self = this.self();
     for (const info of infos) {
-      if (info.id === selfId) continue;
+      if (info.id === self.id) {
+        this.noteOwnProcess(info, self);
+        continue;
+      }
       const known = this.members.get(info.id);
-      if (known && !isNewer(info, known.info)) continue;
-      if (known?.info.bornAt !== info.bornAt) joined.push(info.id);
-      this.members.set(info.id, {info, heardAt: now});
+      if (known && info.bornAt < known.info.bornAt) continue;
+      if (known?.info.bornAt !== info.bornAt) {
+        joined.push(info.id);
+        this.members.set(info.id, {info, heardAt: now, changedAt: now});
+        continue;
+      }
+      const isNews = info.heartbeat > known.info.heartbeat;
+      if (info.version > known.info.version) known.changedAt = now;
+      const newest = isNewer(info, known.info) ? info : known.info;
+      const heartbeat = Math.max(info.heartbeat, known.info.heartbeat);
+      known.info = {...newest, heartbeat};
+      if (isNews) known.heardAt = now;
     }
     return joined;
   }
 
+  /**
+   * Takes over heartbeats of instances whose announcements are known.
+   * @param heartbeats - Heartbeats by id.
+   * @param now - Monotonic time in milliseconds.
+   */
+  mergeHeartbeats(heartbeats: Heartbeats, now: number): void {
+    for (const [id, heartbeat] of Object.entries(heartbeats)) {
+      const known = this.members.get(id);
+      if (!known) continue;
+      const step = heartbeat - known.info.heartbeat;
+      // The heartbeat of a later process says nothing of the announcement that is known.
+      if (step <= 0 || step > MAX_HEARTBEAT_STEP) continue;
+      known.info = {...known.info, heartbeat};
+      known.heardAt = now;
+    }
+  }
+
+  /**
+   * Returns the heartbeats that may still be news to others, this instance's own included.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getHeartbeats(now: number): Heartbeats {
+    return Object.fromEntries(
+      this.getAnnouncements(now).map(({id, heartbeat}) => [id, heartbeat]),
+    );
+  }
+
+  /**
+   * Digests the announcements of live instances without their heartbeats, so that two instances
+   * tell by one number whether they know the same of all.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getDigest(now: number): number {
+    return this.getAnnouncements(now).reduce(
+      (digest, {id, bornAt, version}) =>
+        digest ^ hash32(`${id} ${bornAt} ${version}`),
+      0,
+    );
+  }
+
+  /**
+   * Returns the announcements that changed lately and may be news to others.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getNews(now: number): MemberInfo[] {
+    return [...this.members.values()]
+      .filter(({changedAt}) => now - changedAt < NEWS_MS)
+      .map(({info}) => info);
+  }
+
+  /**
+   * Returns an announcement that makes others take a process for an earlier one of its id.
+   * @param info - What the process announces.
+   */
+  getLaterProcess(info: MemberInfo): MemberInfo | undefined {
+    const known = this.members.get(info.id)?.info;
+    return known && known.bornAt > info.bornAt ? known : undefined;
+  }
+
   /**
    * Takes over registrations, which say where an instance is but not that it lives.
    * @param infos - Registrations; they may be old.
@@ -81,7 +178,11 @@
         isFollowing: false,
         heartbeat: 0,
       };
-      this.members.set(info.id, {info: registered, heardAt: now});
+      this.members.set(info.id, {
+        info: registered,
+        heardAt: now,
+        changedAt: -Infinity,
+      });
     }
   }
 
@@ -174,9 +275,15 @@
   getSilenceMs(id: string, now: number): number {
     return now - (this.members.get(id)?.heardAt ?? -Infinity);
   }
+
+  private noteOwnProcess(info: MemberInfo, self: MemberInfo): void {
+    if (info.bornAt <= self.bornAt) return;
+    this.ownBornAtFloor = Math.max(this.ownBornAtFloor, info.bornAt + 1);
+  }
 }
 
+/** Compares two announcements of one process. */
 function isNewer(info: MemberInfo, known: MemberInfo): boolean {
-  if (info.bornAt !== known.bornAt) return info.bornAt > known.bornAt;
+  if (info.version !== known.version) return info.version > known.version;
   return info.heartbeat > known.heartbeat;
 }
--- a/packages/steering/test/direct/member_table.test.ts
+++ b/packages/steering/test/direct/member_table.test.ts
@@ -10,6 +10,7 @@
     controlAddress: '127.0.0.1:1',
     callerAddress: '127.0.0.1:2',
     bornAt: 1,
+    version: 1,
     isServing: true,
     isFollowing: false,
     openRequests: {pages: 2},
@@ -98,4 +99,78 @@
     expect(getServingIds(table, 1)).toEqual(['a']);
     expect(table.getCount()).toBe(2);
   });
+
+  it('takes heartbeats only for the process whose announcement is known', () => {
+    const table = createTable();
+    table.merge([createInfo()], 0);
+    table.mergeHeartbeats({b: 2, unknown: 9}, 2_000);
+    expect(getServingIds(table, 4_900)).toEqual(['a', 'b']);
+    expect(table.getHeartbeats(4_900)).toEqual({a: 1, b: 2});
+    // A restart begins far above the last heartbeat.
+    table.mergeHeartbeats({b: 90_000}, 4_900);
+    expect(getServingIds(table, 5_100)).toEqual(['a']);
+  });
+
+  it('guards against an old announcement that overtakes a new one by its heartbeat', () => {
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.oneof(
+            fc.record({version: fc.nat(4), heartbeat: fc.nat(20)}),
+            fc.nat(20),
+          ),
+          {minLength: 1},
+        ),
+        deliveries => {
+          const table = createTable();
+          table.merge([createInfo({version: 0, heartbeat: 0})], 0);
+          let version = 0;
+          let heartbeat = 0;
+          for (const delivery of deliveries) {
+            if (typeof delivery === 'number') {
+              table.mergeHeartbeats({b: delivery}, 0);
+              heartbeat = Math.max(heartbeat, delivery);
+            } else {
+              table.merge([createInfo(delivery)], 0);
+              version = Math.max(version, delivery.version);
+              heartbeat = Math.max(heartbeat, delivery.heartbeat);
+            }
+          }
+          expect(table.getOthers()[0]).toMatchObject({version, heartbeat});
+        },
+      ),
+      {numRuns: 1_000, seed: 20261204},
+    );
+  });
+
+  it('has the same digest where the same is known, whatever the heartbeats', () => {
+    const one = createTable();
+    const other = createTable();
+    one.merge([createInfo(), createInfo({id: 'c'})], 0);
+    other.merge([createInfo({id: 'c', heartbeat: 9}), createInfo()], 0);
+    expect(one.getDigest(100)).toBe(other.getDigest(100));
+    other.merge([createInfo({isServing: false, version: 2})], 0);
+    expect(one.getDigest(100)).not.toBe(other.getDigest(100));
+  });
+
+  it('passes on what changed lately', () => {
+    const table = createTable();
+    table.merge([createInfo(), createInfo({id: 'c'})], 0);
+    table.merge([createInfo({isServing: false, version: 2})], 2_000);
+    expect(table.getNews(2_100).map(({id}) => id)).toEqual(['b']);
+    expect(table.getNews(9_000)).toEqual([]);
+  });
+
+  it('guards against a restart that is ignored because the time of day stepped back', () => {
+    let bornAt = 500;
+    const restarted = new MemberTable(() => createInfo({bornAt}));
+    const other = createTable();
+    other.merge([createInfo({bornAt: 2_000, heartbeat: 2_050})], 0);
+    const later = other.getLaterProcess(createInfo({bornAt}));
+    restarted.merge(later ? [later] : [], 10_000);
+    bornAt = Math.max(bornAt, restarted.leastOwnBornAt);
+    other.merge([createInfo({bornAt, heartbeat: bornAt})], 10_000);
+    expect(getServingIds(other, 10_100)).toEqual(['a', 'b']);
+    expect(other.getLaterProcess(createInfo({bornAt}))).toBeUndefined();
+  });
 });
