Move the preference for a region's own endpoints within the shift cap

Cause: the direct path enforced the shift cap nowhere. A change between low and usual demand changed the preference in one step, from 1,000 to about 12 for a region with a twelfth of the slots: half of its requests would have changed their region at once.

--- a/packages/control/src/settings/direct_settings_schema.ts
+++ b/packages/control/src/settings/direct_settings_schema.ts
@@ -24,6 +24,7 @@
       repeatWindowMs: MILLISECONDS.default(10_000),
       coldFactor: z.number().min(0).default(1),
       coldSlack: z.number().min(0).default(0),
+      maxShift: z.number().positive().max(1).default(0.15),
       drainMs: MILLISECONDS.default(3_000),
       stopTimeoutMs: MILLISECONDS.default(10_000),
       maxDirectoryTtlMs: MILLISECONDS.default(5_000),
--- a/packages/instance/src/direct/direct_settings.ts
+++ b/packages/instance/src/direct/direct_settings.ts
@@ -27,6 +27,8 @@
   coldFactor: number;
   /** Requests per second to a cold endpoint beyond that. */
   coldSlack: number;
+  /** Largest part of a region's requests that may change their region in two seconds. */
+  maxShift: number;
   /** Time after which a leaving endpoint must get no requests, in milliseconds. */
   drainMs: number;
   /** Longest time of a planned stop, after which the process is killed. */
--- a/packages/instance/src/direct/object_placement.ts
+++ b/packages/instance/src/direct/object_placement.ts
@@ -6,6 +6,7 @@
   hash32,
   type KnownEndpoint,
   type MemberTable,
+  PreferenceLimiter,
   type RankedEndpoint,
   rankEndpoints,
   type Route,
@@ -18,6 +19,10 @@
 const MAX_UTILIZATION = 0.75;
 /** Weight of a new sample in the average of open requests. */
 const OPEN_REQUESTS_SMOOTHING = 0.1;
+/** Window of the shift cap, in milliseconds. */
+const SHIFT_WINDOW_MS = 2_000;
+/** Time between two steps of a preference that moves, in milliseconds. */
+const PREFERENCE_STEP_MS = 500;
 /** Most rankings that are kept. */
 const MAX_RANKINGS = 20_000;
 
@@ -38,6 +43,9 @@
   private readonly ranked = new Map<string, RankedEndpoint[]>();
   private readonly openRequests = new Map<string, number>();
   private readonly demands = new Map<string, DemandLevel>();
+  private readonly preferences = new Map<string, PreferenceLimiter>();
+  private movedAt = -Infinity;
+  private isMoving = false;
   private rankedVersion = -1;
 
   /**
@@ -68,6 +76,10 @@
     for (const service of services) {
       this.followService(service, open.get(service) ?? 0);
     }
+    const now = this.timers.now();
+    if (this.isMoving && now - this.movedAt >= PREFERENCE_STEP_MS) {
+      this.rankedVersion = -1;
+    }
   }
 
   /**
@@ -100,6 +112,8 @@
       return;
     }
     this.rankedVersion = this.view.version;
+    this.movedAt = this.timers.now();
+    this.isMoving = false;
     this.rankings.clear();
     this.ranked.clear();
   }
@@ -154,9 +168,10 @@
           homes.length === 0 || (region !== undefined && homes.includes(region))
         );
       });
-    const preference = this.getPreference(
+    const preference = this.movePreference(
+      `${service} ${homes.join()}`,
+      this.getPreference(endpoints, this.getDemand(service).plannedUtilization),
       endpoints,
-      this.getDemand(service).plannedUtilization,
     );
     return endpoints.map(endpoint => {
       const {id, slots, zone} = endpoint.entry;
@@ -169,6 +184,32 @@
     });
   }
 
+  /** Moves the preference of a service towards its target within the shift cap. */
+  private movePreference(
+    key: string,
+    target: number,
+    endpoints: readonly KnownEndpoint[],
+  ): number {
+    const now = this.timers.now();
+    let limiter = this.preferences.get(key);
+    if (!limiter) {
+      const cap = {
+        shiftCap: this.settings.bounds.maxShift,
+        shiftIntervalMs: SHIFT_WINDOW_MS,
+      };
+      limiter = new PreferenceLimiter(cap, now);
+      this.preferences.set(key, limiter);
+    }
+    const slots = {own: 0, other: 0};
+    for (const {entry} of endpoints) {
+      const isOwn = this.getRegion(entry.zone) === this.settings.region;
+      slots[isOwn ? 'own' : 'other'] += entry.slots;
+    }
+    const preference = limiter.move(target, slots, now);
+    if (preference !== target) this.isMoving = true;
+    return preference;
+  }
+
   /** Assumes the same demand in every zone, so that all instances choose alike. */
   private getPreference(
     endpoints: readonly KnownEndpoint[],
--- a/packages/instance/test/direct/fleet.ts
+++ b/packages/instance/test/direct/fleet.ts
@@ -34,6 +34,7 @@
   repeatWindowMs: 10_000,
   coldFactor: 1.5,
   coldSlack: 5,
+  maxShift: 0.15,
   drainMs: 2_500,
   stopTimeoutMs: 1_600,
   maxDirectoryTtlMs: 5_000,
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -42,3 +42,4 @@
 export {MemberTable, type Heartbeats, type MemberInfo} from './member_table.js';
 export {WarmObjects} from './warm_objects.js';
 export {getReturnMs, type ReturnOptions} from './return_time.js';
+export {PreferenceLimiter, type RegionSlots} from './preference_limiter.js';
