Open a span for each hop of the direct path

Cause: requests on the direct path had no spans, so that a trace ended at the instance. Change: with exporter and target in the settings of primrosestage direct, a span for the request and one for each attempt at an endpoint, with traceparent passed on.

--- a/packages/control/src/settings/direct_settings_schema.ts
+++ b/packages/control/src/settings/direct_settings_schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {TRACES_SCHEMA} from './settings_schema.js';
 
 const ADDRESS = z.string().regex(/^[\w.-]+:\d+$/, 'host:port');
 const MILLISECONDS = z.number().int().min(0);
@@ -14,6 +15,7 @@
   directoryAddress: ADDRESS,
   controlAddress: ADDRESS,
   metricsAddress: ADDRESS.optional(),
+  traces: TRACES_SCHEMA,
   seedAddresses: z.array(ADDRESS).default([]),
   /** File of routes, services, endpoints and evacuations, beside the settings. */
   state: z.string().min(1),
--- a/packages/control/src/settings/settings_schema.ts
+++ b/packages/control/src/settings/settings_schema.ts
@@ -84,6 +84,15 @@
   timing: TIMING_SCHEMA.default(TIMING_SCHEMA.parse({})),
 });
 
+/** Checks where spans go. */
+export const TRACES_SCHEMA = z
+  .strictObject({
+    exporter: z.enum(TraceExporter),
+    /** OTLP URL, or a file for JSON lines; standard output where empty. */
+    target: z.string().default(''),
+  })
+  .default({exporter: TraceExporter.None, target: ''});
+
 /** Checks the settings of one instance. */
 export const INSTANCE_SETTINGS_SCHEMA = z.strictObject({
   /** Path of the system's settings, relative to this file. */
@@ -92,13 +101,7 @@
   log: z
     .strictObject({level: z.enum(['error', 'warn', 'info', 'debug'])})
     .default({level: 'info'}),
-  traces: z
-    .strictObject({
-      exporter: z.enum(TraceExporter),
-      /** OTLP URL, or a file for JSON lines; standard output where empty. */
-      target: z.string().default(''),
-    })
-    .default({exporter: TraceExporter.None, target: ''}),
+  traces: TRACES_SCHEMA,
 });
 
 /** Holds the settings that all instances of a system share. */
--- a/packages/instance/src/cli/run_direct_command.ts
+++ b/packages/instance/src/cli/run_direct_command.ts
@@ -1,9 +1,15 @@
 import process from 'node:process';
-import {createLineLogger, RealTimerService} from '@primrosestage/common';
+import {
+  createLineLogger,
+  createTracing,
+  RealTimerService,
+  TraceExporter,
+} from '@primrosestage/common';
 import {loadDirectSettings, loadDirectState} from '@primrosestage/control';
 import {Registry} from 'prom-client';
 import {createFileSource} from '../direct/file_registry.js';
 import {runDirect, type WireNames} from '../direct/index.js';
+import {startHopSpan, type StartSpan} from '../telemetry/index.js';
 
 /** Headers towards callers and endpoints of the product's own interface. */
 const WIRE_NAMES: WireNames = {
@@ -22,10 +28,14 @@
  * @throws SettingsError where the settings or the state are not valid.
  */
 export async function runDirectCommand(file: string): Promise<void> {
-  const {zones, state, metricsAddress, ...settings} = loadDirectSettings(file);
+  const {zones, state, metricsAddress, traces, ...settings} =
+    loadDirectSettings(file);
   loadDirectState(state);
   const timers = new RealTimerService();
   const logger = createLineLogger({timers, fields: {instance: settings.id}});
+  const tracing = createTracing({...traces, instance: settings.id});
+  const startSpan: StartSpan = options =>
+    startHopSpan({...options, tracer: tracing.tracer});
   const instance = await runDirect({
     settings: {
       ...settings,
@@ -40,6 +50,7 @@
     timers,
     logger,
     random: Math.random,
+    startSpan: traces.exporter === TraceExporter.None ? undefined : startSpan,
     formatDirectory: (addresses, ttlMs) =>
       JSON.stringify({addresses, ttlSeconds: ttlMs / 1_000}),
     readCallerPlace: url => ({
@@ -53,6 +64,7 @@
     isStopping = true;
     void instance.stop().then(async () => {
       await instance[Symbol.asyncDispose]();
+      await tracing[Symbol.asyncDispose]();
       await logger[Symbol.asyncDispose]();
       process.exit(0);
     });
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {TimerService} from '@primrosestage/common';
+import {HeaderName, Step, type TimerService} from '@primrosestage/common';
 import {
   type ControlView,
   getReturnMs,
@@ -13,6 +13,8 @@
   readDeadlineMs,
   readObjectKey,
 } from './caller_request.js';
+import {getHeader} from '../http/headers.js';
+import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
 import {Decision, getFailureStatus} from './decision.js';
 import type {DirectMetrics} from './direct_metrics.js';
@@ -50,6 +52,8 @@
   names: WireNames;
   metrics: DirectMetrics;
   log: RequestLog;
+  /** Opens spans; undefined where none are exported. */
+  startSpan?: StartSpan;
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -71,6 +75,7 @@
   private deadlineAt = 0;
   private endAt = 0;
   private retryAfterMs?: number;
+  private readonly span?: HopSpan;
 
   constructor(
     private readonly req: IncomingMessage,
@@ -79,6 +84,12 @@
   ) {
     this.arrivedAt = options.timers.now();
     this.requestId = String(req.headers[options.names.requestId] ?? '');
+    this.span = options.startSpan?.({
+      step: Step.Ingress,
+      peer: req.socket.remoteAddress ?? '',
+      requestId: this.requestId,
+      traceParent: getHeader(req.headers, HeaderName.TraceParent),
+    });
     res.on('close', () => this.handleClose());
     res.on('error', () => this.handleClose());
     req.on('aborted', () => this.handleClose());
@@ -243,6 +254,7 @@
       {
         req,
         requestId,
+        traceParent: this.span?.traceParent,
         body,
         selection: {
           route,
@@ -270,6 +282,7 @@
     this.open.delete(open);
     const at = timers.now();
     observeAttempt(open, result, selector, {at, objectKey: this.objectKey});
+    open.span?.end(result.outcome, result.answer ? undefined : result.reason);
     const ms = at - open.startedAt;
     const {service} = open.endpoint.entry;
     metrics.attempts.inc({service, outcome: result.outcome});
@@ -355,6 +368,7 @@
     const now = timers.now();
     const service = this.service ?? '';
     const ms = now - this.arrivedAt;
+    this.span?.end(decision, status < 500 ? undefined : `status ${status}`);
     metrics.requests.inc({service, status, decided_by: decision});
     if (service !== '') metrics.requestSeconds.observe({service}, ms / 1_000);
     log.write(
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -11,6 +11,7 @@
 import {ConnectionTracker} from '../http/connection_tracker.js';
 import {parseAddress} from '../http/parse_address.js';
 import {createRpcHandler} from '../rpc/index.js';
+import type {StartSpan} from '../telemetry/hop_span.js';
 import {Announcement} from './announcement.js';
 import type {ControlSource} from './control_source.js';
 import {ControlSync} from './control_sync.js';
@@ -54,6 +55,8 @@
   logger: EventLogger;
   /** Returns a random number in [0, 1). */
   random: () => number;
+  /** Opens spans; undefined where none are exported. */
+  startSpan?: StartSpan;
   /** Formats the addresses for a caller of the directory. */
   formatDirectory: (addresses: string[], ttlMs: number) => string;
   /** Reads where a caller of the directory stands. */
@@ -115,6 +118,7 @@
     names,
     metrics,
     log: new RequestLog(logger),
+    startSpan: options.startSpan,
     random: options.random,
   });
   const front = http.createServer(
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -1,7 +1,13 @@
 import type {IncomingMessage} from 'node:http';
-import type {TimerService} from '@primrosestage/common';
+import {
+  getErrorMessage,
+  HeaderName,
+  Step,
+  type TimerService,
+} from '@primrosestage/common';
 import type {KnownEndpoint} from '@primrosestage/steering';
 import {parseAddress} from '../http/parse_address.js';
+import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
 import {copyHeaders} from './caller_request.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import type {EndpointSelector, SelectionRequest} from './endpoint_selector.js';
@@ -29,12 +35,16 @@
   agent: EndpointAgent;
   timers: TimerService;
   names: WireNames;
+  /** Opens spans; undefined where none are exported. */
+  startSpan?: StartSpan;
 }
 
 /** Describes the request that an attempt sends. */
 export interface AttemptSource {
   req: IncomingMessage;
   requestId: string;
+  /** The `traceparent` of the request's span. */
+  traceParent: string | undefined;
   body: Buffer | undefined;
   selection: SelectionRequest;
 }
@@ -46,6 +56,8 @@
   startedAt: number;
   /** Estimated depth of the endpoint when the request was sent. */
   depth: number;
+  /** Span of the attempt. */
+  span?: HopSpan;
   /** Time after which an idempotent request is sent to another endpoint as well. */
   patienceMs: number;
 }
@@ -79,6 +91,13 @@
   headers[names.deadlineMs] = String(Math.max(1, Math.floor(remainingMs)));
   headers[names.expectedEndpoint] = entry.id;
   if (body !== undefined) headers['content-length'] = body.length;
+  const span = options.startSpan?.({
+    step: Step.Backend,
+    peer: entry.id,
+    requestId: source.requestId,
+    traceParent: source.traceParent,
+  });
+  if (span?.traceParent) headers[HeaderName.TraceParent] = span.traceParent;
   const {host, port} = parseAddress(entry.address);
   const request: AttemptRequest = {
     host,
@@ -96,12 +115,14 @@
     attempt = sendAttempt(request, options);
   } catch (err) {
     selector.getLoad(endpoint).end();
+    span?.end('not-sent', getErrorMessage(err));
     throw err;
   }
   return {
     open: {
       endpoint,
       attempt,
+      span,
       startedAt: timers.now(),
       depth: candidate.depth,
       patienceMs: PATIENCE_FACTOR * choice.finishMs + MIN_PATIENCE_MS,
--- a/packages/instance/src/telemetry/hop_span.ts
+++ b/packages/instance/src/telemetry/hop_span.ts
@@ -36,6 +36,9 @@
   end(outcome: string, message?: string): void;
 }
 
+/** Opens the spans of one process. */
+export type StartSpan = (options: Omit<HopSpanOptions, 'tracer'>) => HopSpan;
+
 /**
  * Opens the span of one step of a request.
  * @param options - Tracer, step, peer and parent.
