Keep to max-conns and max-header-bytes of the configuration

Cause: the direct path read both limits and kept to neither. Change: an instance has at most its part of an endpoint's connections open, so that all instances together stay within them; a header beyond the limit is answered 431 and ends the connection. A test for the registration of the first of a region was missing and is added.

--- a/packages/instance/src/direct/caller_request.ts
+++ b/packages/instance/src/direct/caller_request.ts
@@ -44,6 +44,16 @@
   return undefined;
 }
 
+/**
+ * Adds up the size of a request's header as it was sent.
+ * @param req - The request.
+ * @returns Bytes, with separators and line ends.
+ */
+export function getHeaderBytes(req: IncomingMessage): number {
+  const lineBytes = (req.method?.length ?? 0) + (req.url?.length ?? 0);
+  return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, lineBytes);
+}
+
 /**
  * Reads the time that a caller still waits.
  * @param req - The request.
--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -7,6 +7,7 @@
   EndpointLoad,
   type EndpointChoice,
   getColdLimit,
+  getConnectionPart,
   hash32,
   type KnownEndpoint,
   type MemberTable,
@@ -286,7 +287,8 @@
       travelMs: this.getTravelMs(endpoint, state),
       failureRatio: load.averageFailureRatio,
       isBlocked:
-        isCold && !cold.hasRoom(now, this.getColdLimitOf(endpoint, state)),
+        load.inFlight >= this.getConnectionPartOf(endpoint) ||
+        (isCold && !cold.hasRoom(now, this.getColdLimitOf(endpoint, state))),
     };
   }
 
@@ -321,6 +323,15 @@
     );
   }
 
+  /** A connection carries one request at a time. */
+  private getConnectionPartOf(endpoint: KnownEndpoint): number {
+    const service = this.getService(endpoint.entry.service);
+    return getConnectionPart(
+      service?.maxConnections ?? 0,
+      this.members.getCount(),
+    );
+  }
+
   private getService(name: string) {
     return this.view.configuration?.services.get(name);
   }
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -9,6 +9,7 @@
 import {AttemptOutcome, type EndpointAnswer} from './attempt.js';
 import {
   BodyFault,
+  getHeaderBytes,
   readBody,
   readDeadlineMs,
   readObjectKey,
@@ -114,6 +115,10 @@
       this.finish(503, Decision.NoConfiguration);
       return;
     }
+    if (getHeaderBytes(this.req) > configuration.limits.maxHeaderBytes) {
+      this.finish(431, Decision.TooLarge);
+      return;
+    }
     const route = view.routes.find(
       this.req.headers.host ?? '',
       this.req.url ?? '',
@@ -319,7 +324,7 @@
       headers[this.options.names.requestId] = this.requestId;
     }
     if (status === 503) headers['retry-after'] = this.getRetryAfter();
-    if (status === 413) headers['connection'] = 'close';
+    if (status === 413 || status === 431) headers['connection'] = 'close';
     if (this.isFinished) return;
     this.isFinished = true;
     if (!this.res.destroyed) this.res.writeHead(status, headers).end();
--- a/packages/instance/test/direct/answers.test.ts
+++ b/packages/instance/test/direct/answers.test.ts
@@ -57,6 +57,25 @@
     expect(answer.headers[NAMES.stamp]).toBe('stamp-e1');
   });
 
+  it('opens a span for the request and for each attempt', async () => {
+    let traceParent: string | string[] | undefined;
+    stub.handle = (req, res, self) => {
+      traceParent = req.headers.traceparent;
+      self.answer(req, res);
+    };
+    await send(instance);
+    expect(traceParent).toBe('within-backend');
+    expect(instance.spans).toMatchObject([
+      {
+        step: 'backend',
+        peer: 'e1',
+        parent: 'within-ingress',
+        outcome: 'answered',
+      },
+      {step: 'ingress', parent: undefined, outcome: 'endpoint'},
+    ]);
+  });
+
   it('guards against a truncated answer that looks whole', () =>
     expectFailure((req, res, self) => {
       res.writeHead(200, {...self.headersFor(req), 'content-length': '100'});
@@ -194,6 +213,14 @@
     expect(stub.ran).toEqual([]);
   });
 
+  it('guards against a header beyond the limit of the configuration', async () => {
+    const accepted = await send(instance, {object: 'o'.repeat(15_000)});
+    expect(accepted.status).toBe(200);
+    const refused = await send(instance, {object: 'o'.repeat(17_000)});
+    expect(refused.status).toBe(431);
+    expect(stub.ran).toHaveLength(1);
+  });
+
   it('answers at the timeout of the route', async () => {
     stub.delayMs = 3_000;
     const startedAt = performance.now();
--- a/packages/instance/test/direct/control.test.ts
+++ b/packages/instance/test/direct/control.test.ts
@@ -202,6 +202,24 @@
     expect(performance.now() - startedAt).toBeLessThan(2_000);
   }, 20_000);
 
+  it('registers the first of a region, and another one when it hears of nobody', async () => {
+    const registry = new MemoryRegistry();
+    putConfiguration(registry, 1, [createRoute()]);
+    const first = await start(registry, 35);
+    const seedAddresses = [first.settings.controlAddress];
+    const second = await start(registry, 36, {seedAddresses});
+    await waitFor('the first is registered', () =>
+      registry.has('members/instance-35'),
+    );
+    await waitUntilServing(second);
+    await sleep(1_000);
+    expect(registry.has('members/instance-36')).toBe(false);
+    await first.instance[Symbol.asyncDispose]();
+    await waitFor('the second is registered', () =>
+      registry.has('members/instance-36'),
+    );
+  }, 20_000);
+
   it('sends nothing to an evacuated zone until that ends', async () => {
     const registry = new MemoryRegistry();
     const [near, far] = [await startStub('e1'), await startStub('e2')];
--- a/packages/instance/test/direct/fleet.ts
+++ b/packages/instance/test/direct/fleet.ts
@@ -46,11 +46,20 @@
   fields: Record<string, unknown>;
 }
 
+/** A span that has ended. */
+export interface SpanRecord {
+  step: string;
+  peer: string;
+  parent?: string;
+  outcome: string;
+}
+
 /** An instance under test. */
 export interface TestInstance {
   settings: DirectSettings;
   instance: DirectInstance;
   lines: LogLine[];
+  spans: SpanRecord[];
 }
 
 /** Answer that a caller received. */
@@ -182,6 +191,7 @@
     memberKey: id => `members/${id}`,
     decode,
   };
+  const spans: SpanRecord[] = [];
   const instance = await runDirect({
     settings,
     source: otherSource ?? source,
@@ -191,13 +201,17 @@
     timers: new RealTimerService(),
     logger,
     random: Math.random,
+    startSpan: ({step, peer, traceParent}) => ({
+      traceParent: `within-${step}`,
+      end: outcome => spans.push({step, peer, parent: traceParent, outcome}),
+    }),
     formatDirectory: (addresses, ttlMs) => JSON.stringify({addresses, ttlMs}),
     readCallerPlace: url => ({
       zone: url.searchParams.get('zone') ?? '',
       region: url.searchParams.get('region') ?? '',
     }),
   });
-  return {settings, instance, lines};
+  return {settings, instance, lines, spans};
 }
 
 /** Waits until a condition holds; fails after five seconds. */
--- a/packages/instance/test/direct/memory_registry.ts
+++ b/packages/instance/test/direct/memory_registry.ts
@@ -33,6 +33,11 @@
     for (const wake of this.waiting) wake();
   }
 
+  /** Says whether a key has a value. */
+  has(key: string): boolean {
+    return this.items.has(key);
+  }
+
   /** Drops the history, so that watches have to list again. */
   compact(): void {
     this.history = [];
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -22,6 +22,7 @@
   type ColdBounds,
   type ColdPart,
 } from './cold_allowance.js';
+export {getConnectionPart} from './connection_part.js';
 export {SplitCounter} from './split_counter.js';
 export {combineToFraction, hash32} from './hash_fraction.js';
 export {EndpointLoad, type LoadReport} from './endpoint_load.js';
--- a/packages/steering/test/direct/bounds.test.ts
+++ b/packages/steering/test/direct/bounds.test.ts
@@ -3,6 +3,7 @@
 import {
   ColdCounter,
   getColdLimit,
+  getConnectionPart,
   RepeatAllowance,
   SplitCounter,
 } from '../../src/direct/index.js';
@@ -33,6 +34,25 @@
   });
 });
 
+describe('getConnectionPart', () => {
+  it('adds up to no more than an endpoint accepts where it accepts one of each', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 2_000}),
+        fc.integer({min: 1, max: 300}),
+        (maxConnections, instances) => {
+          const part = getConnectionPart(maxConnections, instances);
+          expect(part).toBeGreaterThanOrEqual(1);
+          const bound = Math.max(maxConnections, instances);
+          expect(part * instances).toBeLessThanOrEqual(bound);
+        },
+      ),
+      RUNS,
+    );
+    expect(getConnectionPart(0, 7)).toBe(Infinity);
+  });
+});
+
 describe('ColdCounter', () => {
   it('never lets more than the limit pass in any second', () => {
     fc.assert(
