--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -1,11 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {HeaderName, Step, type TimerService} from '@primrosestage/common';
-import {
-  type ControlView,
-  getReturnMs,
-  isIdempotent,
-  type Route,
-} from '@primrosestage/steering';
+import {HeaderName, Step} from '@primrosestage/common';
+import {getReturnMs, isIdempotent, type Route} from '@primrosestage/steering';
 import {AttemptOutcome, type EndpointAnswer} from './attempt.js';
 import {
   BodyFault,
@@ -15,23 +10,18 @@
   readObjectKey,
 } from './caller_request.js';
 import {getHeader} from '../http/headers.js';
-import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
+import type {HopSpan} from '../telemetry/hop_span.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
 import {Decision, getFailureStatus} from './decision.js';
-import type {DirectMetrics} from './direct_metrics.js';
-import type {EndpointAgent} from './endpoint_agent.js';
-import type {EndpointSelector} from './endpoint_selector.js';
+import type {RequestExchangeOptions} from './exchange_options.js';
 import {observeAttempt} from './observe_attempt.js';
-import type {RepeatGate} from './repeat_gate.js';
-import type {AttemptRecord, RequestLog} from './request_log.js';
+import type {AttemptRecord} from './request_log.js';
 import {
   ANSWER_GRACE_MS,
   createAttemptRecord,
   type OpenAttempt,
   startAttempt,
 } from './start_attempt.js';
-import type {TurnQueue} from './turn_queue.js';
-import type {WireNames} from './wire_names.js';
 import {writeAnswer} from './write_answer.js';
 
 /** Largest body that is held in memory for a request. */
@@ -41,24 +31,6 @@
 /** Time to return for callers that come before the first configuration, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 300;
 
-/** Holds what handling a request needs. */
-export interface RequestExchangeOptions {
-  view: ControlView;
-  selector: EndpointSelector;
-  repeats: RepeatGate;
-  agent: EndpointAgent;
-  /** Delays requests until the ends of callers' connections have been read. */
-  turns: TurnQueue;
-  timers: TimerService;
-  names: WireNames;
-  metrics: DirectMetrics;
-  log: RequestLog;
-  /** Opens spans; undefined where none are exported. */
-  startSpan?: StartSpan;
-  /** Returns a random number in [0, 1). */
-  random: () => number;
-}
-
 /** Carries one request from its arrival to its final answer. */
 export class RequestExchange {
   private readonly arrivedAt: number;
--- a/packages/instance/src/direct/request_handler.ts
+++ b/packages/instance/src/direct/request_handler.ts
@@ -1,8 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  RequestExchange,
-  type RequestExchangeOptions,
-} from './request_exchange.js';
+import type {RequestExchangeOptions} from './exchange_options.js';
+import {RequestExchange} from './request_exchange.js';
 
 /** Handles the requests of callers. */
 export class RequestHandler {
