--- a/packages/instance/src/direct/observe_attempt.ts
+++ b/packages/instance/src/direct/observe_attempt.ts
@@ -11,8 +11,8 @@
  * @param ended - When it ended, on the monotonic clock, and the object.
  */
 export function observeAttempt(
-  open: OpenAttempt,
-  result: AttemptResult,
+  open: Pick<OpenAttempt, 'endpoint' | 'startedAt' | 'depth'>,
+  result: Pick<AttemptResult, 'outcome' | 'answer' | 'load' | 'connectMs'>,
   selector: EndpointSelector,
   ended: {at: number; objectKey: string},
 ): void {
--- /dev/null
+++ b/packages/testing/src/bench/direct/baselines.ts
@@ -0,0 +1,77 @@
+import {combineToFraction, hash32} from '@primrosestage/steering';
+import type {Random} from '../create_random.js';
+import type {CachingEndpoint} from './caching_endpoint.js';
+import {CACHED_PART} from './deployment.js';
+import type {
+  DirectPolicy,
+  PolicyChoice,
+  PolicyRequest,
+} from './direct_policy.js';
+import type {SimWorld} from './sim_world.js';
+
+/** Time after which the baselines ask a refused caller to come back, in milliseconds. */
+const RETRY_AFTER_MS = 500;
+
+/** Chooses the best of the endpoints that have not had the request. */
+function chooseBy(
+  name: string,
+  world: SimWorld,
+  getCost: (endpoint: CachingEndpoint, request: PolicyRequest) => number,
+): DirectPolicy {
+  return {
+    name,
+    choose(request): PolicyChoice {
+      let best: CachingEndpoint | undefined;
+      let bestCost = Infinity;
+      for (const endpoint of world.getEndpoints(request.kind)) {
+        if (request.tried.has(endpoint.entry.id)) continue;
+        const cost = getCost(endpoint, request);
+        if (cost < bestCost) {
+          best = endpoint;
+          bestCost = cost;
+        }
+      }
+      return best ? {endpoint: best} : {retryAfterMs: RETRY_AFTER_MS};
+    },
+  };
+}
+
+function getOutstanding({report}: CachingEndpoint): number {
+  return report.running + report.waiting;
+}
+
+/**
+ * Creates the policies to compare with. All but the last know the exact load of every endpoint,
+ * which no instance does.
+ * @param world - The simulated deployment.
+ * @param random - Source of random choices.
+ */
+export function createBaselines(
+  world: SimWorld,
+  random: Random,
+): DirectPolicy[] {
+  return [
+    chooseBy('least-loaded', world, (endpoint, {zone}) =>
+      world.getTravelMs(zone, endpoint.entry.zone) > world.deployment.zoneMs
+        ? Infinity
+        : getOutstanding(endpoint) / endpoint.entry.slots,
+    ),
+    chooseBy('two-choices', world, (endpoint, request) => {
+      const count = world.getEndpoints(request.kind).length;
+      return random() < 2 / count ? getOutstanding(endpoint) : 1_000 + random();
+    }),
+    chooseBy(
+      'affinity',
+      world,
+      ({entry}, {object}) =>
+        -combineToFraction(hash32(object), hash32(entry.id)),
+    ),
+    chooseBy('oracle', world, (endpoint, {kind, object, zone}) => {
+      const workMs = kind.workMs * (endpoint.has(object) ? CACHED_PART : 1);
+      const {running, waiting, slots} = endpoint.report;
+      const ahead = Math.max(0, running + waiting - slots + 1) / slots;
+      const travelMs = world.getTravelMs(zone, endpoint.entry.zone);
+      return 2 * travelMs + workMs + ahead * kind.workMs * CACHED_PART;
+    }),
+  ];
+}
--- /dev/null
+++ b/packages/testing/src/bench/direct/caching_endpoint.ts
@@ -0,0 +1,85 @@
+import type {EndpointEntry, LoadReport} from '@primrosestage/steering';
+import type {SimClock} from '../policy/sim_clock.js';
+import {CACHED_PART, type SimKind} from './deployment.js';
+
+/** A request that has arrived at an endpoint. */
+export interface SimJob {
+  object: string;
+  /** Time that it runs where its object is not cached, in milliseconds. */
+  workMs: number;
+  /** Time at which its caller has gone. */
+  deadlineAt: number;
+  /** Called when it has run, or when its caller had gone before it ran. */
+  done: (hasRun: boolean) => void;
+}
+
+/** Fakes an endpoint with slots, a bounded queue and a cache of the objects used last. */
+export class CachingEndpoint {
+  private readonly cache = new Set<string>();
+  private readonly queue: SimJob[] = [];
+  private running = 0;
+
+  constructor(
+    readonly entry: EndpointEntry,
+    private readonly kind: SimKind,
+    private readonly clock: SimClock,
+  ) {}
+
+  /** The load as the endpoint reports it with each answer. */
+  get report(): LoadReport {
+    const {running, queue, entry} = this;
+    return {running, waiting: queue.length, slots: entry.slots};
+  }
+
+  /** Says whether an object is cached. */
+  has(object: string): boolean {
+    return this.cache.has(object);
+  }
+
+  /**
+   * Takes a request.
+   * @param job - The request.
+   * @returns False where slots and queue are full; it does not run then.
+   */
+  accept(job: SimJob): boolean {
+    if (this.running < this.entry.slots) {
+      this.start(job);
+      return true;
+    }
+    if (this.queue.length >= this.kind.queue) return false;
+    this.queue.push(job);
+    return true;
+  }
+
+  private start(job: SimJob): void {
+    this.running++;
+    const part = this.cache.has(job.object) ? CACHED_PART : 1;
+    this.clock.at(this.clock.now() + job.workMs * part, () => {
+      this.running--;
+      this.keep(job.object);
+      job.done(true);
+      this.startNext();
+    });
+  }
+
+  private startNext(): void {
+    for (;;) {
+      const next = this.queue.shift();
+      if (!next) return;
+      if (next.deadlineAt > this.clock.now()) {
+        this.start(next);
+        return;
+      }
+      next.done(false);
+    }
+  }
+
+  private keep(object: string): void {
+    this.cache.delete(object);
+    this.cache.add(object);
+    const [oldest] = this.cache;
+    if (this.cache.size > this.kind.cacheSize && oldest !== undefined) {
+      this.cache.delete(oldest);
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/src/bench/direct/deployment.ts
@@ -0,0 +1,122 @@
+import {RequestKind} from '@primrosestage/steering';
+
+/** Describes one kind of request and the service that runs it. */
+export interface SimKind {
+  name: string;
+  requestKind: RequestKind;
+  /** Mean time of a request whose object is not cached, in milliseconds. */
+  workMs: number;
+  /** Objects that the callers of one region ask for. */
+  objects: number;
+  objectiveMs: number;
+  deadlineMs: number;
+  /** Relative frequency. */
+  share: number;
+  slots: number;
+  /** Requests that an endpoint lets wait. */
+  queue: number;
+  /** Objects that an endpoint keeps. */
+  cacheSize: number;
+  /** Endpoints by zone. */
+  endpoints: Readonly<Record<string, number>>;
+}
+
+/** Describes a deployment for the simulation. */
+export interface SimDeployment {
+  name: string;
+  /** Region of each zone. */
+  zones: Readonly<Record<string, string>>;
+  /** One-way times in milliseconds. */
+  zoneMs: number;
+  regionMs: number;
+  callerMs: number;
+  instancesPerZone: number;
+  kinds: readonly SimKind[];
+}
+
+/** Part of the work that remains where the object is cached. */
+export const CACHED_PART = 0.3;
+
+/** Lists the deployments of today. */
+export const SIM_DEPLOYMENTS: readonly SimDeployment[] = [
+  {
+    name: 'ruotalibera',
+    zones: {
+      'lombardia-a': 'lombardia',
+      'piemonte-a': 'piemonte',
+      'veneto-a': 'veneto',
+    },
+    zoneMs: 1.4,
+    regionMs: 55,
+    callerMs: 1,
+    instancesPerZone: 2,
+    kinds: [
+      {
+        name: 'status',
+        requestKind: RequestKind.Safe,
+        workMs: 480,
+        objects: 51,
+        objectiveMs: 400,
+        deadlineMs: 2_500,
+        share: 6.2,
+        slots: 4,
+        queue: 12,
+        cacheSize: 36,
+        endpoints: {'lombardia-a': 12, 'piemonte-a': 2, 'veneto-a': 10},
+      },
+      {
+        name: 'booking',
+        requestKind: RequestKind.Unsafe,
+        workMs: 640,
+        objects: 17,
+        objectiveMs: 500,
+        deadlineMs: 3_000,
+        share: 1.7,
+        slots: 3,
+        queue: 9,
+        cacheSize: 25,
+        endpoints: {'lombardia-a': 6, 'piemonte-a': 2, 'veneto-a': 4},
+      },
+    ],
+  },
+  {
+    name: 'tesfaye',
+    zones: {
+      'addis-a': 'addis',
+      'bahirdar-a': 'bahirdar',
+      'hawassa-a': 'hawassa',
+    },
+    zoneMs: 0.9,
+    regionMs: 12,
+    callerMs: 8,
+    instancesPerZone: 2,
+    kinds: [
+      {
+        name: 'catalogue',
+        requestKind: RequestKind.Safe,
+        workMs: 240,
+        objects: 60,
+        objectiveMs: 200,
+        deadlineMs: 1_200,
+        share: 4.5,
+        slots: 6,
+        queue: 18,
+        cacheSize: 50,
+        endpoints: {'addis-a': 4, 'bahirdar-a': 5, 'hawassa-a': 5},
+      },
+      {
+        name: 'order',
+        requestKind: RequestKind.Unsafe,
+        workMs: 312,
+        objects: 24,
+        objectiveMs: 200,
+        deadlineMs: 1_500,
+        share: 1.8,
+        slots: 4,
+        queue: 12,
+        cacheSize: 30,
+        endpoints: {'addis-a': 4, 'bahirdar-a': 4, 'hawassa-a': 4},
+      },
+    ],
+  },
+];
--- /dev/null
+++ b/packages/testing/src/bench/direct/direct_tally.ts
@@ -0,0 +1,53 @@
+import type {SimKind} from './deployment.js';
+
+/** Says what a caller got in the end. */
+export enum CallerOutcome {
+  /** An answer within the latency objective, counted from the first try. */
+  InTime = 'in time',
+  Late = 'late',
+  Refused = 'refused',
+  /** No answer before the deadline. */
+  Failed = 'failed',
+}
+
+/** Counts what callers got, by kind of request and by zone. */
+export class DirectTally {
+  private readonly counts = new Map<string, number>();
+
+  /**
+   * Counts a caller.
+   * @param caller - Its kind of request and its zone.
+   * @param outcome - What it got.
+   */
+  count(
+    {kind, zone}: {kind: SimKind; zone: string},
+    outcome: CallerOutcome,
+  ): void {
+    for (const group of ['', kind.name, zone]) {
+      this.add(`${group} ${outcome}`);
+      this.add(`${group} all`);
+    }
+  }
+
+  /**
+   * Returns the number of callers.
+   * @param group - A kind of request or a zone; all callers where empty.
+   */
+  getCallers(group = ''): number {
+    return this.counts.get(`${group} all`) ?? 0;
+  }
+
+  /**
+   * Returns the part of the callers that got an outcome.
+   * @param outcome - The outcome.
+   * @param group - A kind of request or a zone; all callers where empty.
+   */
+  getPart(outcome: CallerOutcome, group = ''): number {
+    const count = this.counts.get(`${group} ${outcome}`) ?? 0;
+    return count / Math.max(1, this.getCallers(group));
+  }
+
+  private add(key: string): void {
+    this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+  }
+}
--- /dev/null
+++ b/packages/testing/src/bench/direct/index.ts
@@ -0,0 +1,68 @@
+import type {FigureSink} from '../figure.js';
+import {createBaselines} from './baselines.js';
+import {SIM_DEPLOYMENTS} from './deployment.js';
+import {CallerOutcome} from './direct_tally.js';
+import {ProjectPolicy} from './project_policy.js';
+import {
+  type CreateDirectPolicy,
+  type DirectScenario,
+  runDirectScenario,
+} from './run_direct_scenario.js';
+
+export {SIM_DEPLOYMENTS} from './deployment.js';
+export {CallerOutcome, type DirectTally} from './direct_tally.js';
+export {
+  type CreateDirectPolicy,
+  type DirectScenario,
+  runDirectScenario,
+} from './run_direct_scenario.js';
+
+const DURATION_MS = 30_000;
+
+/** Loads that are played: a calm day, a heavy one, and one at which a region has too few slots. */
+export const DIRECT_SCENARIOS: readonly DirectScenario[] = [
+  {name: 'calm', load: 0.3, durationMs: DURATION_MS, skew: [1, 1, 1]},
+  {name: 'heavy', load: 0.65, durationMs: DURATION_MS, skew: [1, 1, 1]},
+  {name: 'overload', load: 1.1, durationMs: DURATION_MS, skew: [1, 1, 1]},
+  {name: 'shifted', load: 0.5, durationMs: DURATION_MS, skew: [0.4, 2, 0.6]},
+];
+
+/** The policies to compare, the project's first. */
+export const DIRECT_POLICIES: Readonly<Record<string, CreateDirectPolicy>> = {
+  primrosestage: world => new ProjectPolicy(world),
+  'least-loaded': (world, random) => getBaseline(0)(world, random),
+  'two-choices': (world, random) => getBaseline(1)(world, random),
+  affinity: (world, random) => getBaseline(2)(world, random),
+  oracle: (world, random) => getBaseline(3)(world, random),
+};
+
+/**
+ * Plays loads on both deployments with the policy of the direct path and with others.
+ * @param sink - Takes the figures.
+ */
+export async function runDirectBench(sink: FigureSink): Promise<void> {
+  for (const deployment of SIM_DEPLOYMENTS) {
+    for (const scenario of DIRECT_SCENARIOS) {
+      for (const [name, create] of Object.entries(DIRECT_POLICIES)) {
+        const {seed} = sink;
+        const tally = runDirectScenario(deployment, scenario, create, seed);
+        for (const outcome of Object.values(CallerOutcome)) {
+          sink.record({
+            name: `direct.${deployment.name}.${scenario.name}.${name}.${outcome.replace(' ', '-')}`,
+            value: tally.getPart(outcome),
+            unit: 'fraction',
+            n: tally.getCallers(),
+          });
+        }
+      }
+    }
+  }
+}
+
+function getBaseline(i: number): CreateDirectPolicy {
+  return (world, random) => {
+    const policy = createBaselines(world, random)[i];
+    if (!policy) throw new TypeError(`no baseline ${i}`);
+    return policy;
+  };
+}
--- /dev/null
+++ b/packages/testing/src/bench/direct/run_direct_scenario.ts
@@ -0,0 +1,221 @@
+import {getReturnMs} from '@primrosestage/steering';
+import {createRandom, type Random} from '../create_random.js';
+import type {CachingEndpoint} from './caching_endpoint.js';
+import {CACHED_PART, type SimDeployment, type SimKind} from './deployment.js';
+import type {DirectPolicy, PolicyRequest} from './direct_policy.js';
+import {CallerOutcome, DirectTally} from './direct_tally.js';
+import {SimWorld} from './sim_world.js';
+
+/** Endpoints to which one request of a caller may be sent. */
+const ATTEMPTS = 2;
+/** Requests that a caller makes before it gives up. */
+const TRIES = 2;
+/** Standard deviation of the logarithm of the work. */
+const WORK_SIGMA = 0.15;
+
+/** Describes the load of a run. */
+export interface DirectScenario {
+  name: string;
+  /** Busy part of all slots if every object were cached. */
+  load: number;
+  durationMs: number;
+  /** Factor on the load of each region by its place in the deployment. */
+  skew: readonly number[];
+}
+
+/** Creates the policy of a run. */
+export type CreateDirectPolicy = (
+  world: SimWorld,
+  random: Random,
+) => DirectPolicy;
+
+/** A caller with what it wants. */
+interface Caller {
+  kind: SimKind;
+  object: string;
+  zone: string;
+  workMs: number;
+  startedAt: number;
+  deadlineAt: number;
+  tries: number;
+}
+
+/**
+ * Plays a load with one policy; arrivals, objects and work depend on the seed alone.
+ * @param deployment - Sizes and distances.
+ * @param scenario - The load.
+ * @param createPolicy - Creates the policy.
+ * @param seed - The seed.
+ * @returns What the callers got.
+ */
+export function runDirectScenario(
+  deployment: SimDeployment,
+  scenario: DirectScenario,
+  createPolicy: CreateDirectPolicy,
+  seed: number,
+): DirectTally {
+  const world = new SimWorld(deployment);
+  const policy = createPolicy(world, createRandom(seed + 1));
+  const play = new DirectPlay(world, policy, createRandom(seed + 2));
+  Object.keys(deployment.zones).forEach((zone, z) => {
+    deployment.kinds.forEach((kind, k) => {
+      const random = createRandom(seed + 1_000 * (z + 1) + k);
+      const perMs = getArrivalsPerMs(world, kind, scenario, z);
+      startArrivals(world, perMs, scenario.durationMs, random, () =>
+        play.start(createCaller(kind, zone, world.clock.now(), random)),
+      );
+    });
+  });
+  const longestMs = Math.max(...deployment.kinds.map(kind => kind.deadlineMs));
+  world.clock.runUntil(scenario.durationMs + 2 * longestMs);
+  return play.tally;
+}
+
+/** Plays the callers of one run. */
+class DirectPlay {
+  readonly tally = new DirectTally();
+
+  constructor(
+    private readonly world: SimWorld,
+    private readonly policy: DirectPolicy,
+    private readonly random: Random,
+  ) {}
+
+  /** Starts a request of a caller at an instance of its region. */
+  start(caller: Caller): void {
+    const {clock, deployment} = this.world;
+    caller.tries++;
+    const instance = Math.floor(this.random() * deployment.instancesPerZone);
+    clock.after(deployment.callerMs, () =>
+      this.place(caller, instance, new Set()),
+    );
+  }
+
+  private place(caller: Caller, instance: number, tried: Set<string>): void {
+    const {kind, object, zone} = caller;
+    const now = this.world.clock.now();
+    const request: PolicyRequest = {
+      kind,
+      object,
+      zone,
+      instance,
+      remainingMs: caller.deadlineAt - now,
+      tried,
+    };
+    const choice =
+      request.remainingMs > 0 && tried.size < ATTEMPTS
+        ? this.policy.choose(request)
+        : {retryAfterMs: kind.objectiveMs};
+    if (choice.endpoint) this.send(caller, request, choice.endpoint, tried);
+    else this.refuse(caller, choice.retryAfterMs ?? kind.objectiveMs);
+  }
+
+  private send(
+    caller: Caller,
+    request: PolicyRequest,
+    endpoint: CachingEndpoint,
+    tried: Set<string>,
+  ): void {
+    const {clock} = this.world;
+    const {zone, id} = endpoint.entry;
+    const travelMs = this.world.getTravelMs(caller.zone, zone);
+    const sentAt = clock.now();
+    const finish = (isRefused: boolean, hasRun: boolean) =>
+      clock.after(travelMs, () => {
+        this.policy.observe?.(request, endpoint, {isRefused, sentAt});
+        if (hasRun) {
+          this.answer(caller);
+        } else {
+          this.place(caller, request.instance, new Set([...tried, id]));
+        }
+      });
+    clock.after(travelMs, () => {
+      const isAccepted = endpoint.accept({
+        object: caller.object,
+        workMs: caller.workMs,
+        deadlineAt: caller.deadlineAt,
+        done: hasRun => finish(!hasRun, hasRun),
+      });
+      if (!isAccepted) finish(true, false);
+    });
+  }
+
+  private answer(caller: Caller): void {
+    const {clock, deployment} = this.world;
+    const endAt = clock.now() + deployment.callerMs;
+    const isInTime = endAt - caller.startedAt <= caller.kind.objectiveMs;
+    const outcome =
+      endAt > caller.deadlineAt
+        ? CallerOutcome.Failed
+        : isInTime
+          ? CallerOutcome.InTime
+          : CallerOutcome.Late;
+    this.tally.count(caller, outcome);
+  }
+
+  private refuse(caller: Caller, retryAfterMs: number): void {
+    const {clock, deployment} = this.world;
+    const remainingMs = caller.deadlineAt - clock.now();
+    if (caller.tries >= TRIES || remainingMs <= 0) {
+      this.tally.count(caller, CallerOutcome.Refused);
+      return;
+    }
+    const returnMs = getReturnMs({
+      roomInMs: retryAfterMs,
+      remainingMs,
+      random: this.random(),
+    });
+    clock.after(deployment.callerMs + returnMs, () => this.start(caller));
+  }
+}
+
+function getArrivalsPerMs(
+  world: SimWorld,
+  kind: SimKind,
+  scenario: DirectScenario,
+  zoneNumber: number,
+): number {
+  const slots = world
+    .getEndpoints(kind)
+    .reduce((sum, {entry}) => sum + entry.slots, 0);
+  const zones = Object.keys(world.deployment.zones).length;
+  const perMs = (scenario.load * slots) / (kind.workMs * CACHED_PART * zones);
+  return perMs * (scenario.skew[zoneNumber] ?? 1);
+}
+
+function startArrivals(
+  {clock}: SimWorld,
+  perMs: number,
+  endMs: number,
+  random: Random,
+  arrive: () => void,
+): void {
+  const next = () => {
+    const dueMs = clock.now() - Math.log(1 - random()) / perMs;
+    if (dueMs >= endMs) return;
+    clock.at(dueMs, () => {
+      arrive();
+      next();
+    });
+  };
+  next();
+}
+
+function createCaller(
+  kind: SimKind,
+  zone: string,
+  now: number,
+  random: Random,
+): Caller {
+  const normal =
+    Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+  return {
+    kind,
+    object: `${zone}-${Math.floor(random() * kind.objects)}`,
+    zone,
+    workMs: kind.workMs * Math.exp(WORK_SIGMA * normal),
+    startedAt: now,
+    deadlineAt: now + kind.deadlineMs,
+    tries: 0,
+  };
+}
--- a/packages/testing/src/bench/main.ts
+++ b/packages/testing/src/bench/main.ts
@@ -3,6 +3,7 @@
 import type {Figure, FigureSink} from './figure.js';
 import {runAssignmentBench} from './assignment/index.js';
 import {runControlBench} from './control/index.js';
+import {runDirectBench} from './direct/index.js';
 import {runHopBench} from './hop/index.js';
 import {runLookupBench} from './lookup/index.js';
 import {runPolicyBench} from './policy/index.js';
@@ -18,6 +19,7 @@
 const PARTS: Record<string, BenchPart> = {
   lookup: runLookupBench,
   policy: runPolicyBench,
+  direct: runDirectBench,
   assignment: runAssignmentBench,
   hop: runHopBench,
   control: runControlBench,
