--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,3 +1,10 @@
 export {main} from './cli/main.js';
 export {serve} from './serve.js';
 export {RoutingTask, type RoutingTaskOptions} from './routing/index.js';
+export {AttemptOutcome} from './direct/attempt.js';
+export type {DirectSettings} from './direct/direct_settings.js';
+export {
+  EndpointSelector,
+  type SelectionRequest,
+} from './direct/endpoint_selector.js';
+export {observeAttempt} from './direct/observe_attempt.js';
--- a/packages/testing/src/bench/direct/project_policy.ts
+++ b/packages/testing/src/bench/direct/project_policy.ts
@@ -4,7 +4,7 @@
   EndpointSelector,
   observeAttempt,
   type SelectionRequest,
-} from '@primrosestage/instance/direct';
+} from '@primrosestage/instance';
 import {
   ControlView,
   type MemberInfo,
--- /dev/null
+++ b/packages/testing/test/direct_load.test.ts
@@ -0,0 +1,63 @@
+import {describe, expect, it} from 'vitest';
+import {
+  CallerOutcome,
+  DIRECT_POLICIES,
+  DIRECT_SCENARIOS,
+  type DirectTally,
+  runDirectScenario,
+  SIM_DEPLOYMENTS,
+} from '../src/bench/direct/index.js';
+
+const SEED = 20_261_204;
+const DURATION_MS = 12_000;
+
+describe('load on the direct path', () => {
+  const play = (
+    deploymentName: string,
+    scenarioName: string,
+    policy: string,
+  ): DirectTally => {
+    const deployment = SIM_DEPLOYMENTS.find(
+      ({name}) => name === deploymentName,
+    );
+    const scenario = DIRECT_SCENARIOS.find(({name}) => name === scenarioName);
+    const create = DIRECT_POLICIES[policy];
+    if (!deployment || !scenario || !create) throw new TypeError(policy);
+    const load = {...scenario, durationMs: DURATION_MS};
+    return runDirectScenario(deployment, load, create, SEED);
+  };
+  const getInTime = (tally: DirectTally, group?: string) =>
+    tally.getPart(CallerOutcome.InTime, group);
+
+  for (const {name, zones, kinds} of SIM_DEPLOYMENTS) {
+    it(`serves more callers of ${name} in time than any baseline on a heavy day`, () => {
+      const own = play(name, 'heavy', 'primrosestage');
+      for (const baseline of ['least-loaded', 'two-choices', 'affinity']) {
+        const other = play(name, 'heavy', baseline);
+        expect(getInTime(own), baseline).toBeGreaterThan(getInTime(other));
+      }
+    });
+
+    it(`leaves no zone and no kind of request of ${name} behind on a heavy day`, () => {
+      const own = play(name, 'heavy', 'primrosestage');
+      for (const group of [...Object.keys(zones), ...kinds.map(k => k.name)]) {
+        const part = getInTime(own, group);
+        expect(part, group).toBeGreaterThan(0.75 * getInTime(own));
+      }
+    });
+
+    it(`plays the same day of ${name} twice alike`, () => {
+      const [one, other] = [1, 2].map(() =>
+        play(name, 'calm', 'primrosestage'),
+      );
+      for (const outcome of Object.values(CallerOutcome)) {
+        expect(other?.getPart(outcome)).toBe(one?.getPart(outcome));
+      }
+    });
+
+    it(`serves half of the callers of ${name} in time at a tenth above all slots`, () => {
+      const own = play(name, 'overload', 'primrosestage');
+      expect(getInTime(own)).toBeGreaterThanOrEqual(0.5);
+    });
+  }
+});
