List a drain that no instance hears of while all watches are silent

The watches that waited while the store was silent were never answered; a follower notices that only where another instance is ahead of it, and all were silent. Ruled out: the longer pause between tries, which applies to failed calls.

--- a/packages/instance/test/direct/control.test.ts
+++ b/packages/instance/test/direct/control.test.ts
@@ -202,6 +202,23 @@
     expect(performance.now() - startedAt).toBeLessThan(2_000);
   }, 20_000);
 
+  it('guards against endpoints that drain while every watch has fallen silent', async () => {
+    const registry = new MemoryRegistry();
+    const [leaving, staying] = [await startStub('e1'), await startStub('e2')];
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, leaving);
+    putEndpoint(registry, staying);
+    const test = await start(registry, 37);
+    await waitUntilServing(test);
+    await sleep(300);
+    registry.forgetWatches();
+    putEndpoint(registry, leaving, {state: EndpointState.Draining});
+    await sleep(test.settings.bounds.drainMs);
+    const before = leaving.ran.length;
+    for (let i = 0; i < 30; i++) await send(test, {object: `o${i}`});
+    expect(leaving.ran.length).toBe(before);
+  });
+
   it('registers the first of a region, and another one when it hears of nobody', async () => {
     const registry = new MemoryRegistry();
     putConfiguration(registry, 1, [createRoute()]);
--- a/packages/instance/test/direct/memory_registry.ts
+++ b/packages/instance/test/direct/memory_registry.ts
@@ -38,6 +38,11 @@
     return this.items.has(key);
   }
 
+  /** Lets the watches that wait at present wait for good, while new ones work. */
+  forgetWatches(): void {
+    this.waiting.clear();
+  }
+
   /** Drops the history, so that watches have to list again. */
   compact(): void {
     this.history = [];
