Log what is known of the rate limits that endpoints state

Change: the response head's rate limit is read and kept with its age and the instance that received it. A line tells each change of a limit, another one each invalid value, an attempt in the request line what was known when it was sent, and a gauge the limits in force. No request is selected, refused or sent otherwise than before.

--- a/packages/instance/src/cli/run_direct_command.ts
+++ b/packages/instance/src/cli/run_direct_command.ts
@@ -19,6 +19,7 @@
   stamp: 'primrose-stamp',
   expectedEndpoint: 'primrose-expected-endpoint',
   load: 'primrose-load',
+  limit: ['primrose-limit'],
   notRun: 'primrose-not-run',
 };
 
--- a/packages/instance/src/direct/attempt.ts
+++ b/packages/instance/src/direct/attempt.ts
@@ -41,6 +41,10 @@
   reason: string;
   /** Value of the endpoint's load header. */
   load?: string;
+  /** Value of the endpoint's rate limit header. */
+  limit?: string;
+  /** Monotonic time in milliseconds at which the response head arrived. */
+  respondedAt?: number;
   /** Whether a pooled connection was reused. */
   isReused: boolean;
   /** Time to open a new connection in milliseconds; undefined for a pooled one. */
--- a/packages/instance/src/direct/direct_metrics.ts
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -16,6 +16,7 @@
   controlChanges: Counter<'kind'>;
   peerCalls: Counter<'result'>;
   gossip: Counter<'result'>;
+  endpointLimit: Gauge<'endpoint'>;
   configurationVersion: Gauge;
   openRequests: Gauge;
 }
@@ -83,6 +84,12 @@
       labelNames: ['result'],
       registers,
     }),
+    endpointLimit: new Gauge({
+      name: 'primrose_direct_endpoint_limit',
+      help: 'Requests per second that a limited endpoint accepts from all instances together.',
+      labelNames: ['endpoint'],
+      registers,
+    }),
     configurationVersion: new Gauge({
       name: 'primrose_direct_configuration_version',
       help: 'Version of the configuration in force.',
--- a/packages/instance/src/direct/exchange_options.ts
+++ b/packages/instance/src/direct/exchange_options.ts
@@ -4,6 +4,7 @@
 import type {DirectMetrics} from './direct_metrics.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import type {EndpointSelector} from './endpoint_selector.js';
+import type {LimitTracker} from './limit_tracker.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {RequestLog} from './request_log.js';
 import type {RequestStartQueue} from './request_start_queue.js';
@@ -13,6 +14,7 @@
 export interface RequestExchangeOptions {
   view: ControlView;
   selector: EndpointSelector;
+  limitTracker: LimitTracker;
   retryBudgets: RetryBudgets;
   agent: EndpointAgent;
   /** Delays the start of requests until closed connections of callers have been detected. */
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -265,11 +265,12 @@
   }
 
   private async awaitAttempt(open: OpenAttempt): Promise<FinishedAttempt> {
-    const {selector, timers, metrics} = this.options;
+    const {selector, limitTracker, timers, metrics} = this.options;
     const result = await open.attempt.result;
     this.openAttempts.delete(open);
     const at = timers.now();
     observeAttempt(open, result, selector, {at, objectKey: this.objectKey});
+    limitTracker.observeAttempt(open.endpoint, result);
     open.span?.end(result.outcome, result.response ? undefined : result.reason);
     const ms = at - open.startedAt;
     const {service} = open.endpoint.entry;
--- a/packages/instance/src/direct/request_log.ts
+++ b/packages/instance/src/direct/request_log.ts
@@ -3,6 +3,16 @@
 /** Most log lines per second about successful single-attempt requests; others are not limited. */
 const MAX_ROUTINE_LINES_PER_S = 100;
 
+/** Describes the rate limit of an endpoint in the log line of a request. */
+export interface LimitRecord {
+  /** Requests per second from all instances together. */
+  perSecond: number;
+  /** Time since the last response that stated the limit, in milliseconds. */
+  ageMs: number;
+  /** The instance that received this response. */
+  from: string;
+}
+
 /** Describes one attempt in the log line of its request. */
 export interface AttemptRecord {
   endpoint: string;
@@ -11,6 +21,8 @@
   entryAgeMs: number;
   /** Estimated queue depth of the endpoint when the request was sent. */
   depth: number;
+  /** What was known of the endpoint's rate limit when the request was sent. */
+  limit?: LimitRecord;
   outcome: string;
   reason: string;
   ms: number;
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -3,6 +3,7 @@
 import {
   type ControlChanges,
   ControlView,
+  EndpointLimits,
   type MemberInfo,
   MemberTable,
   type ViewEffects,
@@ -21,6 +22,7 @@
 import {EndpointAgent} from './endpoint_agent.js';
 import {EndpointSelector} from './endpoint_selector.js';
 import {Gossip} from './gossip.js';
+import {LimitTracker} from './limit_tracker.js';
 import {logEffects} from './log_effects.js';
 import {GossipSocket} from './gossip_socket.js';
 import {createPeerRouter, PeerExchange} from './peer_exchange.js';
@@ -123,9 +125,17 @@
     members,
     timers,
   );
+  const limitTracker = new LimitTracker({
+    instance: settings.id,
+    limits: new EndpointLimits(),
+    timers,
+    logger,
+    metrics,
+  });
   const handler = new RequestHandler({
     view,
     selector,
+    limitTracker,
     retryBudgets: new RetryBudgets(settings.bounds, members, timers),
     agent,
     startQueue: new RequestStartQueue(timers),
@@ -297,6 +307,7 @@
         logger.info('instance forgotten', {peer: id});
       }
       selector.sweep();
+      limitTracker.prune(view.endpointTable);
     }),
   ];
   await gossip.start();
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -72,6 +72,8 @@
   private isDone = false;
   private isConnected = false;
   private connectMs?: number;
+  private limit?: string;
+  private respondedAt?: number;
   private readonly startedAt: number;
   private readonly timeout: Disposable;
   private connectTimeout?: Disposable;
@@ -143,6 +145,7 @@
 
   private handleResponse(res: IncomingMessage): void {
     const fault = this.findResponseFault(res);
+    this.readLimit(res);
     res.on('error', err => this.end(AttemptOutcome.Broken, err.message));
     if (fault !== undefined) {
       this.end(AttemptOutcome.Broken, fault);
@@ -237,11 +240,23 @@
       response,
       reason,
       load: this.getLoad(),
+      limit: this.limit,
+      respondedAt: this.respondedAt,
       isReused: this.req.reusedSocket,
       connectMs: this.connectMs,
     });
   }
 
+  /** A response to another request may be delayed, so its rate limit may be outdated. */
+  private readLimit(res: IncomingMessage): void {
+    const {names, timers} = this.context;
+    const id = res.headers[names.requestId];
+    if (id !== undefined && id !== this.request.requestId) return;
+    this.respondedAt = timers.now();
+    const name = names.limit.find(each => res.headers[each] !== undefined);
+    if (name !== undefined) this.limit = String(res.headers[name]);
+  }
+
   private getLoad(): string | undefined {
     const {res} = this.req as http.ClientRequest & {res?: IncomingMessage};
     const load = res?.headers[this.context.names.load];
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -11,7 +11,8 @@
 import {copyHeaders} from './caller_request.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import type {EndpointSelector, SelectionRequest} from './endpoint_selector.js';
-import type {AttemptRecord} from './request_log.js';
+import type {LimitTracker} from './limit_tracker.js';
+import type {AttemptRecord, LimitRecord} from './request_log.js';
 import {
   type Attempt,
   type AttemptRequest,
@@ -38,6 +39,7 @@
 /** Dependencies of starting an attempt. */
 export interface AttemptStartOptions {
   selector: EndpointSelector;
+  limitTracker: LimitTracker;
   agent: EndpointAgent;
   timers: TimerService;
   names: WireNames;
@@ -62,6 +64,8 @@
   startedAt: number;
   /** Estimated queue depth of the endpoint when the request was sent. */
   depth: number;
+  /** What was known of the endpoint's rate limit when the request was sent. */
+  limit?: LimitRecord;
   /** Trace span of the attempt. */
   span?: HopSpan;
   /** Time after which an idempotent request is hedged to another endpoint, in milliseconds. */
@@ -131,6 +135,7 @@
       span,
       startedAt: timers.now(),
       depth: candidate.depth,
+      limit: options.limitTracker.describe(endpoint),
       hedgeDelayMs: HEDGE_DELAY_FACTOR * choice.finishMs + MIN_HEDGE_DELAY_MS,
     },
   };
@@ -144,7 +149,7 @@
  * @param ms - Its duration in milliseconds.
  */
 export function createAttemptRecord(
-  {endpoint, startedAt, depth}: OpenAttempt,
+  {endpoint, startedAt, depth, limit}: OpenAttempt,
   outcome: string,
   reason: string,
   ms: number,
@@ -154,6 +159,7 @@
     revision: endpoint.revision,
     entryAgeMs: Math.round(startedAt - endpoint.learnedAt),
     depth: Math.round(depth * 10) / 10,
+    limit,
     outcome,
     reason,
     ms: Math.round(ms),
--- a/packages/instance/src/direct/wire_names.ts
+++ b/packages/instance/src/direct/wire_names.ts
@@ -11,6 +11,12 @@
   expectedEndpoint: string;
   /** Header with the endpoint's running requests, waiting requests and slots, comma-separated. */
   load: string;
+  /**
+   * Headers with the rate limit of the endpoint, of which the first that is present counts: requests
+   * per second from all instances together, as a decimal number. The limit holds for as long as
+   * responses carry it.
+   */
+  limit: readonly string[];
   /** Header that an endpoint sets if it has not run the request. */
   notRun: string;
 }
--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -23,6 +23,8 @@
   readonly bodies: string[] = [];
   handle?: StubHandler;
   delayMs = 5;
+  /** Value of the rate limit header; undefined for no limit. */
+  limit?: string;
   private readonly server: http.Server;
   private readonly sockets = new Set<Socket>();
 
@@ -61,6 +63,7 @@
       [this.names.requestId]: String(req.headers[this.names.requestId]),
       [this.names.stamp]: `stamp-${this.id}`,
       [this.names.load]: '1,0,4',
+      ...this.getLimitHeader(),
     };
   }
 
@@ -70,6 +73,13 @@
     res.end(`answer of ${this.id}`);
   }
 
+  private getLimitHeader(): Record<string, string> {
+    const [name] = this.names.limit;
+    return name === undefined || this.limit === undefined
+      ? {}
+      : {[name]: this.limit};
+  }
+
   /** Refuses the request as not run, and removes it from the recorded runs. */
   refuse(req: http.IncomingMessage, res: http.ServerResponse): void {
     const index = this.ran.lastIndexOf(
--- a/packages/instance/test/direct/names.ts
+++ b/packages/instance/test/direct/names.ts
@@ -8,5 +8,6 @@
   stamp: 'x-stamp',
   expectedEndpoint: 'x-expected-endpoint',
   load: 'x-load',
+  limit: ['x-limit'],
   notRun: 'x-not-run',
 };
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -26,6 +26,12 @@
   type ColdRateBounds,
   type ColdRateSharing,
 } from './cold_rate_limit.js';
+export {
+  EndpointLimits,
+  parseRateLimit,
+  type LimitChange,
+  type LimitObservation,
+} from './endpoint_limits.js';
 export {getConnectionQuota} from './connection_quota.js';
 export {WeightedSplitter} from './weighted_splitter.js';
 export {combineToFraction, hash32} from './hash_fraction.js';
