Add failing tests of the rate limits that endpoints state

Cause: no test, soak or simulation had an endpoint that states a limit, so nothing could show that the limit is not kept.

Change: one check from what endpoints receive (findLimitExcesses: in any 4 s, 1.5 times the limit and 5 requests, from all instances, from 1 s after the first statement; no instance is excused).

Evidence: in the log of the soak every instance states the limit within 0.2 s of the first response that it forwards, from its own observation, and goes on at the same rate. So knowledge that is missing or late (hypothesis 3) is ruled out there, and so is a limit that each instance applies whole (2): nothing applies it (1).

--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -23,6 +23,8 @@
   readonly bodies: string[] = [];
   handle?: StubHandler;
   delayMs = 5;
+  /** Monotonic time in milliseconds at which each request arrived, refused ones included. */
+  readonly arrivedAt: number[] = [];
   /** Value of the rate limit header; undefined for no limit. */
   limit?: string;
   private readonly server: http.Server;
@@ -105,6 +107,7 @@
       res.writeHead(421, {[this.names.notRun]: '1'}).end();
       return;
     }
+    this.arrivedAt.push(performance.now());
     this.deadlines.push(Number(req.headers[this.names.deadlineMs]));
     const chunks: Buffer[] = [];
     req.on('data', (chunk: Buffer) => chunks.push(chunk));
--- a/packages/testing/src/bench/direct/caching_endpoint.ts
+++ b/packages/testing/src/bench/direct/caching_endpoint.ts
@@ -1,4 +1,5 @@
 import type {EndpointEntry, LoadReport} from '@primrosestage/steering';
+import type {StatedLimit} from '../../limits/index.js';
 import type {SimClock} from '../policy/sim_clock.js';
 import {CACHED_WORK_FRACTION, type SimRequestKind} from './deployment.js';
 
@@ -18,6 +19,10 @@
  * cached as soon as a request for it starts.
  */
 export class CachingEndpoint {
+  /** Limit that its responses state for a time; undefined for none. */
+  limit?: StatedLimit;
+  /** Times at which requests arrived, in milliseconds. */
+  readonly arrivedAt: number[] = [];
   private readonly cache = new Set<string>();
   private readonly queue: SimJob[] = [];
   private running = 0;
@@ -34,6 +39,14 @@
     return {running, waiting: queue.length, slots: entry.slots};
   }
 
+  /** Requests per second that its responses state at present; undefined for no limit. */
+  get limitPerSecond(): number | undefined {
+    const now = this.clock.now();
+    const {limit} = this;
+    const isStated = limit && now >= limit.from && now < limit.to;
+    return isStated ? limit.perSecond : undefined;
+  }
+
   /** Says whether an object is cached. */
   isCached(object: string): boolean {
     return this.cache.has(object);
@@ -45,6 +58,7 @@
    * @returns False if slots and queue are full; the request is not run then.
    */
   tryAccept(job: SimJob): boolean {
+    this.arrivedAt.push(this.clock.now());
     if (this.running < this.entry.slots) {
       this.start(job);
       return true;
--- a/packages/testing/src/bench/direct/direct_tally.ts
+++ b/packages/testing/src/bench/direct/direct_tally.ts
@@ -1,3 +1,8 @@
+import {
+  findLimitExcesses,
+  type LimitExcess,
+  type StatedLimit,
+} from '../../limits/index.js';
 import type {SimRequestKind} from './deployment.js';
 
 /** Final outcome of a caller's request. */
@@ -10,8 +15,15 @@
   Failed = 'failed',
 }
 
+/** Time from the first statement of a limit until it must be kept, in milliseconds. */
+const LIMIT_SETTLE_MS = 1_000;
+
 /** Counts the outcomes of callers by kind of request and by zone. */
 export class DirectTally {
+  /** Windows in which an endpoint received more requests than its limit allows. */
+  readonly limitExcesses: LimitExcess[] = [];
+  /** Requests that limited endpoints received, as a fraction of what their limits allow. */
+  readonly limitUses: number[] = [];
   private readonly counts = new Map<string, number>();
 
   /**
@@ -29,6 +41,20 @@
     }
   }
 
+  /**
+   * Counts the requests of an endpoint while it stated a limit.
+   * @param arrivedAt - Times at which requests arrived, in milliseconds.
+   * @param limit - The limit.
+   */
+  countLimit(arrivedAt: readonly number[], limit: StatedLimit): void {
+    const {perSecond, from, to} = limit;
+    const excesses = findLimitExcesses(arrivedAt, [limit], LIMIT_SETTLE_MS);
+    this.limitExcesses.push(...excesses);
+    const since = from + LIMIT_SETTLE_MS;
+    const count = arrivedAt.filter(at => at >= since && at < to).length;
+    this.limitUses.push((1_000 * count) / (perSecond * (to - since)));
+  }
+
   /**
    * Returns the number of callers.
    * @param group - A kind of request or a zone; all callers if empty.
--- a/packages/testing/src/bench/direct/index.ts
+++ b/packages/testing/src/bench/direct/index.ts
@@ -20,14 +20,21 @@
 const DURATION_MS = 30_000;
 
 /**
- * Simulated loads: low, high, above the capacity of all slots, and concentrated in one zone, which
- * then needs about all of its own slots or more.
+ * Simulated loads: low, high, above the capacity of all slots, concentrated in one zone, which then
+ * needs about all of its own slots or more, and with endpoints that state a rate limit.
  */
 export const DIRECT_SCENARIOS: readonly DirectScenario[] = [
   {name: 'calm', load: 0.3, durationMs: DURATION_MS, skew: [1, 1, 1]},
   {name: 'heavy', load: 0.65, durationMs: DURATION_MS, skew: [1, 1, 1]},
   {name: 'overload', load: 1.1, durationMs: DURATION_MS, skew: [1, 1, 1]},
   {name: 'shifted', load: 0.5, durationMs: DURATION_MS, skew: [0.4, 2, 0.6]},
+  {
+    name: 'limited',
+    load: 0.4,
+    durationMs: DURATION_MS,
+    skew: [1, 1, 1],
+    limits: {oneOf: 6, fraction: 0.35, fromMs: 3_000, toMs: 11_000},
+  },
 ];
 
 /** The policies to compare; primrosestage's own comes first. */
--- a/packages/testing/src/bench/direct/run_direct_scenario.ts
+++ b/packages/testing/src/bench/direct/run_direct_scenario.ts
@@ -25,6 +25,18 @@
   durationMs: number;
   /** Load factors of the zones, in the order of the deployment. */
   skew: readonly number[];
+  /** Rate limits that endpoints state for a time; undefined for none. */
+  limits?: ScenarioLimits;
+}
+
+/** Describes the rate limits that endpoints state during a run. */
+export interface ScenarioLimits {
+  /** One of this many endpoints states a limit. */
+  oneOf: number;
+  /** The limit as a fraction of the mean rate of requests for an endpoint of the service. */
+  fraction: number;
+  fromMs: number;
+  toMs: number;
 }
 
 /** Creates the policy of a run. */
@@ -65,6 +77,7 @@
     policy,
     createRandom(seed + 2),
   );
+  if (scenario.limits) scheduleLimits(world, scenario, scenario.limits);
   Object.keys(deployment.zones).forEach((zone, z) => {
     deployment.kinds.forEach((kind, k) => {
       const random = createRandom(seed + 1_000 * (z + 1) + k);
@@ -80,9 +93,32 @@
     ...deployment.kinds.map(kind => kind.deadlineMs),
   );
   world.clock.runUntil(scenario.durationMs + 2 * maxDeadlineMs);
+  for (const {arrivedAt, limit} of world.getAllEndpoints()) {
+    if (limit) simulation.tally.countLimit(arrivedAt, limit);
+  }
   return simulation.tally;
 }
 
+function scheduleLimits(
+  world: SimWorld,
+  scenario: DirectScenario,
+  {oneOf, fraction, fromMs, toMs}: ScenarioLimits,
+): void {
+  for (const kind of world.deployment.kinds) {
+    const endpoints = world.getEndpoints(kind);
+    const zoneCount = Object.keys(world.deployment.zones).length;
+    let perMs = 0;
+    for (let z = 0; z < zoneCount; z++) {
+      perMs += getArrivalsPerMs(world, kind, scenario, z);
+    }
+    const perSecond = (1_000 * fraction * perMs) / endpoints.length;
+    endpoints.forEach((endpoint, i) => {
+      if (i % oneOf !== 0) return;
+      endpoint.limit = {perSecond, from: fromMs, to: toMs};
+    });
+  }
+}
+
 /** Simulates the callers of one run. */
 class DirectSimulation {
   readonly tally = new DirectTally();
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -3,4 +3,5 @@
 export * from './cluster/index.js';
 export * from './faults/index.js';
 export * from './history/index.js';
+export * from './limits/index.js';
 export * from './store/index.js';
--- /dev/null
+++ b/packages/testing/src/limits/index.ts
@@ -0,0 +1,5 @@
+export {
+  findLimitExcesses,
+  type LimitExcess,
+  type StatedLimit,
+} from './find_limit_excesses.js';
--- a/packages/testing/test/direct_load.test.ts
+++ b/packages/testing/test/direct_load.test.ts
@@ -55,6 +55,11 @@
       }
     });
 
+    it(`sends endpoints of ${name} no more requests than the limits that they state`, () => {
+      const {limitExcesses} = runScenario(name, 'limited', 'primrosestage');
+      expect(limitExcesses).toEqual([]);
+    });
+
     it(`serves at least half of the callers of ${name} in time at 10 % overload`, () => {
       const own = runScenario(name, 'overload', 'primrosestage');
       expect(getInTime(own)).toBeGreaterThanOrEqual(0.5);
