Keep all instances together within the rate limits that endpoints state

What callers saw: nothing at first; two endpoints that had asked for relief kept their usual rate, 51 requests in 4 s where 31 are allowed, which is how an endpoint in need goes down.

Cause: an endpoint states its limit in its responses, and instances forwarded the header without reading it. The class of fault: a bound over all instances that is known only to those that it was told to, and that nobody divides.

Change: - What any instance reads of a limit spreads by the gossip datagrams, a new or lower limit and its end by an immediate broadcast. The latest statement of an endpoint's process counts; a response without the header ends the limit. - One instance, chosen by rendezvous hashing among those that serve in the endpoint's region, coordinates each limited endpoint with a token bucket. Others ask it for a permit per request by datagram. A request waits for a coordinator of its own region only, at most 25 ms, and goes to its other endpoints without a permit; without any it is refused at once. - The coordinator issues the part of the rate that matches the part of the instances that it hears, and nothing before it knows the others, so that two groups that cannot hear each other stay within the limit together. A bucket starts empty, so that a new coordinator adds nothing to the old one's.

Ruled out: a static division as for cold endpoints. With 26 instances in a zone and a few requests a second, either most instances may never send, or each has a token and a burst breaks the limit.

Conclusion: the limit holds by one counter per endpoint, costs messages for limited endpoints only, and is not left unused.

--- a/packages/instance/src/direct/direct_metrics.ts
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -17,6 +17,7 @@
   peerCalls: Counter<'result'>;
   gossip: Counter<'result'>;
   endpointLimit: Gauge<'endpoint'>;
+  ratePermits: Counter<'result'>;
   configurationVersion: Gauge;
   openRequests: Gauge;
 }
@@ -90,6 +91,12 @@
       labelNames: ['endpoint'],
       registers,
     }),
+    ratePermits: new Counter({
+      name: 'primrose_direct_rate_permits_total',
+      help: 'Permits for requests to limited endpoints by result.',
+      labelNames: ['result'],
+      registers,
+    }),
     configurationVersion: new Gauge({
       name: 'primrose_direct_configuration_version',
       help: 'Version of the configuration in force.',
--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -17,6 +17,7 @@
 } from '@primrosestage/steering';
 import type {DirectSettings} from './direct_settings.js';
 import {ObjectPlacement} from './object_placement.js';
+import {PermitResult, type RatePermits} from './rate_permits.js';
 
 /** Most endpoints among which the requests for one object are spread. */
 const MAX_CANDIDATES = 3;
@@ -47,6 +48,19 @@
   candidate?: Candidate;
   /** Number of candidates that were considered. */
   candidateCount: number;
+  /** Ids of the candidates that are excluded by their rate limits. */
+  limited: string[];
+}
+
+/** Whether a request may be sent to the selected endpoint. */
+export enum BeginResult {
+  Begun = 'begun',
+  /** The rate limit of a cold endpoint forbids it. */
+  Cold = 'cold',
+  /** There is no permit of a limited endpoint, which cannot be selected for some time. */
+  NoPermit = 'no-permit',
+  /** A permit has been requested; the endpoint cannot be selected until the reply. */
+  PermitRequested = 'permit-requested',
 }
 
 interface EndpointState {
@@ -61,6 +75,14 @@
   wasUnreachable: boolean;
 }
 
+/** What the selection knows of a candidate besides its load. */
+interface CandidatePosition {
+  rank: number;
+  isWarm: boolean;
+  /** Whether its rate limit excludes it at present. */
+  isLimited: boolean;
+}
+
 /** Selects endpoints by the control view and the measurements of this instance. */
 export class EndpointSelector {
   private readonly states = new Map<string, EndpointState>();
@@ -73,12 +95,14 @@
    * @param settings - Zone and region of this instance, and bounds.
    * @param view - Endpoints, configuration and evacuated zones.
    * @param members - The instances among which the bounds are divided.
+   * @param permits - The permits for requests to limited endpoints.
    * @param timers - The clock.
    */
   constructor(
     private readonly settings: DirectSettings,
     private readonly view: ControlView,
     private readonly members: MemberTable,
+    private readonly permits: RatePermits,
     private readonly timers: TimerService,
   ) {
     this.placement = new ObjectPlacement(settings, view, members, timers);
@@ -112,16 +136,20 @@
     const now = this.timers.now();
     const ids = this.placement.rank(request);
     const candidates: Candidate[] = [];
+    const limited: string[] = [];
     for (const id of ids) {
       if (request.tried.has(id)) continue;
       const endpoint = this.view.endpointTable.get(id);
       if (!endpoint) continue;
       const state = this.getState(endpoint);
       if (!state.load.isUsable(now)) continue;
+      const isLimited = this.permits.isBlocked(endpoint);
+      if (isLimited) limited.push(id);
       candidates.push(
         this.createCandidate(endpoint, state, {
           rank: candidates.length,
           isWarm: state.warmObjects.has(request.objectKey, now),
+          isLimited,
         }),
       );
       if (candidates.length === MAX_CANDIDATES) break;
@@ -140,26 +168,31 @@
       endpoint,
       candidate: candidates.find(({id}) => id === choice.id),
       candidateCount: candidates.length,
+      limited,
     };
   }
 
   /**
-   * Counts a request that is about to be sent.
+   * Counts a request that is about to be sent, if the rate limits of the endpoint permit it.
    * @param endpoint - The endpoint to which it is sent.
-   * @returns False if the rate limit of a cold endpoint forbids it.
    */
-  begin(endpoint: KnownEndpoint): boolean {
+  begin(endpoint: KnownEndpoint): BeginResult {
     const now = this.timers.now();
     const state = this.getState(endpoint);
-    if (endpoint.coldUntil > now) {
-      const limit = this.getColdLimitFor(endpoint, state);
-      if (!state.coldRateLimiter.tryAcquire(now, limit)) return false;
-    } else {
-      // Counted because these requests are within the limit's window if the endpoint turns cold.
-      state.coldRateLimiter.tryAcquire(now, Infinity);
+    // Requests to a warm endpoint are counted because they are within the window if it turns cold.
+    const coldLimit =
+      endpoint.coldUntil > now
+        ? this.getColdLimitFor(endpoint, state)
+        : Infinity;
+    if (!state.coldRateLimiter.canAcquire(now, coldLimit)) {
+      return BeginResult.Cold;
     }
+    const permit = this.permits.tryTake(endpoint);
+    if (permit === PermitResult.Denied) return BeginResult.NoPermit;
+    if (permit === PermitResult.Requested) return BeginResult.PermitRequested;
+    state.coldRateLimiter.tryAcquire(now, coldLimit);
     state.load.begin(now);
-    return true;
+    return BeginResult.Begun;
   }
 
   /**
@@ -258,7 +291,7 @@
   private createCandidate(
     endpoint: KnownEndpoint,
     state: EndpointState,
-    position: {rank: number; isWarm: boolean},
+    {isLimited, ...position}: CandidatePosition,
   ): Candidate {
     const now = this.timers.now();
     const {load, coldRateLimiter} = state;
@@ -273,6 +306,7 @@
       roundTripMs: this.getRoundTripMs(endpoint, state),
       failureRatio: load.averageFailureRatio,
       isBlocked:
+        isLimited ||
         load.inFlight >= this.getConnectionLimit(endpoint) ||
         (isCold &&
           !coldRateLimiter.canAcquire(
--- a/packages/instance/src/direct/exchange_options.ts
+++ b/packages/instance/src/direct/exchange_options.ts
@@ -5,6 +5,7 @@
 import type {EndpointAgent} from './endpoint_agent.js';
 import type {EndpointSelector} from './endpoint_selector.js';
 import type {LimitTracker} from './limit_tracker.js';
+import type {RatePermits} from './rate_permits.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {RequestLog} from './request_log.js';
 import type {RequestStartQueue} from './request_start_queue.js';
@@ -15,6 +16,7 @@
   view: ControlView;
   selector: EndpointSelector;
   limitTracker: LimitTracker;
+  permits: RatePermits;
   retryBudgets: RetryBudgets;
   agent: EndpointAgent;
   /** Delays the start of requests until closed connections of callers have been detected. */
--- a/packages/instance/src/direct/gossip.ts
+++ b/packages/instance/src/direct/gossip.ts
@@ -2,6 +2,7 @@
 import {
   type ControlChanges,
   type ControlView,
+  type EndpointLimits,
   type MemberInfo,
   type MemberTable,
   pickRandom,
@@ -9,13 +10,16 @@
 } from '@primrosestage/steering';
 import type {DirectMetrics} from './direct_metrics.js';
 import {
-  decodeGossip,
-  encodeGossip,
+  type Datagram,
+  decodeDatagram,
+  encodeDatagram,
   type GossipChanges,
   type GossipMessage,
 } from './gossip_message.js';
 import type {GossipSocket} from './gossip_socket.js';
+import type {LimitTracker} from './limit_tracker.js';
 import type {PeerExchange} from './peer_exchange.js';
+import type {PermitMessage} from './permit_message.js';
 import {splitChanges} from './split_changes.js';
 
 /** Time between two rounds, in milliseconds. */
@@ -32,6 +36,9 @@
 /** Limits on heartbeats and announcements per message; a datagram holds at most 64 KiB. */
 const MAX_HEARTBEATS = 64;
 const MAX_ANNOUNCEMENTS = 12;
+const MAX_LIMITS = 16;
+/** Minimum time between two broadcasts of changed rate limits, in milliseconds. */
+const LIMIT_BROADCAST_INTERVAL_MS = 400;
 /** Minimum time between two pulls of members, in milliseconds. */
 const MEMBER_PULL_INTERVAL_MS = 2_000;
 /** The same until the member digest of this instance has matched that of another one once. */
@@ -45,6 +52,8 @@
   exchange: PeerExchange;
   view: ControlView;
   members: MemberTable;
+  limits: EndpointLimits;
+  limitTracker: LimitTracker;
   self: () => MemberInfo;
   /** Counts a heartbeat of this instance. */
   countHeartbeat: () => void;
@@ -57,6 +66,8 @@
   random: () => number;
   /** Applies changes to the view, and logs and counts them. */
   apply: (changes: ControlChanges, from: string) => void;
+  /** Handles a datagram about permits. */
+  receivePermit: (message: PermitMessage) => void;
   /** Records how far another instance has followed the registry. */
   recordPeerRevision: (revision: number) => void;
 }
@@ -75,6 +86,7 @@
   private hasMatchedDigest = false;
   private failureCount = 0;
   private failureLoggedAt = -Infinity;
+  private limitsBroadcastAt = -Infinity;
 
   constructor(private readonly options: GossipOptions) {}
 
@@ -103,6 +115,23 @@
     this.broadcastToAllRegions();
   }
 
+  /** Broadcasts changed rate limits, unless it has done so just before; a round follows soon. */
+  announceLimits(): void {
+    const now = this.options.timers.now();
+    if (now - this.limitsBroadcastAt < LIMIT_BROADCAST_INTERVAL_MS) return;
+    this.limitsBroadcastAt = now;
+    this.broadcastToAllRegions();
+  }
+
+  /**
+   * Sends a datagram about permits.
+   * @param message - The message.
+   * @param address - Address of the other instance, `host:port`.
+   */
+  sendPermit(message: PermitMessage, address: string): void {
+    this.sendTo(address, message);
+  }
+
   /**
    * Counts and logs an error of the socket.
    * @param err - The error, which names the peer.
@@ -186,13 +215,17 @@
 
   private receive(bytes: Buffer): void {
     const {metrics, self} = this.options;
-    const message = decodeGossip(bytes);
+    const message = decodeDatagram(bytes);
     if (!message) {
       metrics.gossip.inc({result: 'malformed'});
       this.reportFailure('datagram cannot be read', 'unknown');
       return;
     }
     metrics.gossip.inc({result: 'received'});
+    if ('type' in message) {
+      this.options.receivePermit(message);
+      return;
+    }
     if (message.sender.id === self().id) return;
     const counterBefore = this.getStateCounter();
     this.applyMessage(message);
@@ -218,6 +251,7 @@
   private applyMessage(message: GossipMessage): void {
     const {view, exchange, apply} = this.options;
     const {sender, changes} = message;
+    this.options.limitTracker.merge(message.limits);
     exchange.mergeMembers([sender, ...message.members], message.heartbeats);
     if (changes && view.isComplete && view.revision >= changes.since) {
       apply(changes, sender.id);
@@ -278,21 +312,26 @@
   }
 
   private createMessage(reach: number, changes?: GossipChanges): GossipMessage {
-    const {members, timers, exchange} = this.options;
+    const {members, limits, timers, exchange} = this.options;
     const now = timers.now();
     return {
       ...exchange.createState(),
       heartbeats: changes ? {} : members.selectHeartbeats(MAX_HEARTBEATS, now),
       members: changes ? [] : members.getRecentChanges(MAX_ANNOUNCEMENTS, now),
       changes,
+      limits: changes ? [] : limits.selectShared(MAX_LIMITS, now),
       reach,
     };
   }
 
   private send(target: MemberInfo, message: GossipMessage): void {
+    this.sendTo(target.gossipAddress, message);
+  }
+
+  private sendTo(address: string, message: Datagram): void {
     const {socket, metrics} = this.options;
     metrics.gossip.inc({result: 'sent'});
-    socket.send(encodeGossip(message), target.gossipAddress);
+    socket.send(encodeDatagram(message), address);
   }
 
   private reportFailure(reason: string, peer: string): void {
--- a/packages/instance/src/direct/gossip_message.ts
+++ b/packages/instance/src/direct/gossip_message.ts
@@ -1,7 +1,13 @@
+import {
+  type PermitMessage,
+  isPermitMessage,
+  isSharedLimit,
+} from './permit_message.js';
 import type {
   ControlChanges,
   Heartbeats,
   MemberInfo,
+  SharedLimit,
 } from '@primrosestage/steering';
 
 /** State of an instance, as it reports it in datagrams and exchanges. */
@@ -31,15 +37,20 @@
   /** Announcements that changed recently. */
   members: MemberInfo[];
   changes?: GossipChanges;
+  /** Rate limits of endpoints, the recently changed ones first. */
+  limits: SharedLimit[];
   /** Number of members after the receiver on the region's ring that are reached through it. */
   reach: number;
 }
 
+/** A datagram between instances. */
+export type Datagram = GossipMessage | PermitMessage;
+
 /**
  * Encodes a message for a datagram.
  * @param message - The message.
  */
-export function encodeGossip(message: GossipMessage): Buffer {
+export function encodeDatagram(message: Datagram): Buffer {
   return Buffer.from(JSON.stringify(message));
 }
 
@@ -48,25 +59,33 @@
  * @param bytes - The datagram.
  * @returns The message, or undefined if the datagram is malformed.
  */
-export function decodeGossip(bytes: Buffer): GossipMessage | undefined {
-  let message: Partial<GossipMessage> | null;
+export function decodeDatagram(bytes: Buffer): Datagram | undefined {
+  let message: unknown;
   try {
     message = JSON.parse(bytes.toString('utf8'));
   } catch {
     return undefined;
   }
   if (typeof message !== 'object' || message === null) return undefined;
-  const {sender, heartbeats, members} = message;
-  const isValid =
+  if (isPermitMessage(message) || isGossipMessage(message)) return message;
+  return undefined;
+}
+
+function isGossipMessage(message: object): message is GossipMessage {
+  const gossip = message as Partial<GossipMessage>;
+  const {sender, heartbeats, members, limits} = gossip;
+  return (
     typeof sender?.id === 'string' &&
     typeof sender.gossipAddress === 'string' &&
     typeof heartbeats === 'object' &&
     heartbeats !== null &&
     Array.isArray(members) &&
-    [message.digest, message.revision, message.changedRevision].every(
+    Array.isArray(limits) &&
+    limits.every(isSharedLimit) &&
+    [gossip.digest, gossip.revision, gossip.changedRevision].every(
       Number.isFinite,
     ) &&
-    Number.isFinite(message.configurationVersion) &&
-    Number.isInteger(message.reach);
-  return isValid ? (message as GossipMessage) : undefined;
+    Number.isFinite(gossip.configurationVersion) &&
+    Number.isInteger(gossip.reach)
+  );
 }
--- a/packages/instance/src/direct/limit_tracker.ts
+++ b/packages/instance/src/direct/limit_tracker.ts
@@ -3,11 +3,15 @@
   type EndpointLimits,
   type EndpointTable,
   type KnownEndpoint,
+  type LimitChange,
   type LimitObservation,
   parseRateLimit,
+  type SharedLimit,
 } from '@primrosestage/steering';
 import {AttemptOutcome, type AttemptResult} from './attempt.js';
 import type {DirectMetrics} from './direct_metrics.js';
+import type {LimitCoordinator} from './limit_coordinator.js';
+import type {PermitEvent} from './permit_event.js';
 import type {LimitRecord} from './request_log.js';
 
 /** Minimum time between two log lines about invalid limits of endpoints, in milliseconds. */
@@ -20,13 +24,23 @@
   /** Id of this instance. */
   instance: string;
   limits: EndpointLimits;
+  coordinator: LimitCoordinator;
   timers: TimerService;
   logger: EventLogger;
   metrics: DirectMetrics;
+  /** Tells other instances at once of a change that a response to this instance stated. */
+  announce: () => void;
 }
 
-/** Reads the rate limits that endpoints state in their responses, and logs their changes. */
+/**
+ * Reads the rate limits that endpoints state in their responses, merges those that other instances
+ * have read, and logs changes and use.
+ */
 export class LimitTracker {
+  private readonly uses = new Map<
+    string,
+    Partial<Record<PermitEvent, number>>
+  >();
   private invalidLoggedAt = -Infinity;
   private invalidCount = 0;
 
@@ -48,10 +62,10 @@
       return;
     }
     const isSuccess =
-      outcome === AttemptOutcome.Answered && (response?.status ?? 500) < 500;
+      outcome === AttemptOutcome.Answered && (response?.status ?? 200) < 500;
     // Refusals and errors may lack the header although the limit still holds.
     if (perSecond === undefined && !isSuccess) return;
-    this.record({
+    this.observe({
       id: entry.id,
       bornAt: entry.bornAt,
       perSecond,
@@ -60,17 +74,59 @@
     });
   }
 
+  /**
+   * Merges limits that other instances have read.
+   * @param shared - The limits.
+   */
+  merge(shared: readonly SharedLimit[]): void {
+    const {limits, timers} = this.options;
+    const changes = limits.merge(shared, timers.now());
+    for (const change of changes) this.reportChange(change);
+  }
+
   /**
    * Describes the limit in force of an endpoint for a log line.
    * @param endpoint - The endpoint.
    * @returns The limit, or undefined if there is none.
    */
   describe({entry}: KnownEndpoint): LimitRecord | undefined {
-    const {limits, timers} = this.options;
+    const {limits, coordinator, timers} = this.options;
     const limit = limits.get(entry.id, entry.bornAt);
     if (!limit) return undefined;
-    const {perSecond, observedAt, from} = limit;
-    return {perSecond, ageMs: Math.round(timers.now() - observedAt), from};
+    return {
+      perSecond: limit.perSecond,
+      ageMs: Math.round(timers.now() - limit.observedAt),
+      from: limit.from,
+      coordinator: coordinator.getCoordinator(entry).id,
+    };
+  }
+
+  /**
+   * Counts a permit for the next log line about the use of a limit.
+   * @param endpoint - Id of the endpoint.
+   * @param event - What happened to the permit.
+   */
+  countPermit(endpoint: string, event: PermitEvent): void {
+    const use = this.uses.get(endpoint) ?? {};
+    this.uses.set(endpoint, use);
+    use[event] = (use[event] ?? 0) + 1;
+  }
+
+  /**
+   * Logs this instance's part in the use of each limit since the last call.
+   * @param endpoints - The known endpoints.
+   */
+  reportUse(endpoints: EndpointTable): void {
+    for (const [id, permits] of this.uses) {
+      const endpoint = endpoints.get(id);
+      const limit = endpoint && this.describe(endpoint);
+      this.options.logger.info('endpoint limit used', {
+        endpoint: id,
+        ...limit,
+        permits,
+      });
+    }
+    this.uses.clear();
   }
 
   /**
@@ -84,17 +140,26 @@
     }
   }
 
-  private record(observation: LimitObservation): void {
-    const {limits, timers, logger, metrics} = this.options;
-    const change = limits.observe(observation);
+  private observe(observation: LimitObservation): void {
+    const {limits, timers, announce} = this.options;
+    const change = limits.observe(observation, timers.now());
     if (!change) return;
+    this.reportChange(change);
+    // A raised limit may reach the others with the next round of gossip.
+    const {perSecond = Infinity} = observation;
+    const {previousPerSecond = Infinity} = change;
+    if (perSecond < previousPerSecond || perSecond === Infinity) announce();
+  }
+
+  private reportChange({observation, previousPerSecond}: LimitChange): void {
+    const {timers, logger, metrics} = this.options;
     const {id, perSecond, observedAt, from} = observation;
     if (perSecond === undefined) metrics.endpointLimit.remove({endpoint: id});
     else metrics.endpointLimit.set({endpoint: id}, perSecond);
     logger.info('endpoint limit changed', {
       endpoint: id,
       perSecond: perSecond ?? 'none',
-      previousPerSecond: change.previousPerSecond ?? 'none',
+      previousPerSecond: previousPerSecond ?? 'none',
       from,
       ageMs: Math.round(timers.now() - observedAt),
     });
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -54,6 +54,7 @@
   private deadlineAt = 0;
   private timeoutAt = 0;
   private retryAfterMs?: number;
+  private limited?: string[];
   private readonly span?: HopSpan;
 
   constructor(
@@ -158,7 +159,7 @@
     let decision = Decision.NoCapacity;
     for (let sent = 0; ;) {
       const open = this.mayStartAttempt(sent, route, service)
-        ? this.startNextAttempt(route, service, body)
+        ? await this.startNextAttempt(route, service, body)
         : undefined;
       if (open) {
         sent++;
@@ -232,29 +233,25 @@
     return this.timeoutAt - timers.now() < neededMs;
   }
 
-  private startNextAttempt(
+  private async startNextAttempt(
     route: Route,
     service: string,
     body: Buffer | undefined,
-  ): OpenAttempt | undefined {
-    const {req, requestId, objectKey, tried} = this;
-    const remainingMs = this.timeoutAt - this.options.timers.now();
-    const {open, ...refusal} = startAttempt(
+  ): Promise<OpenAttempt | undefined> {
+    const {req, requestId, objectKey, tried, timeoutAt} = this;
+    const {open, limited, ...refusal} = await startAttempt(
       {
         req,
         requestId,
         traceParent: this.span?.traceParent,
         body,
-        selection: {
-          route,
-          service,
-          objectKey,
-          tried,
-          remainingMs,
-        },
+        selection: {route, service, objectKey, tried},
+        timeoutAt,
+        isFinished: () => this.isFinished,
       },
       this.options,
     );
+    if (limited?.length) this.limited = [...limited];
     if (open) {
       this.tried.add(open.endpoint.entry.id);
       this.openAttempts.add(open);
@@ -401,6 +398,7 @@
         remainingMs: Math.round(this.deadlineAt - now),
         retryAfterMs: status === 503 ? this.retryAfterMs : undefined,
         ms: Math.round(ms),
+        limited: this.limited,
         attempts: [
           ...this.attempts,
           ...[...this.openAttempts].map(open =>
--- a/packages/instance/src/direct/request_log.ts
+++ b/packages/instance/src/direct/request_log.ts
@@ -11,6 +11,8 @@
   ageMs: number;
   /** The instance that received this response. */
   from: string;
+  /** The instance that issues the permits for requests to the endpoint. */
+  coordinator: string;
 }
 
 /** Describes one attempt in the log line of its request. */
@@ -42,6 +44,8 @@
   retryAfterMs?: number;
   ms: number;
   attempts: AttemptRecord[];
+  /** Ids of the endpoints that were not chosen last because of their rate limits. */
+  limited?: string[];
 }
 
 /** Writes one log line per request; lines of routine requests are rate limited. */
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -3,7 +3,6 @@
 import {
   type ControlChanges,
   ControlView,
-  EndpointLimits,
   type MemberInfo,
   MemberTable,
   type ViewEffects,
@@ -15,6 +14,7 @@
 import type {StartSpan} from '../telemetry/hop_span.js';
 import {Announcer} from './announcer.js';
 import type {ControlSource} from './control_source.js';
+import {createLimitControl} from './create_limit_control.js';
 import {ControlSync} from './control_sync.js';
 import {createDirectMetrics, type DirectMetrics} from './direct_metrics.js';
 import type {DirectSettings} from './direct_settings.js';
@@ -22,7 +22,6 @@
 import {EndpointAgent} from './endpoint_agent.js';
 import {EndpointSelector} from './endpoint_selector.js';
 import {Gossip} from './gossip.js';
-import {LimitTracker} from './limit_tracker.js';
 import {logEffects} from './log_effects.js';
 import {GossipSocket} from './gossip_socket.js';
 import {createPeerRouter, PeerExchange} from './peer_exchange.js';
@@ -38,6 +37,8 @@
 /** Time for which callers may cache a directory response, in milliseconds. */
 const DIRECTORY_TTL_MS = 1_500;
 const SWEEP_INTERVAL_MS = 250;
+/** Interval of the log lines about the use of rate limits, in milliseconds. */
+const LIMIT_REPORT_INTERVAL_MS = 5_000;
 /** Idle timeout of callers' connections until the configuration sets one, in milliseconds. */
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
 /**
@@ -119,23 +120,29 @@
   if (seedAddresses.some(seed => seed !== controlAddress)) {
     members.markMembershipUnknown(timers.now() + PEER_DISCOVERY_TIMEOUT_MS);
   }
-  const selector: EndpointSelector = new EndpointSelector(
+  const limitControl = createLimitControl({
     settings,
     view,
     members,
     timers,
-  );
-  const limitTracker = new LimitTracker({
-    instance: settings.id,
-    limits: new EndpointLimits(),
-    timers,
     logger,
     metrics,
+    send: (message, address) => gossip.sendPermit(message, address),
+    announce: () => gossip.announceLimits(),
   });
+  const {limits, tracker: limitTracker, permits} = limitControl;
+  const selector: EndpointSelector = new EndpointSelector(
+    settings,
+    view,
+    members,
+    permits,
+    timers,
+  );
   const handler = new RequestHandler({
     view,
     selector,
     limitTracker,
+    permits,
     retryBudgets: new RetryBudgets(settings.bounds, members, timers),
     agent,
     startQueue: new RequestStartQueue(timers),
@@ -227,6 +234,8 @@
     exchange: peerExchange,
     view,
     members,
+    limits,
+    limitTracker,
     self,
     countHeartbeat: () => announcer.countHeartbeat(),
     getSeedAddresses: () => settings.seedAddresses,
@@ -235,6 +244,7 @@
     metrics,
     random: options.random,
     apply,
+    receivePermit: message => permits.receive(message),
     recordPeerRevision: revision => sync.recordPeerRevision(revision),
   });
   const readinessServer = http.createServer((_req, res) => {
@@ -308,7 +318,11 @@
       }
       selector.sweep();
       limitTracker.prune(view.endpointTable);
+      permits.prune();
     }),
+    timers.every(LIMIT_REPORT_INTERVAL_MS, () =>
+      limitTracker.reportUse(view.endpointTable),
+    ),
   ];
   await gossip.start();
   sync.start();
@@ -338,6 +352,7 @@
         await subscription[Symbol.asyncDispose]();
       }
       await gossip[Symbol.asyncDispose]();
+      permits[Symbol.dispose]();
       await peerExchange[Symbol.asyncDispose]();
       await sync[Symbol.asyncDispose]();
       agent.destroy();
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -5,13 +5,22 @@
   Step,
   type TimerService,
 } from '@primrosestage/common';
-import type {KnownEndpoint} from '@primrosestage/steering';
+import type {
+  Candidate,
+  EndpointChoice,
+  KnownEndpoint,
+} from '@primrosestage/steering';
 import {parseAddress} from '../http/parse_address.js';
 import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
 import {copyHeaders} from './caller_request.js';
 import type {EndpointAgent} from './endpoint_agent.js';
-import type {EndpointSelector, SelectionRequest} from './endpoint_selector.js';
+import {
+  BeginResult,
+  type EndpointSelector,
+  type SelectionRequest,
+} from './endpoint_selector.js';
 import type {LimitTracker} from './limit_tracker.js';
+import type {RatePermits} from './rate_permits.js';
 import type {AttemptRecord, LimitRecord} from './request_log.js';
 import {
   type Attempt,
@@ -35,11 +44,14 @@
 const MIN_HEDGE_DELAY_MS = 150;
 /** Shortest remaining time for which a request is still sent to an endpoint, in milliseconds. */
 const MIN_REMAINING_MS = 20;
+/** Most selections for one attempt; each one that is not sent excludes a limited endpoint. */
+const MAX_SELECTIONS = 6;
 
 /** Dependencies of starting an attempt. */
 export interface AttemptStartOptions {
   selector: EndpointSelector;
   limitTracker: LimitTracker;
+  permits: RatePermits;
   agent: EndpointAgent;
   timers: TimerService;
   names: WireNames;
@@ -54,7 +66,11 @@
   /** The `traceparent` header of the request's span. */
   traceParent: string | undefined;
   body: Buffer | undefined;
-  selection: SelectionRequest;
+  selection: Omit<SelectionRequest, 'remainingMs'>;
+  /** Monotonic time at which the request is given up, in milliseconds. */
+  timeoutAt: number;
+  /** Returns whether the request needs no response any more. */
+  isFinished: () => boolean;
 }
 
 /** An attempt that has not ended. */
@@ -72,27 +88,66 @@
   hedgeDelayMs: number;
 }
 
+/** The endpoint that was selected for an attempt. */
+interface AttemptTarget {
+  choice: Extract<EndpointChoice, {id: string}>;
+  endpoint: KnownEndpoint;
+  candidate: Candidate;
+}
+
 /** The started attempt, or the time after which a free slot is expected. */
-export type AttemptStart =
+export type AttemptStart = (
   | {readonly open: OpenAttempt}
-  | {readonly open?: undefined; readonly retryAfterMs?: number};
+  | {readonly open?: undefined; readonly retryAfterMs?: number}
+) & {
+  /** Ids of the endpoints that were not chosen because of their rate limits. */
+  readonly limited?: readonly string[];
+};
 
 /**
- * Selects an endpoint and sends the request to it.
+ * Selects an endpoint and sends the request to it. If the endpoint is limited, the request may wait
+ * shortly for a permit, and goes to another endpoint without one.
  * @param source - The request.
- * @param options - Selector, connection pool and clock.
+ * @param options - Selector, permits, connection pool and clock.
  */
-export function startAttempt(
+export async function startAttempt(
+  source: AttemptSource,
+  options: AttemptStartOptions,
+): Promise<AttemptStart> {
+  for (let i = 0; i < MAX_SELECTIONS; i++) {
+    const remainingMs = source.timeoutAt - options.timers.now();
+    if (source.isFinished() || remainingMs < MIN_REMAINING_MS) return {};
+    const selection = options.selector.select({
+      ...source.selection,
+      remainingMs,
+    });
+    const {choice, endpoint, candidate, limited} = selection;
+    if (choice.id === undefined) {
+      return {retryAfterMs: choice.retryAfterMs, limited};
+    }
+    if (!endpoint || !candidate) return {limited};
+    const result = options.selector.begin(endpoint);
+    if (result === BeginResult.Cold) return {limited};
+    if (result === BeginResult.Begun) {
+      const target = {choice, endpoint, candidate};
+      return {open: sendTo(target, remainingMs, source, options), limited};
+    }
+    if (result === BeginResult.PermitRequested) {
+      await options.permits.waitForReply(endpoint);
+    }
+  }
+  return {};
+}
+
+/** Sends the request to the selected endpoint, for which it has been counted. */
+function sendTo(
+  {choice, endpoint, candidate}: AttemptTarget,
+  remainingMs: number,
   source: AttemptSource,
   options: AttemptStartOptions,
-): AttemptStart {
+): OpenAttempt {
   const {selector, timers, names} = options;
-  const {req, body, selection} = source;
-  const {remainingMs} = selection;
-  if (remainingMs < MIN_REMAINING_MS) return {};
-  const {choice, endpoint, candidate} = selector.select(selection);
-  if (choice.id === undefined) return {retryAfterMs: choice.retryAfterMs};
-  if (!endpoint || !candidate || !selector.begin(endpoint)) return {};
+  const {req, body} = source;
   const {entry} = endpoint;
   const headers: Record<string, string | string[] | number> = copyHeaders(
     req.rawHeaders,
@@ -129,15 +184,13 @@
     throw err;
   }
   return {
-    open: {
-      endpoint,
-      attempt,
-      span,
-      startedAt: timers.now(),
-      depth: candidate.depth,
-      limit: options.limitTracker.describe(endpoint),
-      hedgeDelayMs: HEDGE_DELAY_FACTOR * choice.finishMs + MIN_HEDGE_DELAY_MS,
-    },
+    endpoint,
+    attempt,
+    span,
+    startedAt: timers.now(),
+    depth: candidate.depth,
+    limit: options.limitTracker.describe(endpoint),
+    hedgeDelayMs: HEDGE_DELAY_FACTOR * choice.finishMs + MIN_HEDGE_DELAY_MS,
   };
 }
 
--- a/packages/instance/test/direct/endpoint_limits.test.ts
+++ b/packages/instance/test/direct/endpoint_limits.test.ts
@@ -41,6 +41,8 @@
     const {test} = await startWithLimitedEndpoint('5.5');
     await send(test, {id: 'first'});
     await send(test, {id: 'second'});
+    await sleep(400);
+    await send(test, {id: 'third'});
     const [change] = findLines(test, 'endpoint limit changed');
     expect(change).toMatchObject({
       endpoint: 'e1',
@@ -48,10 +50,19 @@
       previousPerSecond: 'none',
       from: 'instance-1',
     });
-    const request = findLines(test, 'request').find(({id}) => id === 'second');
-    expect(request?.attempts).toMatchObject([
-      {limit: {perSecond: 5.5, from: 'instance-1'}},
-    ]);
+    const [, second, third] = findLines(test, 'request');
+    expect(second).toMatchObject({
+      id: 'second',
+      status: 503,
+      limited: ['e1'],
+      attempts: [],
+    });
+    const limit = {
+      perSecond: 5.5,
+      from: 'instance-1',
+      coordinator: 'instance-1',
+    };
+    expect(third).toMatchObject({id: 'third', attempts: [{limit}]});
   });
 
   it('ignores an invalid limit and logs it', async () => {
@@ -93,22 +104,69 @@
     return {endpoints, instances};
   }
 
+  /** Sends requests to the instances in turn for a time, and returns the statuses. */
+  async function sendRequests(
+    instances: readonly TestInstance[],
+    durationMs: number,
+  ): Promise<number[]> {
+    const endAt = performance.now() + durationMs;
+    const answers: Array<Promise<CallerAnswer>> = [];
+    while (performance.now() < endAt) {
+      const target = instances[answers.length % instances.length];
+      answers.push(send(target as TestInstance));
+      await sleep(REQUEST_INTERVAL_MS);
+    }
+    return (await Promise.all(answers)).map(({status}) => status);
+  }
+
   it('sends an endpoint no more than its limit (guards against instances that each ignore it or apply it whole)', async () => {
     const {endpoints, instances} = await startLimitedFleet();
     const limited = endpoints[0] as EndpointStub;
     await sleep(500);
     limited.limit = String(PER_SECOND);
     const from = performance.now();
-    const answers: Array<Promise<CallerAnswer>> = [];
-    while (performance.now() < from + DURATION_MS) {
-      const target = instances[answers.length % 3] as TestInstance;
-      answers.push(send(target));
-      await sleep(REQUEST_INTERVAL_MS);
-    }
-    const statuses = (await Promise.all(answers)).map(({status}) => status);
+    const statuses = await sendRequests(instances, DURATION_MS);
     expect(statuses.filter(status => status !== 200)).toEqual([]);
     const stated = {perSecond: PER_SECOND, from, to: Infinity};
     const excesses = findLimitExcesses(limited.arrivedAt, [stated], SETTLE_MS);
     expect(excesses).toEqual([]);
+    const used = limited.arrivedAt.filter(at => at >= from + SETTLE_MS).length;
+    const allowed = (PER_SECOND * (DURATION_MS - SETTLE_MS)) / 1_000;
+    expect(used).toBeGreaterThan(allowed / 2);
+  });
+
+  it('tells instances that got no response with the limit, and ends it everywhere', async () => {
+    const {endpoints, instances} = await startLimitedFleet();
+    const limited = endpoints[0] as EndpointStub;
+    await sleep(500);
+    limited.limit = String(PER_SECOND);
+    await sendRequests(instances.slice(0, 1), 500);
+    const getChanges = (test: TestInstance) =>
+      findLines(test, 'endpoint limit changed').map(({perSecond, from}) => ({
+        perSecond,
+        isOwn: from === test.settings.id,
+      }));
+    for (const test of instances.slice(1)) {
+      expect(getChanges(test)).toEqual([{perSecond: PER_SECOND, isOwn: false}]);
+    }
+    limited.limit = undefined;
+    await sendRequests(instances.slice(0, 1), 1_500);
+    for (const test of instances) {
+      expect(getChanges(test).at(-1)?.perSecond).toBe('none');
+    }
+    const before = limited.arrivedAt.length;
+    await sendRequests(instances, 2_000);
+    expect(limited.arrivedAt.length - before).toBeGreaterThan(4 * PER_SECOND);
+  });
+
+  it('refuses at once what only a limited endpoint may run', async () => {
+    const {endpoint, test} = await startWithLimitedEndpoint('0');
+    await send(test);
+    const startedAt = performance.now();
+    const answer = await send(test);
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+    expect(performance.now() - startedAt).toBeLessThan(500);
+    expect(endpoint.arrivedAt).toHaveLength(1);
   });
 });
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -31,7 +31,10 @@
   parseRateLimit,
   type LimitChange,
   type LimitObservation,
+  type SharedLimit,
 } from './endpoint_limits.js';
+export {RateBucket} from './rate_bucket.js';
+export {chooseCoordinator} from './choose_coordinator.js';
 export {getConnectionQuota} from './connection_quota.js';
 export {WeightedSplitter} from './weighted_splitter.js';
 export {combineToFraction, hash32} from './hash_fraction.js';
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -274,6 +274,11 @@
     return infos;
   }
 
+  /** Returns this instance. */
+  getSelf(): MemberInfo {
+    return this.self();
+  }
+
   /**
    * Returns the instances that are considered live, this one first.
    * @param now - Monotonic time in milliseconds.
--- /dev/null
+++ b/packages/steering/src/direct/rate_bucket.ts
@@ -0,0 +1,50 @@
+/** Smallest capacity, so that requests that arrive close together do not leave the rate unused. */
+const MIN_CAPACITY = 2;
+/** Time in which tokens of the full rate fill the bucket, in milliseconds. */
+const FILL_MS = 500;
+
+/**
+ * Token bucket of a rate limit. It starts empty, so that a bucket that replaces another one on a
+ * different instance grants nothing that the other one has granted already.
+ */
+export class RateBucket {
+  private tokens = 0;
+
+  /**
+   * Creates an empty bucket.
+   * @param refilledAt - Current monotonic time in milliseconds.
+   */
+  constructor(private refilledAt: number) {}
+
+  /**
+   * Takes a token.
+   * @param now - Monotonic time in milliseconds.
+   * @param perSecond - Rate at which tokens are added.
+   * @returns Whether there was a token.
+   */
+  tryTake(now: number, perSecond: number): boolean {
+    this.refill(now, perSecond);
+    if (this.tokens < 1) return false;
+    this.tokens--;
+    return true;
+  }
+
+  /**
+   * Returns the time until there is a token, in milliseconds; 0 if there is one.
+   * @param now - Monotonic time in milliseconds.
+   * @param perSecond - Rate at which tokens are added.
+   */
+  getWaitMs(now: number, perSecond: number): number {
+    this.refill(now, perSecond);
+    if (this.tokens >= 1) return 0;
+    return ((1 - this.tokens) * 1_000) / perSecond;
+  }
+
+  private refill(now: number, perSecond: number): void {
+    const elapsedMs = Math.max(0, now - this.refilledAt);
+    const capacity = Math.max(MIN_CAPACITY, (perSecond * FILL_MS) / 1_000);
+    const added = (perSecond * elapsedMs) / 1_000;
+    this.tokens = Math.min(capacity, this.tokens + added);
+    this.refilledAt = now;
+  }
+}
--- a/packages/steering/test/direct/endpoint_limits.test.ts
+++ b/packages/steering/test/direct/endpoint_limits.test.ts
@@ -5,10 +5,11 @@
   type LimitObservation,
 } from '@primrosestage/steering';
 
-function createObservation(
+function observe(
+  limits: EndpointLimits,
   changes: Partial<LimitObservation> = {},
-): LimitObservation {
-  return {
+) {
+  const observation = {
     id: 'e1',
     bornAt: 1,
     perSecond: 3,
@@ -16,23 +17,22 @@
     from: 'instance-1',
     ...changes,
   };
+  return limits.observe(observation, observation.observedAt);
 }
 
 describe('EndpointLimits', () => {
   it('keeps the latest limit when observations arrive in another order', () => {
     const limits = new EndpointLimits();
-    limits.observe(createObservation({perSecond: 5, observedAt: 2_000}));
-    limits.observe(createObservation({perSecond: 3, observedAt: 1_000}));
+    observe(limits, {perSecond: 5, observedAt: 2_000});
+    observe(limits, {perSecond: 3, observedAt: 1_000});
     expect(limits.get('e1', 1)?.perSecond).toBe(5);
   });
 
   it('reports a change only when the limit differs', () => {
     const limits = new EndpointLimits();
-    const first = limits.observe(createObservation());
-    const same = limits.observe(createObservation({observedAt: 1_100}));
-    const raised = limits.observe(
-      createObservation({perSecond: 4, observedAt: 1_200}),
-    );
+    const first = observe(limits);
+    const same = observe(limits, {observedAt: 1_100});
+    const raised = observe(limits, {perSecond: 4, observedAt: 1_200});
     expect(first?.previousPerSecond).toBeUndefined();
     expect(same).toBeUndefined();
     expect(raised?.previousPerSecond).toBe(3);
@@ -40,33 +40,29 @@
 
   it('ends a limit when later responses state none', () => {
     const limits = new EndpointLimits();
-    limits.observe(createObservation());
-    limits.observe(
-      createObservation({perSecond: undefined, observedAt: 1_400}),
-    );
+    observe(limits);
+    observe(limits, {perSecond: undefined, observedAt: 1_400});
     expect(limits.get('e1', 1)).toBeUndefined();
   });
 
   it('keeps a limit when a response without one has overtaken another', () => {
     const limits = new EndpointLimits();
-    limits.observe(createObservation());
-    limits.observe(
-      createObservation({perSecond: undefined, observedAt: 1_100}),
-    );
+    observe(limits);
+    observe(limits, {perSecond: undefined, observedAt: 1_100});
     expect(limits.get('e1', 1)?.perSecond).toBe(3);
   });
 
   it('ignores a limit of an earlier process of the endpoint', () => {
     const limits = new EndpointLimits();
-    limits.observe(createObservation({bornAt: 2}));
-    limits.observe(createObservation({bornAt: 1, observedAt: 5_000}));
+    observe(limits, {bornAt: 2});
+    observe(limits, {bornAt: 1, observedAt: 5_000});
     expect(limits.get('e1', 1)).toBeUndefined();
     expect(limits.get('e1', 2)?.observedAt).toBe(1_000);
   });
 
   it('discards the limits of endpoints that are gone', () => {
     const limits = new EndpointLimits();
-    limits.observe(createObservation());
+    observe(limits);
     expect(limits.prune(() => false)).toEqual(['e1']);
     expect(limits.get('e1', 1)).toBeUndefined();
   });
--- a/packages/testing/src/bench/direct/direct_policy.ts
+++ b/packages/testing/src/bench/direct/direct_policy.ts
@@ -14,10 +14,14 @@
   tried: ReadonlySet<string>;
 }
 
-/** The endpoint that a request is sent to, or the time after which a refused caller retries. */
+/**
+ * The endpoint that a request is sent to, the time after which a refused caller retries, or the time
+ * for which the instance waits before it chooses again.
+ */
 export type PolicyChoice =
-  | {endpoint: CachingEndpoint; retryAfterMs?: undefined}
-  | {endpoint?: undefined; retryAfterMs: number};
+  | {endpoint: CachingEndpoint; retryAfterMs?: undefined; waitMs?: undefined}
+  | {endpoint?: undefined; retryAfterMs: number; waitMs?: undefined}
+  | {endpoint?: undefined; retryAfterMs?: undefined; waitMs: number};
 
 /** Chooses endpoints for the simulation. */
 export interface DirectPolicy {
--- a/packages/testing/src/bench/direct/primrosestage_policy.ts
+++ b/packages/testing/src/bench/direct/primrosestage_policy.ts
@@ -1,7 +1,12 @@
+import {Registry} from 'prom-client';
 import {
   AttemptOutcome,
+  BeginResult,
+  createDirectMetrics,
+  createLimitControl,
   type DirectSettings,
   EndpointSelector,
+  type LimitControl,
   observeAttempt,
   type SelectionRequest,
 } from '@primrosestage/instance';
@@ -26,7 +31,16 @@
 /** Time after which a caller retries if the chosen endpoint cannot be used, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 
+/** Selections for one request; each one that is not sent excludes a limited endpoint. */
+const MAX_SELECTIONS = 6;
+/** Time for which a request waits for a permit of an instance in its region, in milliseconds. */
+const PERMIT_WAIT_MS = 3;
+/** Most limits that an instance shares in a round. */
+const MAX_SHARED_LIMITS = 16;
+
 interface SimInstance {
+  zone: string;
+  limitControl: LimitControl;
   selector: EndpointSelector;
   members: MemberTable;
   view: ControlView;
@@ -52,26 +66,37 @@
       }
     }
     clock.every(SWEEP_INTERVAL_MS, () => {
-      for (const {selector} of this.instances.values()) selector.sweep();
+      for (const {selector, limitControl} of this.instances.values()) {
+        selector.sweep();
+        limitControl.permits.prune();
+      }
     });
     this.exchangeMemberInfo();
     clock.every(GOSSIP_INTERVAL_MS, () => this.exchangeMemberInfo());
   }
 
   choose(request: PolicyRequest): PolicyChoice {
-    const {selector} = this.getInstance(request);
-    const {choice, endpoint, candidate} = selector.select(
-      this.createSelectionRequest(request),
-    );
-    if (choice.id === undefined) return {retryAfterMs: choice.retryAfterMs};
-    const sim = this.world
-      .getEndpoints(request.kind)
-      .find(({entry}) => entry.id === choice.id);
-    if (!endpoint || !candidate || !sim || !selector.begin(endpoint)) {
-      return {retryAfterMs: DEFAULT_RETRY_AFTER_MS};
+    const {selector, limitControl} = this.getInstance(request);
+    for (let i = 0; i < MAX_SELECTIONS; i++) {
+      const {choice, endpoint, candidate} = selector.select(
+        this.createSelectionRequest(request),
+      );
+      if (choice.id === undefined) return {retryAfterMs: choice.retryAfterMs};
+      const sim = this.world
+        .getEndpoints(request.kind)
+        .find(({entry}) => entry.id === choice.id);
+      if (!endpoint || !candidate || !sim) break;
+      const result = selector.begin(endpoint);
+      if (result === BeginResult.PermitRequested) {
+        const {permits} = limitControl;
+        if (permits.isCoordinatorNear(endpoint))
+          return {waitMs: PERMIT_WAIT_MS};
+      }
+      if (result !== BeginResult.Begun) continue;
+      this.depths.set(request, candidate.depth);
+      return {endpoint: sim};
     }
-    this.depths.set(request, candidate.depth);
-    return {endpoint: sim};
+    return {retryAfterMs: DEFAULT_RETRY_AFTER_MS};
   }
 
   observe(
@@ -79,10 +104,18 @@
     endpoint: CachingEndpoint,
     result: {isRefused: boolean; sentAt: number},
   ): void {
-    const {selector, view} = this.getInstance(request);
+    const {selector, view, limitControl} = this.getInstance(request);
     const entry = view.endpointTable.get(endpoint.entry.id);
     if (!entry) return;
     const {running, waiting, slots} = endpoint.loadReport;
+    const outcome = result.isRefused
+      ? AttemptOutcome.Refused
+      : AttemptOutcome.Answered;
+    limitControl.tracker.observeAttempt(entry, {
+      outcome,
+      limit: endpoint.limitPerSecond?.toFixed(3),
+      respondedAt: this.world.clock.now(),
+    });
     observeAttempt(
       {
         endpoint: entry,
@@ -90,9 +123,7 @@
         depth: this.depths.get(request) ?? 0,
       },
       {
-        outcome: result.isRefused
-          ? AttemptOutcome.Refused
-          : AttemptOutcome.Answered,
+        outcome,
         load: `${running},${waiting},${slots}`,
         connectMs:
           2 * this.world.getLatencyMs(request.zone, endpoint.entry.zone),
@@ -161,15 +192,55 @@
       heartbeat: this.heartbeat,
     });
     const members = new MemberTable(self);
-    const selector = new EndpointSelector(settings, view, members, clock);
-    return {selector, members, view, self};
+    const limitControl: LimitControl = createLimitControl({
+      settings,
+      view,
+      members,
+      timers: clock,
+      logger: {info: () => {}, warn: () => {}, error: () => {}},
+      metrics: createDirectMetrics(new Registry()),
+      send: (message, address) =>
+        this.deliver(zone, address, ({permits}) => permits.receive(message)),
+      announce: () => this.shareLimits(zone, limitControl),
+    });
+    const {permits} = limitControl;
+    const selector = new EndpointSelector(
+      settings,
+      view,
+      members,
+      permits,
+      clock,
+    );
+    return {zone, limitControl, selector, members, view, self};
+  }
+
+  private deliver(
+    fromZone: string,
+    id: string,
+    receive: (limitControl: LimitControl) => void,
+  ): void {
+    const target = this.instances.get(id);
+    if (!target) return;
+    const latencyMs = this.world.getLatencyMs(fromZone, target.zone);
+    this.world.clock.after(latencyMs, () => receive(target.limitControl));
+  }
+
+  private shareLimits(fromZone: string, {limits}: LimitControl): void {
+    const now = this.world.clock.now();
+    const shared = limits.selectShared(MAX_SHARED_LIMITS, now);
+    for (const id of this.instances.keys()) {
+      this.deliver(fromZone, id, ({tracker}) => tracker.merge(shared));
+    }
   }
 
   private exchangeMemberInfo(): void {
     this.heartbeat++;
     const all = [...this.instances.values()];
     const infos = all.map(({self}) => self());
-    for (const {members} of all) members.merge(infos, this.world.clock.now());
+    for (const {members, zone, limitControl} of all) {
+      members.merge(infos, this.world.clock.now());
+      this.shareLimits(zone, limitControl);
+    }
   }
 }
 
@@ -204,7 +275,7 @@
     readinessAddress: address,
     directoryAddress: address,
     controlAddress: address,
-    gossipAddress: address,
+    gossipAddress: id,
     seedAddresses: [],
     isSystemStart: false,
     bounds: {
--- a/packages/testing/src/bench/direct/run_direct_scenario.ts
+++ b/packages/testing/src/bench/direct/run_direct_scenario.ts
@@ -155,7 +155,11 @@
         ? this.policy.choose(request)
         : {retryAfterMs: kind.objectiveMs};
     if (choice.endpoint) this.send(caller, request, choice.endpoint, tried);
-    else this.handleRefusal(caller, choice.retryAfterMs ?? kind.objectiveMs);
+    else if (choice.waitMs !== undefined) {
+      this.world.clock.after(choice.waitMs, () =>
+        this.attempt(caller, instance, tried),
+      );
+    } else this.handleRefusal(caller, choice.retryAfterMs ?? kind.objectiveMs);
   }
 
   private send(
--- a/packages/testing/test/direct_load.test.ts
+++ b/packages/testing/test/direct_load.test.ts
@@ -60,6 +60,12 @@
       expect(limitExcesses).toEqual([]);
     });
 
+    it(`uses at least half of the limits that endpoints of ${name} state`, () => {
+      const {limitUses} = runScenario(name, 'limited', 'primrosestage');
+      expect(limitUses.length).toBeGreaterThan(0);
+      for (const use of limitUses) expect(use).toBeGreaterThan(0.5);
+    });
+
     it(`serves at least half of the callers of ${name} in time at 10 % overload`, () => {
       const own = runScenario(name, 'overload', 'primrosestage');
       expect(getInTime(own)).toBeGreaterThanOrEqual(0.5);
