Use a further endpoint where all of an object's endpoints are limited

Cause: requests for an object go to its first three endpoints. One that its rate limit excludes still counted as one of the three, so an object whose three endpoints are limited was refused although others had free slots.

Change: if all three are limited, the next one of the ranking that is not replaces them. An endpoint keeps its place in the ranking, so that it is not taken for the one that has the object cached.

Ruled out: replacing each limited endpoint by a further one.

--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -19,7 +19,10 @@
 import {ObjectPlacement} from './object_placement.js';
 import {PermitResult, type RatePermits} from './rate_permits.js';
 
-/** Most endpoints among which the requests for one object are spread. */
+/**
+ * Most endpoints among which the requests for one object are spread. If all of them are limited, the
+ * next one that is not replaces them.
+ */
 const MAX_CANDIDATES = 3;
 /** Most requests that may be queued at an endpoint beyond its slots. */
 const QUEUE_LIMIT = 5;
@@ -75,14 +78,6 @@
   wasUnreachable: boolean;
 }
 
-/** What the selection knows of a candidate besides its load. */
-interface CandidatePosition {
-  rank: number;
-  isWarm: boolean;
-  /** Whether its rate limit excludes it at present. */
-  isLimited: boolean;
-}
-
 /** Selects endpoints by the control view and the measurements of this instance. */
 export class EndpointSelector {
   private readonly states = new Map<string, EndpointState>();
@@ -143,16 +138,18 @@
       if (!endpoint) continue;
       const state = this.getState(endpoint);
       if (!state.load.isUsable(now)) continue;
-      const isLimited = this.permits.isBlocked(endpoint);
-      if (isLimited) limited.push(id);
+      const rank = candidates.length + limited.length;
+      if (rank >= MAX_CANDIDATES && candidates.length > 0) break;
+      if (this.permits.isBlocked(endpoint)) {
+        limited.push(id);
+        continue;
+      }
       candidates.push(
         this.createCandidate(endpoint, state, {
-          rank: candidates.length,
+          rank,
           isWarm: state.warmObjects.has(request.objectKey, now),
-          isLimited,
         }),
       );
-      if (candidates.length === MAX_CANDIDATES) break;
     }
     const choice = chooseEndpoint(candidates, {
       remainingMs: request.remainingMs,
@@ -291,7 +288,7 @@
   private createCandidate(
     endpoint: KnownEndpoint,
     state: EndpointState,
-    {isLimited, ...position}: CandidatePosition,
+    position: {rank: number; isWarm: boolean},
   ): Candidate {
     const now = this.timers.now();
     const {load, coldRateLimiter} = state;
@@ -306,7 +303,6 @@
       roundTripMs: this.getRoundTripMs(endpoint, state),
       failureRatio: load.averageFailureRatio,
       isBlocked:
-        isLimited ||
         load.inFlight >= this.getConnectionLimit(endpoint) ||
         (isCold &&
           !coldRateLimiter.canAcquire(
--- a/packages/testing/src/bench/direct/index.ts
+++ b/packages/testing/src/bench/direct/index.ts
@@ -35,6 +35,13 @@
     skew: [1, 1, 1],
     limits: {oneOf: 6, fraction: 0.35, fromMs: 3_000, toMs: 11_000},
   },
+  {
+    name: 'half-limited',
+    load: 0.3,
+    durationMs: DURATION_MS,
+    skew: [1, 1, 1],
+    limits: {oneOf: 2, fraction: 0.35, fromMs: 3_000, toMs: 11_000},
+  },
 ];
 
 /** The policies to compare; primrosestage's own comes first. */
--- a/packages/testing/test/direct_load.test.ts
+++ b/packages/testing/test/direct_load.test.ts
@@ -66,6 +66,11 @@
       for (const use of limitUses) expect(use).toBeGreaterThan(0.5);
     });
 
+    it(`refuses at most 1 % of the callers of ${name} while half of the endpoints are limited under low load`, () => {
+      const own = runScenario(name, 'half-limited', 'primrosestage');
+      expect(own.getFraction(CallerOutcome.Refused)).toBeLessThan(0.01);
+    });
+
     it(`serves at least half of the callers of ${name} in time at 10 % overload`, () => {
       const own = runScenario(name, 'overload', 'primrosestage');
       expect(getInTime(own)).toBeGreaterThanOrEqual(0.5);
