Let only an undisputed coordinator issue permits for a limited endpoint

Cause: instances notice at different times that another one is gone, cut off or has joined. In between several of them chose themselves as the coordinator of an endpoint, and each issued permits at the whole rate.

Change: an instance issues permits only if it has served callers for 2 s and no instance that goes before it has served within the last 2 s. A distant coordinator is asked only when four requests have wanted the endpoint within 2 s, since its permit is often lost otherwise.

Ruled out: a longer time until an instance counts as gone, which leaves the limit unused after each failure.

--- a/packages/instance/src/direct/create_limit_control.ts
+++ b/packages/instance/src/direct/create_limit_control.ts
@@ -19,6 +19,8 @@
   timers: TimerService;
   logger: EventLogger;
   metrics: DirectMetrics;
+  /** Returns the monotonic time since which this instance serves callers, in milliseconds. */
+  getServingSince: () => number;
   /** Sends a datagram to another instance, which may lose it. */
   send: (message: PermitMessage, address: string) => void;
   /** Tells other instances at once of a change that a response to this instance stated. */
--- a/packages/instance/src/direct/limit_coordinator.ts
+++ b/packages/instance/src/direct/limit_coordinator.ts
@@ -11,6 +11,11 @@
 
 /** Time for which the choice of a coordinator is cached, in milliseconds. */
 const CHOICE_VALIDITY_MS = 200;
+/**
+ * Time for which this instance must have been the first choice before it issues permits, in
+ * milliseconds. Instances notice at different times that another one is gone or has joined.
+ */
+const TAKEOVER_DELAY_MS = 2_000;
 /** Lowest rate at which permits are issued, so that the end of any limit is noticed. */
 const MIN_PER_SECOND = 0.2;
 /** Time until another try if this instance may issue nothing at present, in milliseconds. */
@@ -24,13 +29,23 @@
   settings: DirectSettings;
   members: MemberTable;
   timers: TimerService;
+  /** Returns the monotonic time since which this instance serves callers, in milliseconds. */
+  getServingSince: () => number;
+}
+
+/** Instances chosen for a limit. */
+interface Choice {
+  /** The instance that is asked for permits. */
+  coordinator: MemberInfo;
+  /** Whether this instance is the coordinator, and no other one has been it just before. */
+  mayIssue: boolean;
+  chosenAt: number;
 }
 
 interface CoordinatedLimit {
   bornAt: number;
   bucket: RateBucket;
-  coordinator?: MemberInfo;
-  chosenAt: number;
+  choice?: Choice;
 }
 
 /**
@@ -51,18 +66,7 @@
    * @param endpoint - The endpoint.
    */
   getCoordinator(endpoint: LimitedEndpoint): MemberInfo {
-    const {settings, members, timers} = this.options;
-    const now = timers.now();
-    const limit = this.getLimit(endpoint);
-    const isValid = now - limit.chosenAt < CHOICE_VALIDITY_MS;
-    if (limit.coordinator && isValid) return limit.coordinator;
-    const region = settings.regionsByZone.get(endpoint.zone);
-    const serving = members.getServing(now);
-    limit.coordinator =
-      chooseCoordinator(serving, hash32(endpoint.id), region) ??
-      members.getSelf();
-    limit.chosenAt = now;
-    return limit.coordinator;
+    return this.getChoice(endpoint).coordinator;
   }
 
   /**
@@ -80,7 +84,7 @@
    */
   tryIssue(endpoint: LimitedEndpoint, perSecond: number): boolean {
     const {bucket} = this.getLimit(endpoint);
-    const rate = this.getIssuedRate(perSecond);
+    const rate = this.getIssuedRate(endpoint, perSecond);
     return bucket.tryTake(this.options.timers.now(), rate);
   }
 
@@ -90,7 +94,7 @@
    * @param perSecond - Its limit.
    */
   getWaitMs(endpoint: LimitedEndpoint, perSecond: number): number {
-    const rate = this.getIssuedRate(perSecond);
+    const rate = this.getIssuedRate(endpoint, perSecond);
     if (rate === 0) return NO_RATE_RETRY_MS;
     return this.getLimit(endpoint).bucket.getWaitMs(
       this.options.timers.now(),
@@ -108,7 +112,34 @@
     }
   }
 
-  private getIssuedRate(perSecond: number): number {
+  private getChoice(endpoint: LimitedEndpoint): Choice {
+    const limit = this.getLimit(endpoint);
+    const now = this.options.timers.now();
+    if (limit.choice && now - limit.choice.chosenAt < CHOICE_VALIDITY_MS) {
+      return limit.choice;
+    }
+    limit.choice = this.choose(endpoint, now);
+    return limit.choice;
+  }
+
+  private choose({id, zone}: LimitedEndpoint, now: number): Choice {
+    const {settings, members, getServingSince} = this.options;
+    const region = settings.regionsByZone.get(zone);
+    const self = members.getSelf();
+    const chooseAmong = (instances: MemberInfo[]) =>
+      chooseCoordinator(instances, hash32(id), region) ?? self;
+    const recent = members.getRecentlyServing(TAKEOVER_DELAY_MS, now);
+    return {
+      coordinator: chooseAmong(members.getServing(now)),
+      mayIssue:
+        now - getServingSince() >= TAKEOVER_DELAY_MS &&
+        chooseAmong([self, ...recent]).id === self.id,
+      chosenAt: now,
+    };
+  }
+
+  private getIssuedRate(endpoint: LimitedEndpoint, perSecond: number): number {
+    if (!this.getChoice(endpoint).mayIssue) return 0;
     const {members, timers} = this.options;
     const now = timers.now();
     const heard = members.getLive(now).length;
@@ -120,7 +151,7 @@
     let limit = this.limits.get(id);
     if (!limit || limit.bornAt !== bornAt) {
       const bucket = new RateBucket(this.options.timers.now());
-      limit = {bornAt, bucket, chosenAt: -Infinity};
+      limit = {bornAt, bucket};
       this.limits.set(id, limit);
     }
     return limit;
--- a/packages/instance/src/direct/rate_permits.ts
+++ b/packages/instance/src/direct/rate_permits.ts
@@ -30,7 +30,7 @@
  * Requests within a window for which an endpoint is selected before a distant coordinator is asked.
  * Its permit arrives too late for the request that asks, and is lost if no other one follows.
  */
-const MIN_DISTANT_DEMAND = 2;
+const MIN_DISTANT_DEMAND = 4;
 const DEMAND_WINDOW_MS = 2_000;
 /** Time for which an endpoint is not selected after a coordinator was not asked, in milliseconds. */
 const NOT_ASKED_BACKOFF_MS = 5;
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -105,8 +105,8 @@
   const view = new ControlView(settings.bounds.drainMs);
   const agent = new EndpointAgent();
   let isStopping = false;
-  let isServing = false;
-  const isReady = () => !isStopping && isServing;
+  let servingSince: number | undefined;
+  const isReady = () => !isStopping && servingSince !== undefined;
   const announcer = new Announcer(settings, timers);
   const self = (): MemberInfo =>
     announcer.create({
@@ -127,6 +127,7 @@
     timers,
     logger,
     metrics,
+    getServingSince: () => servingSince ?? Infinity,
     send: (message, address) => gossip.sendPermit(message, address),
     announce: () => gossip.announceLimits(),
   });
@@ -199,7 +200,7 @@
     if (hasStartedServing) return;
     hasStartedServing = true;
     await listen(callerServer, settings.callerAddress);
-    isServing = true;
+    servingSince = timers.now();
     logger.info('serving', {
       configuration: view.configuration?.version,
       revision: view.revision,
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -321,6 +321,21 @@
     return this.getLive(now).filter(({isServing}) => isServing);
   }
 
+  /**
+   * Returns the other instances that have served callers within a time, by what this one knows.
+   * @param withinMs - The time in milliseconds.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getRecentlyServing(withinMs: number, now: number): MemberInfo[] {
+    return [...this.members.values()]
+      .filter(member => this.isLive(member, now - withinMs))
+      .filter(
+        ({info, announcementChangedAt}) =>
+          info.isServing || now - announcementChangedAt < withinMs,
+      )
+      .map(({info}) => info);
+  }
+
   /** Returns all other known instances, live or not. */
   getOthers(): MemberInfo[] {
     return [...this.members.values()].map(({info}) => info);
--- a/packages/testing/src/bench/direct/primrosestage_policy.ts
+++ b/packages/testing/src/bench/direct/primrosestage_policy.ts
@@ -199,6 +199,7 @@
       timers: clock,
       logger: {info: () => {}, warn: () => {}, error: () => {}},
       metrics: createDirectMetrics(new Registry()),
+      getServingSince: () => -Infinity,
       send: (message, address) =>
         this.deliver(zone, address, ({permits}) => permits.receive(message)),
       announce: () => this.shareLimits(zone, limitControl),
