Count silent instances for divided limits as long as they may be cut off

Cause: an instance without heartbeats was forgotten after 30 s. If a cut lasts longer and both sides reach the endpoints, each side then used the whole of every bound over all instances: permits of limited endpoints, requests to cold endpoints, and the fixed part of the retry budget.

Change: an instance that did not announce its stop counts for 10 minutes. One that announced it is forgotten after 30 s as before.

The test of the member table that expected the shorter time expects 10 minutes now, and a new one the 30 s after an announced stop.

Ruled out: asking the registry, which holds one instance of each region.

Conclusion: after an unannounced loss of one of n instances, 1/n of a divided bound stays unused for 10 minutes rather than 30 s.

--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -41,6 +41,10 @@
  * the limits that are divided among instances.
  */
 const FORGET_AFTER_MS = 30_000;
+/**
+ * The same for an instance that did not announce its stop: it may be cut off and still use its share.
+ */
+const FORGET_SERVING_AFTER_MS = 600_000;
 /**
  * Maximum increase of a heartbeat since the last known one of a process. A larger increase
  * indicates a restart.
@@ -234,8 +238,11 @@
    */
   expire(now: number): string[] {
     const expired: string[] = [];
-    for (const [id, {lastHeartbeatAt}] of this.members) {
-      if (now - lastHeartbeatAt < FORGET_AFTER_MS) continue;
+    for (const [id, {info, lastHeartbeatAt}] of this.members) {
+      const limitMs = info.isServing
+        ? FORGET_SERVING_AFTER_MS
+        : FORGET_AFTER_MS;
+      if (now - lastHeartbeatAt < limitMs) continue;
       this.members.delete(id);
       this.versionCount++;
       expired.push(id);
--- a/packages/steering/test/direct/member_table.test.ts
+++ b/packages/steering/test/direct/member_table.test.ts
@@ -67,6 +67,16 @@
   it('counts instances without heartbeats for divided limits until it forgets them', () => {
     const table = createTable();
     table.merge([createInfo()], 0);
+    table.expire(599_000);
+    expect(table.getCount()).toBe(2);
+    table.expire(601_000);
+    expect(table.getCount()).toBe(1);
+  });
+
+  it('forgets an instance that announced its stop sooner than one that may be cut off', () => {
+    const table = createTable();
+    table.merge([createInfo()], 0);
+    table.merge([createInfo({version: 2, isServing: false})], 0);
     table.expire(20_000);
     expect(table.getCount()).toBe(2);
     table.expire(31_000);
