Tell a started instance the rate limits with its first exchange

Cause: limits spread by datagrams only, so an instance that had just started could send to a limited endpoint as if it had none, until a round reached it or an endpoint told it.

Change: the exchange by which an instance gets members and control state at its start carries the limits too, up to 200.

Evidence: "tells an instance that starts later before it sends a request": all endpoints state a limit of 0, and the instance that starts later refuses its first request.

--- a/packages/instance/src/direct/gossip.ts
+++ b/packages/instance/src/direct/gossip.ts
@@ -6,6 +6,7 @@
   type MemberInfo,
   type MemberTable,
   pickRandom,
+  type SharedLimit,
   splitBroadcast,
 } from '@primrosestage/steering';
 import type {DirectMetrics} from './direct_metrics.js';
@@ -17,7 +18,6 @@
   type GossipMessage,
 } from './gossip_message.js';
 import type {GossipSocket} from './gossip_socket.js';
-import type {LimitTracker} from './limit_tracker.js';
 import type {PeerExchange} from './peer_exchange.js';
 import type {PermitMessage} from './permit_message.js';
 import {splitChanges} from './split_changes.js';
@@ -53,7 +53,8 @@
   view: ControlView;
   members: MemberTable;
   limits: EndpointLimits;
-  limitTracker: LimitTracker;
+  /** Merges rate limits that another instance has read. */
+  mergeLimits: (shared: readonly SharedLimit[]) => void;
   self: () => MemberInfo;
   /** Counts a heartbeat of this instance. */
   countHeartbeat: () => void;
@@ -251,7 +252,7 @@
   private applyMessage(message: GossipMessage): void {
     const {view, exchange, apply} = this.options;
     const {sender, changes} = message;
-    this.options.limitTracker.merge(message.limits);
+    this.options.mergeLimits(message.limits);
     exchange.mergeMembers([sender, ...message.members], message.heartbeats);
     if (changes && view.isComplete && view.revision >= changes.since) {
       apply(changes, sender.id);
--- a/packages/instance/src/direct/peer_exchange.ts
+++ b/packages/instance/src/direct/peer_exchange.ts
@@ -10,9 +10,11 @@
 import type {
   ControlChanges,
   ControlView,
+  EndpointLimits,
   Heartbeats,
   MemberInfo,
   MemberTable,
+  SharedLimit,
 } from '@primrosestage/steering';
 import {createPeerClient, procedure, router} from '../rpc/index.js';
 import type {DirectMetrics} from './direct_metrics.js';
@@ -22,16 +24,22 @@
   toWireConfiguration,
   type PeerMessage,
 } from './peer_message.js';
+import {isSharedLimit} from './permit_message.js';
 
 /** Timeout of an exchange, in milliseconds. */
 const CALL_TIMEOUT_MS = 600;
 /** Limit on pending exchanges; a pull beyond it is skipped until a later message triggers it. */
 const MAX_PENDING_CALLS = 3;
+/** Limit on rate limits of endpoints per message. */
+const MAX_LIMITS = 200;
 
 /** Configures exchanges between instances. */
 export interface PeerExchangeOptions {
   view: ControlView;
   members: MemberTable;
+  limits: EndpointLimits;
+  /** Merges rate limits that another instance has read. */
+  mergeLimits: (shared: readonly SharedLimit[]) => void;
   self: () => MemberInfo;
   timers: TimerService;
   logger: EventLogger;
@@ -151,12 +159,13 @@
 
   /** Creates a message with the own state and, if another one's state is known, what that lacks. */
   private createMessage(other?: Partial<PeerMessage> & PeerState): PeerMessage {
-    const {view, members, timers} = this.options;
+    const {view, members, limits, timers} = this.options;
     const {configuration} = view;
     const message: PeerMessage = {
       ...this.createState(),
       heartbeats: {},
       members: [],
+      limits: limits.selectShared(MAX_LIMITS, timers.now()),
     };
     if (!other) return message;
     if (other.announcementDigests) {
@@ -180,6 +189,7 @@
     const {view} = this.options;
     const {sender, heartbeats, changes, configuration} = message;
     this.mergeMembers([sender, ...message.members], heartbeats);
+    this.options.mergeLimits(message.limits);
     if (!changes && !configuration) return;
     this.options.apply(
       {
@@ -245,6 +255,7 @@
     heartbeats,
     digest: Number(message.digest ?? 0),
     members: Array.isArray(message.members) ? message.members : [],
+    limits: (message.limits ?? []).filter(isSharedLimit),
     revision: Number(message.revision ?? 0),
     changedRevision: Number(message.changedRevision ?? 0),
     configurationVersion: Number(message.configurationVersion ?? 0),
--- a/packages/instance/src/direct/peer_message.ts
+++ b/packages/instance/src/direct/peer_message.ts
@@ -4,6 +4,7 @@
   Heartbeats,
   MemberInfo,
   RouteConfiguration,
+  SharedLimit,
 } from '@primrosestage/steering';
 import type {PeerState} from './gossip_message.js';
 
@@ -13,6 +14,8 @@
   heartbeats: Heartbeats;
   /** Announcements that the receiver lacks. */
   members: MemberInfo[];
+  /** Rate limits of endpoints. */
+  limits: SharedLimit[];
   /** Digests of the announcements that the sender has, if it requests those that it lacks. */
   announcementDigests?: AnnouncementDigests;
   /** Changes that the receiver may lack. */
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -221,6 +221,8 @@
   const peerExchange: PeerExchange = new PeerExchange({
     view,
     members,
+    limits,
+    mergeLimits: shared => limitTracker.merge(shared),
     self,
     timers,
     logger,
@@ -236,7 +238,7 @@
     view,
     members,
     limits,
-    limitTracker,
+    mergeLimits: shared => limitTracker.merge(shared),
     self,
     countHeartbeat: () => announcer.countHeartbeat(),
     getSeedAddresses: () => settings.seedAddresses,
--- a/packages/instance/test/direct/endpoint_limits.test.ts
+++ b/packages/instance/test/direct/endpoint_limits.test.ts
@@ -104,7 +104,7 @@
       instances.push(test);
       await waitUntilServing(test);
     }
-    return {endpoints, instances};
+    return {endpoints, instances, registry};
   }
 
   /** Sends requests to the instances in turn for a time, and returns the statuses. */
@@ -162,6 +162,24 @@
     expect(limited.arrivedAt.length - before).toBeGreaterThan(4 * PER_SECOND);
   });
 
+  it('tells an instance that starts later before it sends a request', async () => {
+    const {endpoints, instances, registry} = await startLimitedFleet();
+    for (const endpoint of endpoints) endpoint.limit = '0';
+    await sendRequests(instances, 1_000);
+    const test = await fleet.start(registry, 4, {
+      seedAddresses: [getControlAddress(1)],
+    });
+    await waitUntilServing(test);
+    const answer = await send(test);
+    expect(answer.status).toBe(503);
+    const known = findLines(test, 'endpoint limit changed');
+    expect(known.map(({endpoint}) => endpoint).sort()).toEqual([
+      'e1',
+      'e2',
+      'e3',
+    ]);
+  });
+
   it('refuses at once what only a limited endpoint may run', async () => {
     const {endpoint, test} = await startWithLimitedEndpoint('0');
     await send(test);
--- a/packages/instance/test/direct/peer_exchange.test.ts
+++ b/packages/instance/test/direct/peer_exchange.test.ts
@@ -2,6 +2,7 @@
 import {VirtualTimerService} from '@primrosestage/common';
 import {
   ControlView,
+  EndpointLimits,
   type MemberInfo,
   MemberTable,
 } from '@primrosestage/steering';
@@ -43,6 +44,8 @@
     exchange = new PeerExchange({
       view: new ControlView(0),
       members,
+      limits: new EndpointLimits(),
+      mergeLimits: () => {},
       self,
       timers,
       logger: LOGGER,
@@ -65,6 +68,7 @@
       configurationVersion: 0,
       heartbeats: {},
       members: [],
+      limits: [],
       ...changes,
     });
 
