Grant several permits per message where a limit is high

Cause: each request to a limited endpoint took one message to the coordinator and one back. A limit of some hundred requests a second, far from any need, would have cost as many messages.

Change: a request for permits names how many it can use: a quarter of what wanted the endpoint within 2 s, at most 0.05 s of the limit, at least one. Below 40 requests a second nothing changes.

Besides, a coordinator whose rate is 0, since it is disputed or does not know the others, issues no token left from before.

Evidence: limit_simulation, endpoint_limits and the simulator's limits pass as before (npx vitest run, 110 tests of these folders).

--- a/packages/instance/src/direct/limit_coordinator.ts
+++ b/packages/instance/src/direct/limit_coordinator.ts
@@ -78,14 +78,17 @@
   }
 
   /**
-   * Issues a permit if the limit allows it.
+   * Issues permits as far as the limit allows it.
+   * @param max - Maximum number of permits.
    * @param endpoint - The endpoint, whose coordinator is this instance.
    * @param perSecond - Its limit.
+   * @returns The number of permits issued.
    */
-  tryIssue(endpoint: LimitedEndpoint, perSecond: number): boolean {
-    const {bucket} = this.getLimit(endpoint);
+  issue(max: number, endpoint: LimitedEndpoint, perSecond: number): number {
     const rate = this.getIssuedRate(endpoint, perSecond);
-    return bucket.tryTake(this.options.timers.now(), rate);
+    if (rate === 0) return 0;
+    const {bucket} = this.getLimit(endpoint);
+    return bucket.take(max, this.options.timers.now(), rate);
   }
 
   /**
--- a/packages/instance/src/direct/limit_tracker.ts
+++ b/packages/instance/src/direct/limit_tracker.ts
@@ -102,14 +102,15 @@
   }
 
   /**
-   * Counts a permit for the next log line about the use of a limit.
+   * Counts permits for the next log line about the use of a limit.
    * @param endpoint - Id of the endpoint.
-   * @param event - What happened to the permit.
+   * @param event - What happened to the permits.
+   * @param number - Number of permits.
    */
-  countPermit(endpoint: string, event: PermitEvent): void {
+  countPermits(endpoint: string, event: PermitEvent, number: number): void {
     const use = this.uses.get(endpoint) ?? {};
     this.uses.set(endpoint, use);
-    use[event] = (use[event] ?? 0) + 1;
+    use[event] = (use[event] ?? 0) + number;
   }
 
   /**
--- a/packages/instance/src/direct/permit_message.ts
+++ b/packages/instance/src/direct/permit_message.ts
@@ -6,13 +6,15 @@
   Reply = 'permit-reply',
 }
 
-/** Asks the coordinator of a limited endpoint for a permit to send it one request. */
+/** Asks the coordinator of a limited endpoint for permits to send it one request each. */
 export interface PermitRequest {
   type: PermitMessageType.Request;
   /** Number that the reply repeats; unique among the requests of a process. */
   number: number;
   /** Address for the reply, `host:port`. */
   replyAddress: string;
+  /** Maximum number of permits. */
+  max: number;
   /** What the instance that asks knows of the limit. */
   limit: SharedLimit;
 }
@@ -23,8 +25,9 @@
   number: number;
   /** Id of the endpoint. */
   endpoint: string;
-  isGranted: boolean;
-  /** Time until a permit is expected, in milliseconds; 0 if one is granted. */
+  /** Number of permits granted. */
+  granted: number;
+  /** Time until a permit is expected if none is granted, in milliseconds. */
   retryAfterMs: number;
 }
 
@@ -40,12 +43,20 @@
   if (!Number.isInteger(number)) return false;
   switch (type) {
     case PermitMessageType.Request: {
-      const {replyAddress, limit} = message as Partial<PermitRequest>;
-      return typeof replyAddress === 'string' && isSharedLimit(limit);
+      const {replyAddress, max, limit} = message as Partial<PermitRequest>;
+      return (
+        typeof replyAddress === 'string' &&
+        Number.isInteger(max) &&
+        isSharedLimit(limit)
+      );
     }
     case PermitMessageType.Reply: {
-      const {endpoint, retryAfterMs} = message as Partial<PermitReply>;
-      return typeof endpoint === 'string' && Number.isFinite(retryAfterMs);
+      const {endpoint, granted, retryAfterMs} = message as Partial<PermitReply>;
+      return (
+        typeof endpoint === 'string' &&
+        Number.isInteger(granted) &&
+        Number.isFinite(retryAfterMs)
+      );
     }
     default:
       return false;
--- a/packages/instance/src/direct/rate_permits.ts
+++ b/packages/instance/src/direct/rate_permits.ts
@@ -26,12 +26,17 @@
 const PERMIT_VALIDITY_MS = 1_000;
 /** Longest time for which a request of a caller waits for a permit, in milliseconds. */
 const MAX_WAIT_MS = 25;
+/** Window in which the requests for which an endpoint is selected are counted, in milliseconds. */
+const DEMAND_WINDOW_MS = 2_000;
 /**
- * Requests within a window for which an endpoint is selected before a distant coordinator is asked.
- * Its permit arrives too late for the request that asks, and is lost if no other one follows.
+ * Requests in the window before a distant coordinator is asked. Its permit arrives too late for the
+ * request that asks, and is lost if no other one follows.
  */
 const MIN_DISTANT_DEMAND = 4;
-const DEMAND_WINDOW_MS = 2_000;
+/** Most permits per message, as a fraction of the requests in the window. */
+const BATCH_DEMAND_FRACTION = 0.25;
+/** Most permits per message, in seconds of the whole limit. */
+const BATCH_LIMIT_S = 0.05;
 /** Time for which an endpoint is not selected after a coordinator was not asked, in milliseconds. */
 const NOT_ASKED_BACKOFF_MS = 5;
 /** Time until another try if the asked instance cannot decide, in milliseconds. */
@@ -76,7 +81,7 @@
   /** Times until which the permits in hand are valid. */
   validUntil: number[];
   blockedUntil: number;
-  /** Times at which the endpoint was selected without a permit, in the demand window. */
+  /** Times at which the endpoint was selected, in the demand window. */
   wantedAt: number[];
   pending?: PendingRequest;
 }
@@ -118,6 +123,7 @@
     if (!limit) return PermitResult.NotLimited;
     const permits = this.getPermits(limit);
     const now = timers.now();
+    countDemand(permits, now);
     if (hasPermit(permits, now)) {
       permits.validUntil.shift();
       return PermitResult.Granted;
@@ -127,7 +133,7 @@
     if (!coordinator.isCoordinator(entry)) {
       return this.requestIfUseful(limit, permits, entry);
     }
-    const isGranted = coordinator.tryIssue(entry, limit.perSecond);
+    const isGranted = coordinator.issue(1, entry, limit.perSecond) > 0;
     this.count(limit.id, isGranted ? PermitEvent.Granted : PermitEvent.Denied);
     return isGranted ? PermitResult.Granted : PermitResult.Denied;
   }
@@ -199,13 +205,9 @@
   ): PermitResult {
     const {settings, coordinator, timers} = this.options;
     const {region, gossipAddress} = coordinator.getCoordinator(entry);
-    const now = timers.now();
-    const since = now - DEMAND_WINDOW_MS;
-    permits.wantedAt = permits.wantedAt.filter(at => at > since);
-    permits.wantedAt.push(now);
     const isNear = region === settings.region;
     if (!isNear && permits.wantedAt.length < MIN_DISTANT_DEMAND) {
-      permits.blockedUntil = now + NOT_ASKED_BACKOFF_MS;
+      permits.blockedUntil = timers.now() + NOT_ASKED_BACKOFF_MS;
       return PermitResult.Denied;
     }
     this.request(limit, permits, gossipAddress);
@@ -233,6 +235,7 @@
         type: PermitMessageType.Request,
         number,
         replyAddress: settings.gossipAddress,
+        max: getBatchSize(permits.wantedAt.length, limit.perSecond),
         limit: {...limit, ageMs: Math.round(now - observedAt)},
       },
       address,
@@ -243,9 +246,12 @@
     const permits = this.endpoints.get(reply.endpoint);
     const pending = permits?.pending;
     if (!permits || pending?.number !== reply.number) return;
-    if (reply.isGranted) {
-      permits.validUntil.push(pending.sentAt + PERMIT_VALIDITY_MS);
-      this.count(reply.endpoint, PermitEvent.Granted);
+    if (reply.granted > 0) {
+      const validUntil = pending.sentAt + PERMIT_VALIDITY_MS;
+      for (let i = 0; i < reply.granted; i++) {
+        permits.validUntil.push(validUntil);
+      }
+      this.count(reply.endpoint, PermitEvent.Granted, reply.granted);
     } else {
       permits.blockedUntil = this.options.timers.now() + reply.retryAfterMs;
       this.count(reply.endpoint, PermitEvent.Denied);
@@ -253,47 +259,64 @@
     finishPending(permits);
   }
 
-  private receiveRequest({number, limit, replyAddress}: PermitRequest): void {
+  private receiveRequest(request: PermitRequest): void {
     const {tracker, send} = this.options;
+    const {number, limit, replyAddress} = request;
     tracker.merge([limit]);
-    const retryAfterMs = this.decide(limit.id, limit.bornAt);
     send(
       {
         type: PermitMessageType.Reply,
         number,
         endpoint: limit.id,
-        isGranted: retryAfterMs === 0,
-        retryAfterMs,
+        ...this.decide(request),
       },
       replyAddress,
     );
   }
 
-  /** Returns the time until another instance may have a permit, in milliseconds; 0 issues one. */
-  private decide(id: string, bornAt: number): number {
+  private decide({
+    max,
+    limit: {id, bornAt},
+  }: PermitRequest): Pick<PermitReply, 'granted' | 'retryAfterMs'> {
     const {view, limits, coordinator} = this.options;
     const entry = view.endpointTable.get(id)?.entry;
     const latest = limits.getLatest(id);
-    if (entry?.bornAt !== bornAt || latest?.bornAt !== bornAt) {
-      return UNDECIDED_RETRY_MS;
-    }
+    const undecided = {granted: 0, retryAfterMs: UNDECIDED_RETRY_MS};
+    if (entry?.bornAt !== bornAt || latest?.bornAt !== bornAt) return undecided;
     const {perSecond} = latest;
-    // The limit has ended, which the response to this request will show the other instance.
-    if (perSecond === undefined) return 0;
-    if (!coordinator.isCoordinator(entry)) return UNDECIDED_RETRY_MS;
-    if (!coordinator.tryIssue(entry, perSecond)) {
-      return Math.max(1, coordinator.getWaitMs(entry, perSecond));
+    // The limit has ended, which the response to the request will show the other instance.
+    if (perSecond === undefined) return {granted: 1, retryAfterMs: 0};
+    if (!coordinator.isCoordinator(entry)) return undecided;
+    const granted = coordinator.issue(max, entry, perSecond);
+    if (granted === 0) {
+      const retryAfterMs = coordinator.getWaitMs(entry, perSecond);
+      return {granted, retryAfterMs};
     }
-    this.count(id, PermitEvent.Issued);
-    return 0;
+    this.count(id, PermitEvent.Issued, granted);
+    return {granted, retryAfterMs: 0};
   }
 
-  private count(endpoint: string, event: PermitEvent): void {
-    this.options.tracker.countPermit(endpoint, event);
-    this.options.metrics.ratePermits.inc({result: event});
+  private count(endpoint: string, event: PermitEvent, number = 1): void {
+    this.options.tracker.countPermits(endpoint, event, number);
+    this.options.metrics.ratePermits.inc({result: event}, number);
   }
 }
 
+function countDemand(permits: EndpointPermits, now: number): void {
+  const since = now - DEMAND_WINDOW_MS;
+  permits.wantedAt = permits.wantedAt.filter(at => at > since);
+  permits.wantedAt.push(now);
+}
+
+/** High limits need several permits per message; those that are not used in time are lost. */
+function getBatchSize(demand: number, perSecond: number): number {
+  const max = Math.min(
+    demand * BATCH_DEMAND_FRACTION,
+    perSecond * BATCH_LIMIT_S,
+  );
+  return Math.max(1, Math.floor(max));
+}
+
 function finishPending(permits: EndpointPermits): void {
   const {pending} = permits;
   permits.pending = undefined;
--- a/packages/steering/src/direct/rate_bucket.ts
+++ b/packages/steering/src/direct/rate_bucket.ts
@@ -17,16 +17,17 @@
   constructor(private refilledAt: number) {}
 
   /**
-   * Takes a token.
+   * Takes tokens.
+   * @param max - Maximum number of tokens to take.
    * @param now - Monotonic time in milliseconds.
    * @param perSecond - Rate at which tokens are added.
-   * @returns Whether there was a token.
+   * @returns The number of tokens taken.
    */
-  tryTake(now: number, perSecond: number): boolean {
+  take(max: number, now: number, perSecond: number): number {
     this.refill(now, perSecond);
-    if (this.tokens < 1) return false;
-    this.tokens--;
-    return true;
+    const taken = Math.min(max, Math.floor(this.tokens));
+    this.tokens -= taken;
+    return taken;
   }
 
   /**
