Accept gossip and exchanges without rate limits

Cause: an instance of this version took the datagrams of an earlier one, which have no limits, for malformed, so that a rolling upgrade would have split the fleet into two groups. Found on reading.

Change: the field may be missing.

--- a/packages/instance/src/direct/gossip_message.ts
+++ b/packages/instance/src/direct/gossip_message.ts
@@ -37,8 +37,8 @@
   /** Announcements that changed recently. */
   members: MemberInfo[];
   changes?: GossipChanges;
-  /** Rate limits of endpoints, the recently changed ones first. */
-  limits: SharedLimit[];
+  /** Rate limits of endpoints, the recently changed ones first; earlier versions send none. */
+  limits?: SharedLimit[];
   /** Number of members after the receiver on the region's ring that are reached through it. */
   reach: number;
 }
@@ -80,8 +80,8 @@
     typeof heartbeats === 'object' &&
     heartbeats !== null &&
     Array.isArray(members) &&
-    Array.isArray(limits) &&
-    limits.every(isSharedLimit) &&
+    (limits === undefined ||
+      (Array.isArray(limits) && limits.every(isSharedLimit))) &&
     [gossip.digest, gossip.revision, gossip.changedRevision].every(
       Number.isFinite,
     ) &&
--- a/packages/instance/src/direct/peer_exchange.ts
+++ b/packages/instance/src/direct/peer_exchange.ts
@@ -189,7 +189,7 @@
     const {view} = this.options;
     const {sender, heartbeats, changes, configuration} = message;
     this.mergeMembers([sender, ...message.members], heartbeats);
-    this.options.mergeLimits(message.limits);
+    this.options.mergeLimits(message.limits ?? []);
     if (!changes && !configuration) return;
     this.options.apply(
       {
--- a/packages/instance/src/direct/peer_message.ts
+++ b/packages/instance/src/direct/peer_message.ts
@@ -14,8 +14,8 @@
   heartbeats: Heartbeats;
   /** Announcements that the receiver lacks. */
   members: MemberInfo[];
-  /** Rate limits of endpoints. */
-  limits: SharedLimit[];
+  /** Rate limits of endpoints; earlier versions send none. */
+  limits?: SharedLimit[];
   /** Digests of the announcements that the sender has, if it requests those that it lacks. */
   announcementDigests?: AnnouncementDigests;
   /** Changes that the receiver may lack. */
