Broadcast every new rate limit within 0.4 s

Cause: a limit that began less than 0.4 s after another broadcast was left to the rounds of gossip, which take seconds in a large fleet; endpoints often begin to state limits together, as both of the incident did at 8.0 s.

Change: the broadcast is delayed to the end of the interval instead of being skipped, and a datagram holds 32 limits instead of 16.

Evidence: npx vitest run packages/instance/test/direct: pass.

--- a/packages/instance/src/direct/gossip.ts
+++ b/packages/instance/src/direct/gossip.ts
@@ -36,7 +36,7 @@
 /** Limits on heartbeats and announcements per message; a datagram holds at most 64 KiB. */
 const MAX_HEARTBEATS = 64;
 const MAX_ANNOUNCEMENTS = 12;
-const MAX_LIMITS = 16;
+const MAX_LIMITS = 32;
 /** Minimum time between two broadcasts of changed rate limits, in milliseconds. */
 const LIMIT_BROADCAST_INTERVAL_MS = 400;
 /** Minimum time between two pulls of members, in milliseconds. */
@@ -88,6 +88,7 @@
   private failureCount = 0;
   private failureLoggedAt = -Infinity;
   private limitsBroadcastAt = -Infinity;
+  private limitBroadcastTimer?: Disposable;
 
   constructor(private readonly options: GossipOptions) {}
 
@@ -116,12 +117,19 @@
     this.broadcastToAllRegions();
   }
 
-  /** Broadcasts changed rate limits, unless it has done so just before; a round follows soon. */
+  /** Broadcasts changed rate limits at once, or together with others after a short interval. */
   announceLimits(): void {
-    const now = this.options.timers.now();
-    if (now - this.limitsBroadcastAt < LIMIT_BROADCAST_INTERVAL_MS) return;
-    this.limitsBroadcastAt = now;
-    this.broadcastToAllRegions();
+    if (this.limitBroadcastTimer) return;
+    const {timers} = this.options;
+    const sinceMs = timers.now() - this.limitsBroadcastAt;
+    if (sinceMs >= LIMIT_BROADCAST_INTERVAL_MS) {
+      this.broadcastLimits();
+      return;
+    }
+    this.limitBroadcastTimer = timers.after(
+      LIMIT_BROADCAST_INTERVAL_MS - sinceMs,
+      () => this.broadcastLimits(),
+    );
   }
 
   /**
@@ -144,6 +152,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     await this.roundTimer?.[Symbol.asyncDispose]();
+    this.limitBroadcastTimer?.[Symbol.dispose]();
     await this.options.socket[Symbol.asyncDispose]();
   }
 
@@ -162,6 +171,12 @@
     }
   }
 
+  private broadcastLimits(): void {
+    this.limitBroadcastTimer = undefined;
+    this.limitsBroadcastAt = this.options.timers.now();
+    this.broadcastToAllRegions();
+  }
+
   private runRound(): void {
     const {members, timers, self, random, countHeartbeat} = this.options;
     const now = timers.now();
@@ -252,7 +267,7 @@
   private applyMessage(message: GossipMessage): void {
     const {view, exchange, apply} = this.options;
     const {sender, changes} = message;
-    this.options.mergeLimits(message.limits);
+    this.options.mergeLimits(message.limits ?? []);
     exchange.mergeMembers([sender, ...message.members], message.heartbeats);
     if (changes && view.isComplete && view.revision >= changes.since) {
       apply(changes, sender.id);
