--- a/packages/instance/src/direct/control_sync.ts
+++ b/packages/instance/src/direct/control_sync.ts
@@ -8,11 +8,12 @@
   RegistryFault,
   type RegistryItems,
 } from '@primrosestage/control';
-import type {
-  ControlChanges,
-  ControlView,
-  MemberInfo,
-  MemberTable,
+import {
+  type ControlChanges,
+  type ControlView,
+  FollowerElection,
+  type MemberInfo,
+  type MemberTable,
 } from '@primrosestage/steering';
 import type {ControlSource} from './control_source.js';
 import type {DirectMetrics} from './direct_metrics.js';
@@ -79,16 +80,18 @@
   private immediateWatches = 0;
   private roleChecks?: AsyncDisposable;
   private readonly loops: Array<Promise<void>> = [];
+  private readonly election: FollowerElection;
   private readonly stallDetector: StalledWatchDetector;
 
   constructor(private readonly options: ControlSyncOptions) {
     const {source, members, timers, logger, isSystemStart} = options;
     this.isDiscoveringPeers = isSystemStart;
+    this.election = new FollowerElection(members);
     this.stallDetector = new StalledWatchDetector({
       getPosition: () => (this.watchAbort ? this.position : undefined),
       readRevision: () => source.store.readRevision(),
       shouldReadRevision: () =>
-        this.isFollowing && members.isFirstFollower(timers.now()),
+        this.isFollowing && this.election.isFirstFollower(timers.now()),
       reopen: () => this.endWatch(),
       timers,
       logger,
@@ -168,11 +171,11 @@
   }
 
   private async delayNextWatch(signal: AbortSignal): Promise<void> {
-    const {members, timers} = this.options;
+    const {timers} = this.options;
     if (this.isDiscoveringPeers) {
       this.isDiscoveringPeers = false;
       await timers.sleep(PEER_DISCOVERY_DELAY_MS, signal);
-      this.isFollower = members.shouldFollow(timers.now());
+      this.isFollower = this.election.shouldFollow(timers.now());
       return;
     }
     const isBusy = this.immediateWatches >= BUSY_WATCH_COUNT;
@@ -184,18 +187,18 @@
    * the changes to the others. An instance without a view cannot rely on that and keeps trying.
    */
   private getMaxBackoffMs(): number {
-    const {members, timers, view} = this.options;
+    const {timers, view} = this.options;
     const isStandby =
       view.isComplete &&
-      members.getRegionRank(timers.now()) >= SHORT_BACKOFF_INSTANCES;
+      this.election.getRegionRank(timers.now()) >= SHORT_BACKOFF_INSTANCES;
     return isStandby ? MAX_STANDBY_BACKOFF_MS : MAX_BACKOFF_MS;
   }
 
   /** Follows if no other instance of the region does; stops once another has for some time. */
   private updateRole(): boolean {
-    const {members, timers, logger} = this.options;
+    const {timers, logger} = this.options;
     const now = timers.now();
-    if (members.shouldFollow(now)) {
+    if (this.election.shouldFollow(now)) {
       this.redundantSince = Infinity;
       if (!this.isFollower) logger.info('following registry');
       this.isFollower = true;
@@ -295,8 +298,8 @@
    * knows no other counts as the first of its region.
    */
   private isRegistrationDue(): boolean {
-    const {members, timers} = this.options;
-    return members.shouldFollow(timers.now());
+    const {timers} = this.options;
+    return this.election.shouldFollow(timers.now());
   }
 
   private async register(): Promise<void> {
--- a/packages/instance/src/direct/gossip.ts
+++ b/packages/instance/src/direct/gossip.ts
@@ -3,6 +3,8 @@
   type ControlChanges,
   type ControlView,
   type EndpointLimits,
+  FollowerElection,
+  MemberDissemination,
   type MemberInfo,
   type MemberTable,
   pickRandom,
@@ -90,7 +92,13 @@
   private limitsBroadcastAt = -Infinity;
   private limitBroadcastTimer?: Disposable;
 
-  constructor(private readonly options: GossipOptions) {}
+  private readonly election: FollowerElection;
+  private readonly dissemination: MemberDissemination;
+
+  constructor(private readonly options: GossipOptions) {
+    this.election = new FollowerElection(options.members);
+    this.dissemination = new MemberDissemination(options.members);
+  }
 
   /** Opens the socket and starts the rounds. */
   async start(): Promise<void> {
@@ -195,7 +203,8 @@
       ...pickRandom(sameRegion, REGION_FANOUT, random),
     ]);
     if (isFollowing) {
-      for (const standby of members.getStandbys(now)) targets.add(standby);
+      for (const standby of this.election.getStandbys(now))
+        targets.add(standby);
     }
     if (this.isEveryNthRound(ROUNDS_PER_REMOTE)) {
       const otherRegions = live.filter(other => other.region !== region);
@@ -293,9 +302,9 @@
 
   /** Says whether to pull members because the digests differ, and notes the time of the pull. */
   private startMemberPullIfDue({digest}: GossipMessage): boolean {
-    const {members, timers} = this.options;
+    const {timers} = this.options;
     const now = timers.now();
-    if (digest === members.getDigest(now)) {
+    if (digest === this.dissemination.getDigest(now)) {
       this.hasMatchedDigest = true;
       return false;
     }
@@ -328,12 +337,16 @@
   }
 
   private createMessage(reach: number, changes?: GossipChanges): GossipMessage {
-    const {members, limits, timers, exchange} = this.options;
+    const {limits, timers, exchange} = this.options;
     const now = timers.now();
     return {
       ...exchange.createState(),
-      heartbeats: changes ? {} : members.selectHeartbeats(MAX_HEARTBEATS, now),
-      members: changes ? [] : members.getRecentChanges(MAX_ANNOUNCEMENTS, now),
+      heartbeats: changes
+        ? {}
+        : this.dissemination.selectHeartbeats(MAX_HEARTBEATS, now),
+      members: changes
+        ? []
+        : this.dissemination.getRecentChanges(MAX_ANNOUNCEMENTS, now),
       changes,
       limits: changes ? [] : limits.selectShared(MAX_LIMITS, now),
       reach,
--- a/packages/instance/src/direct/peer_exchange.ts
+++ b/packages/instance/src/direct/peer_exchange.ts
@@ -7,14 +7,15 @@
   type EventLogger,
   type TimerService,
 } from '@primrosestage/common';
-import type {
-  ControlChanges,
-  ControlView,
-  EndpointLimits,
-  Heartbeats,
-  MemberInfo,
-  MemberTable,
-  SharedLimit,
+import {
+  type ControlChanges,
+  type ControlView,
+  type EndpointLimits,
+  type Heartbeats,
+  MemberDissemination,
+  type MemberInfo,
+  type MemberTable,
+  type SharedLimit,
 } from '@primrosestage/steering';
 import {createPeerClient, procedure, router} from '../rpc/index.js';
 import type {DirectMetrics} from './direct_metrics.js';
@@ -70,7 +71,11 @@
   >();
   private readonly pendingCalls = new Map<string, Promise<void>>();
 
-  constructor(private readonly options: PeerExchangeOptions) {}
+  private readonly dissemination: MemberDissemination;
+
+  constructor(private readonly options: PeerExchangeOptions) {
+    this.dissemination = new MemberDissemination(options.members);
+  }
 
   /** Whether an exchange that this instance started is pending. */
   get isBusy(): boolean {
@@ -105,10 +110,10 @@
 
   /** Describes the state of this instance. */
   createState(): PeerState {
-    const {view, members, timers, self} = this.options;
+    const {view, timers, self} = this.options;
     return {
       sender: self(),
-      digest: members.getDigest(timers.now()),
+      digest: this.dissemination.getDigest(timers.now()),
       revision: view.isComplete ? view.revision : 0,
       changedRevision: view.changedRevision,
       configurationVersion: view.configuration?.version ?? 0,
@@ -139,7 +144,7 @@
     const {metrics, logger, members, timers, recordPeerRevision} = this.options;
     const message = this.createMessage(peerState);
     if (includesMembers) {
-      message.announcementDigests = members.getDigests(timers.now());
+      message.announcementDigests = this.dissemination.getDigests(timers.now());
     }
     try {
       const reply =
@@ -159,7 +164,7 @@
 
   /** Creates a message with the own state and, if another one's state is known, what that lacks. */
   private createMessage(other?: Partial<PeerMessage> & PeerState): PeerMessage {
-    const {view, members, limits, timers} = this.options;
+    const {view, limits, timers} = this.options;
     const {configuration} = view;
     const message: PeerMessage = {
       ...this.createState(),
@@ -169,12 +174,12 @@
     };
     if (!other) return message;
     if (other.announcementDigests) {
-      message.members = members.getDifferingAnnouncements(
+      message.members = this.dissemination.getDifferingAnnouncements(
         other.announcementDigests,
         timers.now(),
       );
     }
-    const laterProcess = members.getLaterProcess(other.sender);
+    const laterProcess = this.dissemination.getLaterProcess(other.sender);
     if (laterProcess) message.members.push(laterProcess);
     if (view.revision > other.revision) {
       message.changes = view.getChangesAfter(other.revision);
--- a/packages/instance/test/direct/peer_exchange.test.ts
+++ b/packages/instance/test/direct/peer_exchange.test.ts
@@ -3,6 +3,7 @@
 import {
   ControlView,
   EndpointLimits,
+  MemberDissemination,
   type MemberInfo,
   MemberTable,
 } from '@primrosestage/steering';
@@ -82,7 +83,7 @@
   });
 
   it('sends only the members that differ', () => {
-    const announcementDigests = members.getDigests(0);
+    const announcementDigests = new MemberDissemination(members).getDigests(0);
     exchange.mergeMembers([createInfo(9, {version: 2, heartbeat: 2})], {});
     const reply = receiveFrom({announcementDigests});
     expect(reply.members.map(({id}) => id)).toEqual([createInfo(9).id]);
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -62,6 +62,8 @@
   MemberInfo,
 } from './member_info.js';
 export {MemberTable} from './member_table.js';
+export {FollowerElection} from './follower_election.js';
+export {MemberDissemination} from './member_dissemination.js';
 export {pickRandom, splitBroadcast, type BroadcastBranch} from './overlay.js';
 export {WarmObjects} from './warm_objects.js';
 export {getRetryAfterMs, type RetryAfterOptions} from './retry_after.js';
--- a/packages/steering/src/direct/member.ts
+++ b/packages/steering/src/direct/member.ts
@@ -1,6 +1,9 @@
 import {hash32} from './hash_fraction.js';
 import type {MemberInfo} from './member_info.js';
 
+/** Time without a new heartbeat after which an announcement is no longer forwarded. */
+export const STALE_AFTER_MS = 8_000;
+
 /** Another instance, as this one knows it. */
 export interface Member {
   info: MemberInfo;
@@ -52,3 +55,12 @@
   if (info.version !== known.version) return info.version > known.version;
   return info.heartbeat > known.heartbeat;
 }
+
+/**
+ * Returns whether the announcement of an instance is too old to be forwarded.
+ * @param member - The instance.
+ * @param now - Monotonic time in milliseconds.
+ */
+export function isStale({lastHeartbeatAt}: Member, now: number): boolean {
+  return now - lastHeartbeatAt >= STALE_AFTER_MS;
+}
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -1,16 +1,12 @@
-import {chooseStandbys} from './choose_standbys.js';
 import {combineToFraction, hash32} from './hash_fraction.js';
 import {
   createMember,
   digestAnnouncement,
   isNewer,
   type Member,
+  STALE_AFTER_MS,
 } from './member.js';
-import type {
-  AnnouncementDigests,
-  Heartbeats,
-  MemberInfo,
-} from './member_info.js';
+import type {Heartbeats, MemberInfo} from './member_info.js';
 import {RegionDemand} from './region_demand.js';
 
 /**
@@ -20,22 +16,8 @@
 const SUSPECT_AFTER_MS = 3_000;
 /** The same for instances of other regions, whose heartbeats arrive less often. */
 const SUSPECT_REMOTE_AFTER_MS = 5_000;
-/** Time without a new heartbeat after which an announcement is no longer forwarded. */
-const STALE_AFTER_MS = 8_000;
-/**
- * Time without a new heartbeat of a follower after which its standbys take over watching the
- * registry. A change must take effect within two seconds even if the follower has just failed.
- */
-const REPLACE_FOLLOWER_AFTER_MS = 1_200;
-/**
- * The same for instances that are not standbys, which receive the heartbeats of the follower
- * through other instances.
- */
-const REPLACE_STANDBYS_AFTER_MS = 3_000;
 /** Maximum age up to which the reported open requests of an instance are used. */
 const MAX_OPEN_REQUESTS_AGE_MS = 15_000;
-/** Fraction of the heartbeats in a message that is reserved for the own region. */
-const OWN_REGION_FRACTION = 0.75;
 /**
  * Time without a new heartbeat after which an instance is forgotten and no longer has a share of
  * the limits that are divided among instances.
@@ -51,9 +33,6 @@
  */
 const MAX_HEARTBEAT_STEP = 1_000;
 
-/** Time for which a changed announcement is forwarded unsolicited, in milliseconds. */
-const FORWARD_CHANGES_MS = 1_500;
-
 /**
  * Tracks the other instances by gossiped announcements and heartbeats. A heartbeat counts only if
  * it is higher than the last one, so that repeated and reordered messages are harmless.
@@ -61,7 +40,6 @@
 export class MemberTable {
   private readonly members = new Map<string, Member>();
   private ownBornAtFloor = 0;
-  private messageCount = 0;
   private versionCount = 0;
   private membershipUnknownUntil = -Infinity;
   private region?: string;
@@ -140,73 +118,6 @@
     }
   }
 
-  /**
-   * Selects the heartbeats for a message: the least recently forwarded ones, most of them of the
-   * own region. This bounds the size of a message regardless of the number of instances.
-   * @param max - Maximum number of heartbeats of other instances.
-   * @param now - Monotonic time in milliseconds.
-   */
-  selectHeartbeats(max: number, now: number): Heartbeats {
-    const {region} = this.self();
-    const own: Member[] = [];
-    const remote: Member[] = [];
-    for (const member of this.members.values()) {
-      if (!this.isLive(member, now)) continue;
-      (member.info.region === region ? own : remote).push(member);
-    }
-    const remoteMax = Math.max(
-      max - own.length,
-      max * (1 - OWN_REGION_FRACTION),
-    );
-    const chosen = selectLeastRecentlyForwarded(remote, Math.floor(remoteMax));
-    chosen.push(...selectLeastRecentlyForwarded(own, max - chosen.length));
-    this.messageCount++;
-    for (const member of chosen) member.lastForwardedIn = this.messageCount;
-    return Object.fromEntries(
-      chosen.map(({info}) => [info.id, info.heartbeat]),
-    );
-  }
-
-  /**
-   * Returns a digest of the announcements that are not stale. Two instances compare it to detect
-   * whether they know the same announcements; heartbeats and open requests are not included.
-   * @param now - Monotonic time in milliseconds.
-   */
-  getDigest(now: number): number {
-    let digest = digestAnnouncement(this.self());
-    for (const member of this.members.values()) {
-      if (now - member.lastHeartbeatAt < STALE_AFTER_MS)
-        digest ^= member.digest;
-    }
-    return digest;
-  }
-
-  /**
-   * Returns the recently changed announcements, latest first.
-   * @param max - Maximum number of announcements. Others detect by the digest that they lack more.
-   * @param now - Monotonic time in milliseconds.
-   */
-  getRecentChanges(max: number, now: number): MemberInfo[] {
-    return [...this.members.values()]
-      .filter(
-        ({announcementChangedAt}) =>
-          now - announcementChangedAt < FORWARD_CHANGES_MS,
-      )
-      .sort((a, b) => b.announcementChangedAt - a.announcementChangedAt)
-      .slice(0, max)
-      .map(({info}) => info);
-  }
-
-  /**
-   * Returns the known announcement of a later process with the same id, if there is one. Other
-   * instances that know it ignore the given process.
-   * @param info - Announcement of the process.
-   */
-  getLaterProcess(info: MemberInfo): MemberInfo | undefined {
-    const known = this.members.get(info.id)?.info;
-    return known && known.bornAt > info.bornAt ? known : undefined;
-  }
-
   /**
    * Adds instances from their registrations, which give addresses but are no sign of liveness.
    * @param infos - Registrations, possibly outdated.
@@ -250,35 +161,29 @@
     return expired;
   }
 
+  /** The other known instances, live or not. */
+  get entries(): Iterable<Member> {
+    return this.members.values();
+  }
+
   /**
-   * Returns the digests of the announcements that are not stale, by id, so that another instance
-   * replies only with those that differ.
+   * Returns whether an instance is considered live.
+   * @param member - The instance.
    * @param now - Monotonic time in milliseconds.
    */
-  getDigests(now: number): AnnouncementDigests {
-    const digests: Record<string, number> = {};
-    for (const [id, member] of this.members) {
-      if (now - member.lastHeartbeatAt < STALE_AFTER_MS)
-        digests[id] = member.digest;
-    }
-    return digests;
+  isLive({info, lastHeartbeatAt}: Member, now: number): boolean {
+    this.region ??= this.self().region;
+    const limitMs =
+      info.region === this.region ? SUSPECT_AFTER_MS : SUSPECT_REMOTE_AFTER_MS;
+    return now - lastHeartbeatAt < limitMs;
   }
 
   /**
-   * Returns the announcements that are not stale and differ from those another instance has.
-   * @param digests - Digests of the announcements that the other instance has.
-   * @param now - Monotonic time in milliseconds.
+   * Returns the announcement of another instance.
+   * @param id - Id of the instance.
    */
-  getDifferingAnnouncements(
-    digests: AnnouncementDigests,
-    now: number,
-  ): MemberInfo[] {
-    const infos: MemberInfo[] = [];
-    for (const [id, member] of this.members) {
-      const isFresh = now - member.lastHeartbeatAt < STALE_AFTER_MS;
-      if (isFresh && digests[id] !== member.digest) infos.push(member.info);
-    }
-    return infos;
+  get(id: string): MemberInfo | undefined {
+    return this.members.get(id)?.info;
   }
 
   /** Returns this instance. */
@@ -309,17 +214,6 @@
       .sort((a, b) => (a.id < b.id ? -1 : 1));
   }
 
-  /**
-   * Returns the standbys of this instance, which take over first if it watches the registry and
-   * fails: the first other instance of its region and the first one of each further zone, so that
-   * a standby remains if a zone is lost.
-   * @param now - Monotonic time in milliseconds.
-   */
-  getStandbys(now: number): MemberInfo[] {
-    const {id, region, zone} = this.self();
-    return chooseStandbys(this.getRing(region, now), id, zone);
-  }
-
   /**
    * Returns the live instances to which callers may be directed.
    * @param now - Monotonic time in milliseconds.
@@ -348,59 +242,6 @@
     return [...this.members.values()].map(({info}) => info);
   }
 
-  /**
-   * Returns the other instances of this region that count as followers of the registry. One
-   * without recent heartbeats stops counting for its standbys first, then for all instances.
-   * @param now - Monotonic time in milliseconds.
-   */
-  getOtherFollowers(now: number): MemberInfo[] {
-    const {id, region} = this.self();
-    return [...this.members.values()]
-      .filter(({info}) => info.isFollowing && info.region === region)
-      .filter(({info, lastHeartbeatAt}) => {
-        const heartbeatAgeMs = now - lastHeartbeatAt;
-        if (heartbeatAgeMs < REPLACE_FOLLOWER_AFTER_MS) return true;
-        if (heartbeatAgeMs >= REPLACE_STANDBYS_AFTER_MS) return false;
-        const standbys = chooseStandbys(
-          this.getRing(region, now),
-          info.id,
-          info.zone,
-        );
-        return !standbys.some(standby => standby.id === id);
-      })
-      .map(({info}) => info);
-  }
-
-  /**
-   * Returns whether this instance should follow the registry. It should unless an instance of the
-   * region with a lower id does.
-   * @param now - Monotonic time in milliseconds.
-   */
-  shouldFollow(now: number): boolean {
-    const {id} = this.self();
-    return !this.getOtherFollowers(now).some(follower => follower.id < id);
-  }
-
-  /**
-   * Returns whether no live instance of any region with a lower id follows the registry.
-   * @param now - Monotonic time in milliseconds.
-   */
-  isFirstFollower(now: number): boolean {
-    const {id} = this.self();
-    return !this.getLive(now).some(other => other.isFollowing && other.id < id);
-  }
-
-  /**
-   * Returns the number of live instances of the same region with lower ids.
-   * @param now - Monotonic time in milliseconds.
-   */
-  getRegionRank(now: number): number {
-    const {id, region} = this.self();
-    return this.getLive(now).filter(
-      other => other.region === region && other.id < id,
-    ).length;
-  }
-
   /**
    * Estimates the number of requests that all live instances have open at the endpoints of a
    * service. Not every instance reports to every other one, so the mean of the recent reports of a
@@ -478,25 +319,8 @@
     return now - (this.members.get(id)?.lastHeartbeatAt ?? -Infinity);
   }
 
-  private isLive({info, lastHeartbeatAt}: Member, now: number): boolean {
-    this.region ??= this.self().region;
-    const limitMs =
-      info.region === this.region ? SUSPECT_AFTER_MS : SUSPECT_REMOTE_AFTER_MS;
-    return now - lastHeartbeatAt < limitMs;
-  }
-
   private raiseOwnBornAtFloor(info: MemberInfo, self: MemberInfo): void {
     if (info.bornAt <= self.bornAt) return;
     this.ownBornAtFloor = Math.max(this.ownBornAtFloor, info.bornAt + 1);
   }
 }
-
-function selectLeastRecentlyForwarded(
-  members: Member[],
-  max: number,
-): Member[] {
-  if (members.length <= max) return members;
-  return members
-    .sort((a, b) => a.lastForwardedIn - b.lastForwardedIn)
-    .slice(0, max);
-}
