Split sending with retries from the exchange with the caller

RequestExchange had 413 lines for two jobs: reading the caller's request and writing its response, and sending it to endpoints with retries and hedging. The second is RetryingSender now (196 lines, the exchange has 287).

--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -15,18 +15,11 @@
 } from './caller_request.js';
 import {getHeader} from '../http/headers.js';
 import type {HopSpan} from '../telemetry/hop_span.js';
-import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
 import {Decision, getFailureStatus} from './decision.js';
 import type {RequestExchangeOptions} from './exchange_options.js';
-import {observeAttempt} from './observe_attempt.js';
 import {monitorStream} from './monitor_stream.js';
-import type {AttemptRecord} from './request_log.js';
-import {
-  RESPONSE_GRACE_MS,
-  createAttemptRecord,
-  type OpenAttempt,
-  startAttempt,
-} from './start_attempt.js';
+import {RetryingSender} from './retrying_sender.js';
+import {RESPONSE_GRACE_MS, type OpenAttempt} from './start_attempt.js';
 import {writeResponse} from './write_response.js';
 
 /** Largest request body that is buffered in memory, in bytes. */
@@ -42,19 +35,14 @@
 export class RequestExchange {
   private readonly arrivedAt: number;
   private readonly requestId: string;
-  private readonly attempts: AttemptRecord[] = [];
-  private readonly tried = new Set<string>();
-  private readonly openAttempts = new Set<OpenAttempt>();
   private isCallerDisconnected = false;
   private isFinished = false;
-  private mayHaveRun = false;
+  private sender?: RetryingSender;
   private route?: Route;
   private service?: string;
   private objectKey = '';
   private deadlineAt = 0;
-  private timeoutAt = 0;
   private retryAfterMs?: number;
-  private limited?: string[];
   private readonly span?: HopSpan;
 
   constructor(
@@ -82,7 +70,8 @@
     } catch (err) {
       // The request cannot be forwarded unchanged, for example because of an invalid path.
       this.options.log.writeError(this.requestId, err);
-      this.finish(this.mayHaveRun ? 502 : 400, Decision.BadRequest);
+      const mayHaveRun = this.sender?.mayHaveRun === true;
+      this.finish(mayHaveRun ? 502 : 400, Decision.BadRequest);
     }
   }
 
@@ -90,7 +79,6 @@
     const {view, names, timers, selector} = this.options;
     const {configuration} = view;
     if (!configuration) {
-      this.retryAfterMs = NOT_READY_RETRY_AFTER_MS;
       this.finish(503, Decision.NoConfiguration);
       return;
     }
@@ -114,7 +102,7 @@
     const deadlineMs = readDeadlineMs(this.req, names) ?? DEFAULT_DEADLINE_MS;
     this.deadlineAt = this.arrivedAt + deadlineMs;
     const timeoutMs = route.timeoutMs > 0 ? route.timeoutMs : Infinity;
-    this.timeoutAt = Math.min(this.deadlineAt, this.arrivedAt + timeoutMs);
+    const timeoutAt = Math.min(this.deadlineAt, this.arrivedAt + timeoutMs);
     this.objectKey =
       (route.isSticky ? readObjectKey(this.req, names) : undefined) ??
       this.requestId;
@@ -138,149 +126,42 @@
       return;
     }
     this.options.retryBudgets.countRequest(this.service);
-    const timeout = timers.after(
-      Math.max(0, this.timeoutAt - timers.now()) + RESPONSE_GRACE_MS,
-      () => this.handleTimeout(),
-    );
-    try {
-      await this.sendWithRetries(route, this.service, body);
-    } finally {
-      timeout[Symbol.dispose]();
-    }
-  }
-
-  /** Sends the request, with retries and hedging if allowed, until there is a final response. */
-  private async sendWithRetries(
-    route: Route,
-    service: string,
-    body: Buffer | undefined,
-  ): Promise<void> {
-    const race = new AttemptRace(this.options.timers);
-    let decision = Decision.NoCapacity;
-    for (let sent = 0; ;) {
-      const open = this.mayStartAttempt(sent, route, service)
-        ? await this.startNextAttempt(route, service, body)
-        : undefined;
-      if (open) {
-        sent++;
-        race.add(open, this.awaitAttempt(open));
-      }
-      if (race.size === 0) break;
-      const isHedgeable =
-        open !== undefined && isIdempotent(route.kind) && sent < route.attempts;
-      const finished = await race.takeFirstFinished(
-        isHedgeable ? open.hedgeDelayMs : Infinity,
-      );
-      if (this.isFinished) return;
-      if (!finished) continue;
-      if (this.isResponseFinal(finished, sent, race.size)) {
-        this.forwardResponse(
-          finished.result.response as EndpointResponse,
-          finished.open,
-        );
-        this.cancelOpenAttempts();
-        return;
-      }
-      decision = this.recordFailure(finished.result.outcome);
-      if (this.mayHaveRun && !isIdempotent(route.kind)) break;
-    }
-    if (!this.isFinished) this.finishFailed(decision);
-  }
-
-  /** The first attempt is always allowed; others are limited by the route and the retry budget. */
-  private mayStartAttempt(
-    sent: number,
-    route: Route,
-    service: string,
-  ): boolean {
-    if (sent === 0) return true;
-    if (sent >= route.attempts) return false;
-    const {retryBudgets, metrics} = this.options;
-    if (retryBudgets.tryAcquire(service)) return true;
-    metrics.retries.inc({service, cause: 'no-allowance'});
-    return false;
-  }
-
-  private recordFailure(outcome: AttemptOutcome): Decision {
-    switch (outcome) {
-      case AttemptOutcome.Refused:
-        return Decision.Refused;
-      case AttemptOutcome.NotSent:
-        return Decision.NoEndpoint;
-      case AttemptOutcome.TimedOut:
-        this.mayHaveRun = true;
-        return Decision.TimedOut;
-      default:
-        this.mayHaveRun = true;
-        return Decision.ConnectionBroken;
-    }
-  }
-
-  /** An error response to an idempotent request is retried if attempts and time remain. */
-  private isResponseFinal(
-    finished: FinishedAttempt,
-    sent: number,
-    pendingCount: number,
-  ): boolean {
-    const {response, outcome} = finished.result;
-    if (!response || outcome !== AttemptOutcome.Answered) return false;
-    const route = this.route as Route;
-    if (response.status < 500 || !isIdempotent(route.kind)) return true;
-    if (pendingCount > 0) return false;
-    if (sent >= route.attempts) return true;
-    const {selector, timers} = this.options;
-    const neededMs = 2 * selector.getServiceMs(this.service as string);
-    return this.timeoutAt - timers.now() < neededMs;
-  }
-
-  private async startNextAttempt(
-    route: Route,
-    service: string,
-    body: Buffer | undefined,
-  ): Promise<OpenAttempt | undefined> {
-    const {req, requestId, objectKey, tried, timeoutAt} = this;
-    const {open, limited, ...refusal} = await startAttempt(
+    this.sender = new RetryingSender(
       {
-        req,
-        requestId,
-        traceParent: this.span?.traceParent,
+        req: this.req,
+        requestId: this.requestId,
         body,
-        selection: {route, service, objectKey, tried},
+        route,
+        service: this.service,
+        objectKey: this.objectKey,
         timeoutAt,
-        isFinished: () => this.isFinished,
+        traceParent: this.span?.traceParent,
       },
       this.options,
     );
-    if (limited?.length) this.limited = [...limited];
-    if (open) {
-      this.tried.add(open.endpoint.entry.id);
-      this.openAttempts.add(open);
-    } else if ('retryAfterMs' in refusal) {
-      this.retryAfterMs = refusal.retryAfterMs;
+    const timeout = timers.after(
+      Math.max(0, timeoutAt - timers.now()) + RESPONSE_GRACE_MS,
+      () => this.handleTimeout(),
+    );
+    try {
+      await this.forwardOrFail(this.sender);
+    } finally {
+      timeout[Symbol.dispose]();
     }
-    return open;
   }
 
-  private async awaitAttempt(open: OpenAttempt): Promise<FinishedAttempt> {
-    const {selector, limitTracker, timers, metrics} = this.options;
-    const result = await open.attempt.result;
-    this.openAttempts.delete(open);
-    const at = timers.now();
-    observeAttempt(open, result, selector, {at, objectKey: this.objectKey});
-    limitTracker.observeAttempt(open.endpoint, result);
-    open.span?.end(result.outcome, result.response ? undefined : result.reason);
-    const ms = at - open.startedAt;
-    const {service} = open.endpoint.entry;
-    metrics.attempts.inc({service, outcome: result.outcome});
-    metrics.attemptSeconds.observe({service}, ms / 1_000);
-    this.attempts.push(
-      createAttemptRecord(open, result.outcome, result.reason, ms),
-    );
-    return {open, result};
+  private async forwardOrFail(sender: RetryingSender): Promise<void> {
+    const result = await sender.send();
+    if (this.isFinished) return;
+    if (result.response) {
+      this.forwardResponse(result.response, result.from);
+      sender.cancelOpenAttempts();
+    } else this.finishFailed(result.decision);
   }
 
   private forwardResponse(response: EndpointResponse, from: OpenAttempt): void {
     this.isFinished = true;
+    this.sender?.stop();
     if (!this.res.destroyed) {
       if (response.bodyStream) this.monitorStream(response.bodyStream, from);
       writeResponse(response, this.res, this.req.method === 'HEAD');
@@ -316,14 +197,13 @@
 
   private handleTimeout(): void {
     if (this.isFinished) return;
-    const mayHaveRun = this.mayHaveRun || this.openAttempts.size > 0;
-    this.mayHaveRun = mayHaveRun;
     this.finishFailed(Decision.TimedOut);
-    this.cancelOpenAttempts();
+    this.sender?.cancelOpenAttempts();
   }
 
   private finishFailed(decision: Decision): void {
-    this.finish(getFailureStatus(decision, this.mayHaveRun), decision);
+    const mayHaveRun = this.sender?.mayHaveRun === true;
+    this.finish(getFailureStatus(decision, mayHaveRun), decision);
   }
 
   private finish(status: number, decision: Decision): void {
@@ -335,6 +215,7 @@
     if (status === 413 || status === 431) headers['connection'] = 'close';
     if (this.isFinished) return;
     this.isFinished = true;
+    this.sender?.stop();
     if (!this.res.destroyed) this.res.writeHead(status, headers).end();
     this.recordCompletion(status, decision);
   }
@@ -342,7 +223,7 @@
   private getRetryAfter(): string {
     const {timers, random} = this.options;
     this.retryAfterMs = getRetryAfterMs({
-      capacityInMs: this.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS,
+      capacityInMs: this.sender?.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS,
       remainingMs:
         this.deadlineAt === 0
           ? Infinity
@@ -369,15 +250,14 @@
 
   private finishWithoutCaller(): void {
     this.isFinished = true;
+    this.sender?.stop();
     // A non-idempotent request is not cancelled: its response may have been about to arrive.
-    if (!this.route || isIdempotent(this.route.kind)) this.cancelOpenAttempts();
+    if (!this.route || isIdempotent(this.route.kind)) {
+      this.sender?.cancelOpenAttempts();
+    }
     this.recordCompletion(0, Decision.CallerDisconnected);
   }
 
-  private cancelOpenAttempts(): void {
-    for (const {attempt} of this.openAttempts) attempt.cancel();
-  }
-
   private recordCompletion(status: number, decision: Decision): void {
     const {metrics, log, timers, view} = this.options;
     const now = timers.now();
@@ -398,13 +278,8 @@
         remainingMs: Math.round(this.deadlineAt - now),
         retryAfterMs: status === 503 ? this.retryAfterMs : undefined,
         ms: Math.round(ms),
-        limited: this.limited,
-        attempts: [
-          ...this.attempts,
-          ...[...this.openAttempts].map(open =>
-            createAttemptRecord(open, 'open', '', now - open.startedAt),
-          ),
-        ],
+        limited: this.sender?.limited,
+        attempts: this.sender?.getAttemptRecords() ?? [],
       },
       now,
     );
--- /dev/null
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -0,0 +1,196 @@
+import type {IncomingMessage} from 'node:http';
+import {isIdempotent, type Route} from '@primrosestage/steering';
+import {AttemptOutcome, type EndpointResponse} from './attempt.js';
+import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
+import {Decision} from './decision.js';
+import type {RequestExchangeOptions} from './exchange_options.js';
+import {observeAttempt} from './observe_attempt.js';
+import type {AttemptRecord} from './request_log.js';
+import {
+  createAttemptRecord,
+  type OpenAttempt,
+  startAttempt,
+} from './start_attempt.js';
+
+/** A request of a caller that is ready to be sent to an endpoint. */
+export interface SendableRequest {
+  req: IncomingMessage;
+  requestId: string;
+  body: Buffer | undefined;
+  route: Route;
+  service: string;
+  /** Key of the object, or the request id if the request names no object. */
+  objectKey: string;
+  /** Monotonic time at which the request is given up, in milliseconds. */
+  timeoutAt: number;
+  /** The `traceparent` header of the request's span. */
+  traceParent: string | undefined;
+}
+
+/** The final response of an endpoint, or why there is none. */
+export type SendResult =
+  | {readonly response: EndpointResponse; readonly from: OpenAttempt}
+  | {readonly response?: undefined; readonly decision: Decision};
+
+/** Sends one request to endpoints, with retries and hedging if allowed. */
+export class RetryingSender {
+  /** Time until a caller should retry if no endpoint could be used, in milliseconds. */
+  retryAfterMs?: number;
+  /** Ids of the endpoints that were not chosen last because of their rate limits. */
+  limited?: string[];
+  private readonly finishedAttempts: AttemptRecord[] = [];
+  private readonly tried = new Set<string>();
+  private readonly openAttempts = new Set<OpenAttempt>();
+  private hasUncertainAttempt = false;
+  private isStopped = false;
+
+  /**
+   * Creates the sender of one request.
+   * @param request - The request.
+   * @param options - Dependencies of handling a request.
+   */
+  constructor(
+    private readonly request: SendableRequest,
+    private readonly options: RequestExchangeOptions,
+  ) {}
+
+  /** Whether an endpoint may have run the request, or may still do so. */
+  get mayHaveRun(): boolean {
+    return this.hasUncertainAttempt || this.openAttempts.size > 0;
+  }
+
+  /**
+   * Sends the request until there is a final response or no attempt is left.
+   * @returns The result; without meaning if the sender was stopped meanwhile.
+   */
+  async send(): Promise<SendResult> {
+    const {route} = this.request;
+    const race = new AttemptRace(this.options.timers);
+    let decision = Decision.NoCapacity;
+    for (let sent = 0; ;) {
+      const open = this.mayStartAttempt(sent)
+        ? await this.startNextAttempt()
+        : undefined;
+      if (open) {
+        sent++;
+        race.add(open, this.awaitAttempt(open));
+      }
+      if (race.size === 0) return {decision};
+      const isHedgeable =
+        open !== undefined && isIdempotent(route.kind) && sent < route.attempts;
+      const finished = await race.takeFirstFinished(
+        isHedgeable ? open.hedgeDelayMs : Infinity,
+      );
+      if (this.isStopped) return {decision};
+      if (!finished) continue;
+      const {response, outcome} = finished.result;
+      if (response && this.isResponseFinal(finished, sent, race.size)) {
+        return {response, from: finished.open};
+      }
+      decision = this.recordFailure(outcome);
+      if (this.hasUncertainAttempt && !isIdempotent(route.kind)) {
+        return {decision};
+      }
+    }
+  }
+
+  /** Stops sending: no further attempt is started. Open ones go on unless they are cancelled too. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Cancels the open attempts and closes their connections. */
+  cancelOpenAttempts(): void {
+    for (const {attempt} of this.openAttempts) attempt.cancel();
+  }
+
+  /** Describes all attempts for the log. */
+  getAttemptRecords(): AttemptRecord[] {
+    const now = this.options.timers.now();
+    const open = [...this.openAttempts].map(each =>
+      createAttemptRecord(each, 'open', '', now - each.startedAt),
+    );
+    return [...this.finishedAttempts, ...open];
+  }
+
+  /** The first attempt is always allowed; others are limited by the route and the retry budget. */
+  private mayStartAttempt(sent: number): boolean {
+    const {route, service} = this.request;
+    if (sent === 0) return true;
+    if (sent >= route.attempts) return false;
+    const {retryBudgets, metrics} = this.options;
+    if (retryBudgets.tryAcquire(service)) return true;
+    metrics.retries.inc({service, cause: 'no-allowance'});
+    return false;
+  }
+
+  private recordFailure(outcome: AttemptOutcome): Decision {
+    switch (outcome) {
+      case AttemptOutcome.Refused:
+        return Decision.Refused;
+      case AttemptOutcome.NotSent:
+        return Decision.NoEndpoint;
+      case AttemptOutcome.TimedOut:
+        this.hasUncertainAttempt = true;
+        return Decision.TimedOut;
+      default:
+        this.hasUncertainAttempt = true;
+        return Decision.ConnectionBroken;
+    }
+  }
+
+  /** An error response to an idempotent request is retried if attempts and time remain. */
+  private isResponseFinal(
+    {result: {response, outcome}}: FinishedAttempt,
+    sent: number,
+    pendingCount: number,
+  ): boolean {
+    if (!response || outcome !== AttemptOutcome.Answered) return false;
+    const {route, service, timeoutAt} = this.request;
+    if (response.status < 500 || !isIdempotent(route.kind)) return true;
+    if (pendingCount > 0) return false;
+    if (sent >= route.attempts) return true;
+    const {selector, timers} = this.options;
+    const neededMs = 2 * selector.getServiceMs(service);
+    return timeoutAt - timers.now() < neededMs;
+  }
+
+  private async startNextAttempt(): Promise<OpenAttempt | undefined> {
+    const {route, service, objectKey, ...request} = this.request;
+    const {open, limited, ...refusal} = await startAttempt(
+      {
+        ...request,
+        selection: {route, service, objectKey, tried: this.tried},
+        isFinished: () => this.isStopped,
+      },
+      this.options,
+    );
+    if (limited?.length) this.limited = [...limited];
+    if (open) {
+      this.tried.add(open.endpoint.entry.id);
+      this.openAttempts.add(open);
+    } else if ('retryAfterMs' in refusal) {
+      this.retryAfterMs = refusal.retryAfterMs;
+    }
+    return open;
+  }
+
+  private async awaitAttempt(open: OpenAttempt): Promise<FinishedAttempt> {
+    const {selector, limitTracker, timers, metrics} = this.options;
+    const result = await open.attempt.result;
+    this.openAttempts.delete(open);
+    const at = timers.now();
+    const {objectKey} = this.request;
+    observeAttempt(open, result, selector, {at, objectKey});
+    limitTracker.observeAttempt(open.endpoint, result);
+    open.span?.end(result.outcome, result.response ? undefined : result.reason);
+    const ms = at - open.startedAt;
+    const {service} = open.endpoint.entry;
+    metrics.attempts.inc({service, outcome: result.outcome});
+    metrics.attemptSeconds.observe({service}, ms / 1_000);
+    this.finishedAttempts.push(
+      createAttemptRecord(open, result.outcome, result.reason, ms),
+    );
+    return {open, result};
+  }
+}
