Keep a limit when a slow response to an earlier request lacks it

Cause: a response without a limit ended the limit if it came 0.3 s after the last one with it. A response whose request was sent before the endpoint stated its limit may be seconds late and have no header, and ended the limit on all instances until the next one that had it. Found on reading.

Change: only a response to a request that was sent after the last statement ends a limit.

Evidence: "keeps a limit when a slow response to an earlier request has none" failed before (the limit changed to none) and passes now.

--- a/packages/instance/src/direct/limit_tracker.ts
+++ b/packages/instance/src/direct/limit_tracker.ts
@@ -13,6 +13,7 @@
 import type {LimitCoordinator} from './limit_coordinator.js';
 import type {PermitEvent} from './permit_event.js';
 import type {LimitRecord} from './request_log.js';
+import type {OpenAttempt} from './start_attempt.js';
 
 /** Minimum time between two log lines about invalid limits of endpoints, in milliseconds. */
 const INVALID_LOG_INTERVAL_MS = 1_000;
@@ -48,11 +49,11 @@
 
   /**
    * Records what a response stated of the endpoint's rate limit. An invalid value changes nothing.
-   * @param endpoint - The endpoint.
+   * @param open - The attempt.
    * @param result - Result of the attempt that the response ended.
    */
   observeAttempt(
-    {entry}: KnownEndpoint,
+    {endpoint: {entry}, startedAt}: Pick<OpenAttempt, 'endpoint' | 'startedAt'>,
     {limit, outcome, response, respondedAt}: Partial<AttemptResult>,
   ): void {
     if (respondedAt === undefined) return;
@@ -63,8 +64,11 @@
     }
     const isSuccess =
       outcome === AttemptOutcome.Answered && (response?.status ?? 200) < 500;
-    // Refusals and errors may lack the header although the limit still holds.
-    if (perSecond === undefined && !isSuccess) return;
+    // Refusals, errors and responses to requests that were sent before the endpoint stated its limit
+    // may lack the header although the limit holds.
+    const statedAt = this.options.limits.getLatest(entry.id)?.observedAt;
+    const mayEnd = isSuccess && startedAt > (statedAt ?? -Infinity);
+    if (perSecond === undefined && !mayEnd) return;
     this.observe({
       id: entry.id,
       bornAt: entry.bornAt,
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -182,7 +182,7 @@
     const at = timers.now();
     const {objectKey} = this.request;
     observeAttempt(open, result, selector, {at, objectKey});
-    limitTracker.observeAttempt(open.endpoint, result);
+    limitTracker.observeAttempt(open, result);
     open.span?.end(result.outcome, result.response ? undefined : result.reason);
     const ms = at - open.startedAt;
     const {service} = open.endpoint.entry;
--- a/packages/instance/test/direct/endpoint_limits.test.ts
+++ b/packages/instance/test/direct/endpoint_limits.test.ts
@@ -13,6 +13,7 @@
   type TestInstance,
 } from './fleet.js';
 import {MemoryRegistry} from './memory_registry.js';
+import {NAMES} from './names.js';
 import {TestFleet} from './test_fleet.js';
 
 /** Time from the start of an instance until it may issue permits, in milliseconds. */
@@ -180,6 +181,22 @@
     ]);
   });
 
+  it('keeps a limit when a slow response to an earlier request has none', async () => {
+    const {endpoint, test} = await startWithLimitedEndpoint('5');
+    endpoint.handle = (req, res, stub) => {
+      stub.handle = undefined;
+      const headers = stub.getDefaultHeaders(req);
+      delete headers[NAMES.limit[0] as string];
+      setTimeout(() => res.writeHead(200, headers).end(), 800);
+    };
+    const slow = send(test, {id: 'slow'});
+    await sleep(50);
+    await send(test, {id: 'fast'});
+    expect((await slow).status).toBe(200);
+    const changes = findLines(test, 'endpoint limit changed');
+    expect(changes.map(({perSecond}) => perSecond)).toEqual([5]);
+  });
+
   it('refuses at once what only a limited endpoint may run', async () => {
     const {endpoint, test} = await startWithLimitedEndpoint('0');
     await send(test);
--- a/packages/instance/test/direct/limit_simulation.ts
+++ b/packages/instance/test/direct/limit_simulation.ts
@@ -354,6 +354,7 @@
       this.clock.after(NEAR_WAIT_MS, () => this.trySend(process, true));
       return;
     }
+    const startedAt = this.clock.now();
     const latencyMs = process.region === 'north' ? REGION_MS : OTHER_REGIONS_MS;
     this.clock.after(latencyMs, () => {
       this.arrivals.push({at: this.clock.now(), instance: process.id});
@@ -363,11 +364,14 @@
           last?.to === Infinity ? String(last.perSecond) : undefined;
         this.clock.after(latencyMs, () => {
           if (!process.isAlive) return;
-          tracker.observeAttempt(endpoint, {
-            outcome: AttemptOutcome.Answered,
-            limit,
-            respondedAt: this.clock.now(),
-          });
+          tracker.observeAttempt(
+            {endpoint, startedAt},
+            {
+              outcome: AttemptOutcome.Answered,
+              limit,
+              respondedAt: this.clock.now(),
+            },
+          );
         });
       });
     });
--- a/packages/testing/src/bench/direct/primrosestage_policy.ts
+++ b/packages/testing/src/bench/direct/primrosestage_policy.ts
@@ -111,11 +111,14 @@
     const outcome = result.isRefused
       ? AttemptOutcome.Refused
       : AttemptOutcome.Answered;
-    limitControl.tracker.observeAttempt(entry, {
-      outcome,
-      limit: endpoint.limitPerSecond?.toFixed(3),
-      respondedAt: this.world.clock.now(),
-    });
+    limitControl.tracker.observeAttempt(
+      {endpoint: entry, startedAt: result.sentAt},
+      {
+        outcome,
+        limit: endpoint.limitPerSecond?.toFixed(3),
+        respondedAt: this.world.clock.now(),
+      },
+    );
     observeAttempt(
       {
         endpoint: entry,
