Split issuing permits to others from taking permits

PermitIssuer has the coordinator's side now; createLimitControl passes a datagram to the one that it is for.

--- a/packages/instance/src/direct/create_limit_control.ts
+++ b/packages/instance/src/direct/create_limit_control.ts
@@ -8,7 +8,8 @@
 import type {DirectSettings} from './direct_settings.js';
 import {LimitCoordinator} from './limit_coordinator.js';
 import {LimitTracker} from './limit_tracker.js';
-import type {PermitMessage} from './permit_message.js';
+import {PermitIssuer} from './permit_issuer.js';
+import {type PermitMessage, PermitMessageType} from './permit_message.js';
 import {RatePermits} from './rate_permits.js';
 
 /** Dependencies of keeping to the rate limits of endpoints. */
@@ -32,6 +33,11 @@
   limits: EndpointLimits;
   tracker: LimitTracker;
   permits: RatePermits;
+  /**
+   * Handles a datagram of another instance.
+   * @param message - The datagram.
+   */
+  receive: (message: PermitMessage) => void;
 }
 
 /**
@@ -47,6 +53,12 @@
     limits,
     coordinator,
   });
-  const permits = new RatePermits({...options, limits, tracker, coordinator});
-  return {limits, tracker, permits};
+  const shared = {...options, limits, tracker, coordinator};
+  const permits = new RatePermits(shared);
+  const issuer = new PermitIssuer(shared);
+  const receive = (message: PermitMessage) => {
+    if (message.type === PermitMessageType.Reply) permits.receiveReply(message);
+    else issuer.receiveRequest(message);
+  };
+  return {limits, tracker, permits, receive};
 }
--- a/packages/instance/src/direct/limit_tracker.ts
+++ b/packages/instance/src/direct/limit_tracker.ts
@@ -106,12 +106,13 @@
   }
 
   /**
-   * Counts permits for the next log line about the use of a limit.
+   * Counts permits for the metrics and the next log line about the use of a limit.
    * @param endpoint - Id of the endpoint.
    * @param event - What happened to the permits.
    * @param number - Number of permits.
    */
-  countPermits(endpoint: string, event: PermitEvent, number: number): void {
+  countPermits(endpoint: string, event: PermitEvent, number = 1): void {
+    this.options.metrics.ratePermits.inc({result: event}, number);
     const use = this.uses.get(endpoint) ?? {};
     this.uses.set(endpoint, use);
     use[event] = (use[event] ?? 0) + number;
--- a/packages/instance/src/direct/rate_permits.ts
+++ b/packages/instance/src/direct/rate_permits.ts
@@ -1,18 +1,15 @@
 import type {TimerService} from '@primrosestage/common';
 import type {
-  ControlView,
   EndpointEntry,
   EndpointLimits,
   KnownEndpoint,
   LimitObservation,
 } from '@primrosestage/steering';
-import type {DirectMetrics} from './direct_metrics.js';
 import type {DirectSettings} from './direct_settings.js';
 import type {LimitCoordinator} from './limit_coordinator.js';
 import type {LimitTracker} from './limit_tracker.js';
 import {PermitEvent} from './permit_event.js';
 import {
-  type PermitMessage,
   PermitMessageType,
   type PermitReply,
   type PermitRequest,
@@ -39,8 +36,6 @@
 const BATCH_LIMIT_S = 0.05;
 /** Time for which an endpoint is not selected after a coordinator was not asked, in milliseconds. */
 const NOT_ASKED_BACKOFF_MS = 5;
-/** Time until another try if the asked instance cannot decide, in milliseconds. */
-const UNDECIDED_RETRY_MS = 300;
 
 /** Result of taking a permit. */
 export enum PermitResult {
@@ -55,14 +50,12 @@
 /** Configures the permits of limited endpoints. */
 export interface RatePermitsOptions {
   settings: DirectSettings;
-  view: ControlView;
   limits: EndpointLimits;
   tracker: LimitTracker;
   coordinator: LimitCoordinator;
   timers: TimerService;
-  metrics: DirectMetrics;
   /** Sends a datagram to another instance, which may lose it. */
-  send: (message: PermitMessage, address: string) => void;
+  send: (request: PermitRequest, address: string) => void;
 }
 
 /** A request for a permit that has no reply yet. */
@@ -87,7 +80,7 @@
 }
 
 /**
- * Keeps the requests of all instances within the rate limits that endpoints state. One instance
+ * Keeps the requests of this instance within the rate limits that endpoints state. One instance
  * coordinates each limited endpoint and issues permits to send it one request each; the others ask
  * it for them. Requests without a permit go to other endpoints.
  */
@@ -134,7 +127,10 @@
       return this.requestIfUseful(limit, permits, entry);
     }
     const isGranted = coordinator.issue(1, entry, limit.perSecond) > 0;
-    this.count(limit.id, isGranted ? PermitEvent.Granted : PermitEvent.Denied);
+    this.options.tracker.countPermits(
+      limit.id,
+      isGranted ? PermitEvent.Granted : PermitEvent.Denied,
+    );
     return isGranted ? PermitResult.Granted : PermitResult.Denied;
   }
 
@@ -165,12 +161,28 @@
   }
 
   /**
-   * Handles a datagram of another instance.
-   * @param message - The datagram.
+   * Handles the reply of a coordinator.
+   * @param reply - The reply.
    */
-  receive(message: PermitMessage): void {
-    if (message.type === PermitMessageType.Reply) this.receiveReply(message);
-    else this.receiveRequest(message);
+  receiveReply(reply: PermitReply): void {
+    const permits = this.endpoints.get(reply.endpoint);
+    const pending = permits?.pending;
+    if (!permits || pending?.number !== reply.number) return;
+    if (reply.granted > 0) {
+      const validUntil = pending.sentAt + PERMIT_VALIDITY_MS;
+      for (let i = 0; i < reply.granted; i++) {
+        permits.validUntil.push(validUntil);
+      }
+      this.options.tracker.countPermits(
+        reply.endpoint,
+        PermitEvent.Granted,
+        reply.granted,
+      );
+    } else {
+      permits.blockedUntil = this.options.timers.now() + reply.retryAfterMs;
+      this.options.tracker.countPermits(reply.endpoint, PermitEvent.Denied);
+    }
+    finishPending(permits);
   }
 
   /** Discards the permits of endpoints that state no limit any more. */
@@ -226,7 +238,7 @@
     const done = new Promise<void>(resolve => (finish = resolve));
     const timeout = timers.after(REPLY_TIMEOUT_MS, () => {
       permits.blockedUntil = timers.now() + NO_REPLY_BACKOFF_MS;
-      this.count(limit.id, PermitEvent.TimedOut);
+      this.options.tracker.countPermits(limit.id, PermitEvent.TimedOut);
       finishPending(permits);
     });
     permits.pending = {number, sentAt: now, timeout, done, finish};
@@ -241,65 +253,6 @@
       address,
     );
   }
-
-  private receiveReply(reply: PermitReply): void {
-    const permits = this.endpoints.get(reply.endpoint);
-    const pending = permits?.pending;
-    if (!permits || pending?.number !== reply.number) return;
-    if (reply.granted > 0) {
-      const validUntil = pending.sentAt + PERMIT_VALIDITY_MS;
-      for (let i = 0; i < reply.granted; i++) {
-        permits.validUntil.push(validUntil);
-      }
-      this.count(reply.endpoint, PermitEvent.Granted, reply.granted);
-    } else {
-      permits.blockedUntil = this.options.timers.now() + reply.retryAfterMs;
-      this.count(reply.endpoint, PermitEvent.Denied);
-    }
-    finishPending(permits);
-  }
-
-  private receiveRequest(request: PermitRequest): void {
-    const {tracker, send} = this.options;
-    const {number, limit, replyAddress} = request;
-    tracker.merge([limit]);
-    send(
-      {
-        type: PermitMessageType.Reply,
-        number,
-        endpoint: limit.id,
-        ...this.decide(request),
-      },
-      replyAddress,
-    );
-  }
-
-  private decide({
-    max,
-    limit: {id, bornAt},
-  }: PermitRequest): Pick<PermitReply, 'granted' | 'retryAfterMs'> {
-    const {view, limits, coordinator} = this.options;
-    const entry = view.endpointTable.get(id)?.entry;
-    const latest = limits.getLatest(id);
-    const undecided = {granted: 0, retryAfterMs: UNDECIDED_RETRY_MS};
-    if (entry?.bornAt !== bornAt || latest?.bornAt !== bornAt) return undecided;
-    const {perSecond} = latest;
-    // The limit has ended, which the response to the request will show the other instance.
-    if (perSecond === undefined) return {granted: 1, retryAfterMs: 0};
-    if (!coordinator.isCoordinator(entry)) return undecided;
-    const granted = coordinator.issue(max, entry, perSecond);
-    if (granted === 0) {
-      const retryAfterMs = coordinator.getWaitMs(entry, perSecond);
-      return {granted, retryAfterMs};
-    }
-    this.count(id, PermitEvent.Issued, granted);
-    return {granted, retryAfterMs: 0};
-  }
-
-  private count(endpoint: string, event: PermitEvent, number = 1): void {
-    this.options.tracker.countPermits(endpoint, event, number);
-    this.options.metrics.ratePermits.inc({result: event}, number);
-  }
 }
 
 function countDemand(permits: EndpointPermits, now: number): void {
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -247,7 +247,7 @@
     metrics,
     random: options.random,
     apply,
-    receivePermit: message => permits.receive(message),
+    receivePermit: message => limitControl.receive(message),
     recordPeerRevision: revision => sync.recordPeerRevision(revision),
   });
   const readinessServer = http.createServer((_req, res) => {
--- a/packages/instance/test/direct/limit_simulation.ts
+++ b/packages/instance/test/direct/limit_simulation.ts
@@ -261,7 +261,7 @@
       getServingSince: () => process.servingSince,
       send: (message, address) =>
         this.deliver(process, this.processes.get(address), target =>
-          target.limitControl.permits.receive(message),
+          target.limitControl.receive(message),
         ),
       announce: () => {
         for (const other of this.processes.values()) {
--- a/packages/testing/src/bench/direct/primrosestage_policy.ts
+++ b/packages/testing/src/bench/direct/primrosestage_policy.ts
@@ -204,7 +204,7 @@
       metrics: createDirectMetrics(new Registry()),
       getServingSince: () => -Infinity,
       send: (message, address) =>
-        this.deliver(zone, address, ({permits}) => permits.receive(message)),
+        this.deliver(zone, address, ({receive}) => receive(message)),
       announce: () => this.shareLimits(zone, limitControl),
     });
     const {permits} = limitControl;
