Move the auxiliary servers of an instance out of runDirect

runDirect was one function of some 300 lines. The servers of readiness, the directory and the metrics and the response to malformed requests are functions of their own in http_servers.ts now. No behaviour is changed (the tests of instance/direct and platform pass).

--- /dev/null
+++ b/packages/instance/src/direct/http_servers.ts
@@ -0,0 +1,109 @@
+import http from 'node:http';
+import type {Duplex} from 'node:stream';
+import type {EventLogger, TimerService} from '@primrosestage/common';
+import type {MemberTable} from '@primrosestage/steering';
+import type {Registry} from 'prom-client';
+import {chooseInstances} from './choose_instances.js';
+import type {DirectMetrics} from './direct_metrics.js';
+import type {DirectSettings} from './direct_settings.js';
+import type {ServicePaths} from './wire_names.js';
+
+/** Time for which callers may cache a directory response, in milliseconds. */
+const DIRECTORY_TTL_MS = 1_500;
+
+/** Configures the server of the directory. */
+export interface DirectoryServerOptions {
+  settings: DirectSettings;
+  members: MemberTable;
+  paths: ServicePaths;
+  timers: TimerService;
+  metrics: DirectMetrics;
+  /** Formats the addresses as the body of a response. */
+  formatDirectory: (addresses: string[], ttlMs: number) => string;
+  /** Reads the zone and region of a caller from its URL. */
+  readCallerLocation: (url: URL) => {zone: string; region: string};
+}
+
+/**
+ * Creates the server that tells callers which instances to use.
+ * @param options - The known instances and the format.
+ */
+export function createDirectoryServer(
+  options: DirectoryServerOptions,
+): http.Server {
+  const {settings, members, paths, timers, metrics} = options;
+  return http.createServer((req, res) => {
+    const url = new URL(req.url ?? '/', 'http://directory');
+    if (url.pathname !== paths.directory) {
+      res.writeHead(404, {'content-length': '0'}).end();
+      return;
+    }
+    const serving = members.getServing(timers.now());
+    const addresses = chooseInstances(serving, options.readCallerLocation(url));
+    const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.bounds.maxDirectoryTtlMs);
+    const body = options.formatDirectory(addresses, ttlMs);
+    const status = addresses.length > 0 ? 200 : 503;
+    metrics.directoryResponses.inc({status});
+    res.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+    });
+    res.end(body);
+  });
+}
+
+/**
+ * Creates the server that responds with 200 while callers may be directed to this instance.
+ * @param isReady - Returns whether they may.
+ */
+export function createReadinessServer(isReady: () => boolean): http.Server {
+  return http.createServer((_req, res) => {
+    res.writeHead(isReady() ? 200 : 503, {'content-length': '0'});
+    res.end();
+  });
+}
+
+/**
+ * Creates the server of the metrics.
+ * @param registry - Registry of the metrics.
+ * @param logger - Receives errors.
+ */
+export function createMetricsServer(
+  registry: Registry,
+  logger: EventLogger,
+): http.Server {
+  return http.createServer((_req, res) => {
+    registry.metrics().then(
+      text => {
+        res.writeHead(200, {'content-type': registry.contentType}).end(text);
+      },
+      err => {
+        logger.error('metrics failed', {reason: String(err)});
+        res.writeHead(500).end();
+      },
+    );
+  });
+}
+
+/**
+ * Responds to bytes of a caller that are no valid request, and closes the connection.
+ * @param err - Why they cannot be parsed.
+ * @param socket - The connection.
+ * @param logger - Receives the reason.
+ */
+export function rejectMalformed(
+  err: NodeJS.ErrnoException,
+  socket: Duplex,
+  logger: EventLogger,
+): void {
+  logger.info('caller connection failed', {reason: err.code});
+  if (socket.writable && err.code === 'HPE_HEADER_OVERFLOW') {
+    socket.end(createFinalResponse('431 Request Header Fields Too Large'));
+  } else if (socket.writable && err.code?.startsWith('HPE_')) {
+    socket.end(createFinalResponse('400 Bad Request'));
+  } else socket.destroy();
+}
+
+function createFinalResponse(status: string): string {
+  return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -18,7 +18,6 @@
 import {ControlSync} from './control_sync.js';
 import {createDirectMetrics, type DirectMetrics} from './direct_metrics.js';
 import type {DirectSettings} from './direct_settings.js';
-import {chooseInstances} from './choose_instances.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {EndpointSelector} from './endpoint_selector.js';
 import {Gossip} from './gossip.js';
@@ -26,6 +25,12 @@
 import {GossipSocket} from './gossip_socket.js';
 import {createPeerRouter, PeerExchange} from './peer_exchange.js';
 import {QUIET_PERIOD_MS, runPlannedStop} from './planned_stop.js';
+import {
+  createDirectoryServer,
+  createMetricsServer,
+  createReadinessServer,
+  rejectMalformed,
+} from './http_servers.js';
 import {RetryBudgets} from './retry_budgets.js';
 import {RequestHandler} from './request_handler.js';
 import {RequestLog} from './request_log.js';
@@ -34,8 +39,6 @@
 
 /** Largest header that the server accepts, in bytes; the configuration may set a lower limit. */
 const MAX_HEADER_BYTES = 64 * 1024;
-/** Time for which callers may cache a directory response, in milliseconds. */
-const DIRECTORY_TTL_MS = 1_500;
 const SWEEP_INTERVAL_MS = 250;
 /** Interval of the log lines about the use of rate limits, in milliseconds. */
 const LIMIT_REPORT_INTERVAL_MS = 5_000;
@@ -159,18 +162,9 @@
     (req, res) => handler.handle(req, res),
   );
   callerServer.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
-  callerServer.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-    logger.info('caller connection failed', {reason: err.code});
-    if (socket.writable && err.code === 'HPE_HEADER_OVERFLOW') {
-      socket.end(
-        'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
-      );
-    } else if (socket.writable && err.code?.startsWith('HPE_')) {
-      socket.end(
-        'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
-      );
-    } else socket.destroy();
-  });
+  callerServer.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+    rejectMalformed(err, socket, logger),
+  );
 
   const apply = (changes: ControlChanges, from: string) => {
     const since = view.revision;
@@ -250,46 +244,19 @@
     receivePermit: message => limitControl.receive(message),
     recordPeerRevision: revision => sync.recordPeerRevision(revision),
   });
-  const readinessServer = http.createServer((_req, res) => {
-    res.writeHead(isReady() ? 200 : 503, {'content-length': '0'});
-    res.end();
-  });
-  const directoryServer = http.createServer((req, res) => {
-    const url = new URL(req.url ?? '/', 'http://directory');
-    if (url.pathname !== options.paths.directory) {
-      res.writeHead(404, {'content-length': '0'}).end();
-      return;
-    }
-    const serving = members.getServing(timers.now());
-    const addresses = chooseInstances(serving, options.readCallerLocation(url));
-    const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.bounds.maxDirectoryTtlMs);
-    const body = options.formatDirectory(addresses, ttlMs);
-    const status = addresses.length > 0 ? 200 : 503;
-    metrics.directoryResponses.inc({status});
-    res.writeHead(status, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-    });
-    res.end(body);
+  const readinessServer = createReadinessServer(isReady);
+  const directoryServer = createDirectoryServer({
+    ...options,
+    settings,
+    members,
+    metrics,
   });
   const controlServer = http.createServer(
     createRpcHandler(
       createPeerRouter(message => peerExchange.receive(message)),
     ),
   );
-  const metricsServer = http.createServer((_req, res) => {
-    options.registry.metrics().then(
-      text => {
-        res
-          .writeHead(200, {'content-type': options.registry.contentType})
-          .end(text);
-      },
-      err => {
-        logger.error('metrics failed', {reason: String(err)});
-        res.writeHead(500).end();
-      },
-    );
-  });
+  const metricsServer = createMetricsServer(options.registry, logger);
   const tracker = new ConnectionTracker(callerServer, {
     timers,
     closeIdleMs: QUIET_PERIOD_MS,
