--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -1,4 +1,7 @@
 // Stand-in of a client: sends one attempt and reports how it ended.
+import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import {clearTimeout, setTimeout} from 'node:timers';
 import http from 'node:http';
 import {randomBytes} from 'node:crypto';
 
--- a/review/lib/endpoint.mjs
+++ b/review/lib/endpoint.mjs
@@ -1,4 +1,5 @@
 // Stand-in of an endpoint: answers each request by a handler and counts what it has run.
+import {Buffer} from 'node:buffer';
 import http from 'node:http';
 
 /**
--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -1,5 +1,8 @@
 // Frame of a scripted case: a small deployment of real processes on loopback addresses, its record
 // and its end.
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {clearTimeout, setTimeout} from 'node:timers';
 import {spawn} from 'node:child_process';
 import {createWriteStream, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import net from 'node:net';
@@ -92,7 +95,7 @@
   /** Ends all processes, closes all stand-ins and exits. */
   async finish(status, verdict) {
     this.log(verdict);
-    console.log(verdict);
+    process.stdout.write(`${verdict}\n`);
     for (const child of this.#children) {
       if (child.exitCode === null && child.signalCode === null) {
         child.kill('SIGCONT');
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -1,5 +1,8 @@
 // Stand-in of the platform's store: one key space, one listener per caller, so that each caller can
 // be turned away on its own.
+import {Buffer} from 'node:buffer';
+import {clearTimeout, setTimeout} from 'node:timers';
+import {URL} from 'node:url';
 import http from 'node:http';
 
 /** Status of a listener. */
