--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -19,7 +19,10 @@
 
   /** Opens a listener and returns its address and a switch for its mode. */
   async listen(host) {
-    const gate = {mode: Mode.Ok, held: new Set()};
+    const gate = {mode: Mode.Ok, watches: new Set()};
+    gate.dropWatches = () => {
+      for (const res of gate.watches) res.socket?.resetAndDestroy();
+    };
     const server = http.createServer((req, res) => {
       if (gate.mode === Mode.Silent) return;
       if (gate.mode === Mode.Reset) return req.socket.resetAndDestroy();
@@ -118,7 +121,9 @@
       Number(url.searchParams.get('wait-ms')),
     );
     this.#watches.add(check);
+    gate.watches.add(res);
     res.on('close', () => {
+      gate.watches.delete(res);
       clearTimeout(timer);
       this.#watches.delete(check);
     });
