--- a/review/lib/run.mjs
+++ b/review/lib/run.mjs
@@ -33,6 +33,7 @@
   #startedAt = performance.now();
   #network = 16 + (process.pid % 200);
   #nextHost = 0;
+  #isFinishing = false;
 
   constructor(folder) {
     this.record = createWriteStream(path.join(folder, 'record.txt'));
@@ -94,6 +95,8 @@
 
   /** Ends all processes, closes all stand-ins and exits. */
   async finish(status, verdict) {
+    if (this.#isFinishing) return;
+    this.#isFinishing = true;
     this.log(verdict);
     process.stdout.write(`${verdict}\n`);
     for (const child of this.#children) {
@@ -117,6 +120,12 @@
     () => void test.finish(2, 'not run: the case took too long'),
     110_000,
   );
+  const abort = reason => void test.finish(2, `not run: ${reason}`);
+  process.on('uncaughtException', err => abort(err.stack));
+  process.on('unhandledRejection', err => abort(String(err)));
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+    process.on(signal, () => abort(signal));
+  }
   try {
     const {broken, verdict} = await body(test);
     clearTimeout(timer);
