--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -35,8 +35,8 @@
 /** Each second client keeps a response of the directory three times as long as its ttl. */
 const LONG_CACHE_FACTOR = 3;
 const CLIENT_PAUSE_MS = 100;
-/** Times that each instance is stopped and started again. */
-const ROUNDS = 2;
+/** Planned stops, of one instance after the other. */
+const STOPS = 8;
 
 const seed = Number(process.env.SEED ?? Date.now() % 100_000);
 const random = createRandom(seed);
@@ -174,7 +174,7 @@
     runClient(i % 2 === 0 ? LONG_CACHE_FACTOR : 1),
   );
   await sleep(2_000);
-  for (let step = 0; step < ROUNDS * instances.length; step++) {
+  for (let step = 0; step < STOPS; step++) {
     const i = step % instances.length;
     const instance = instances[i];
     const address = `${instance.host}:${instance.ports.front}`;
