Refuse requests that a planned stop would abort

Cause: the listener stays open for half of the stop timeout, and 0.15 of it longer while callers connect. Requests that arrived then were forwarded with their full time, although the process ends 0.5 s before the stop timeout.

Ruled out: closing the listener at once at half of the timeout; the kernel resets connections that were not accepted yet, and connections that are open bring requests all the same.

Change: a stop has a schedule that each attempt asks, first ones and retries. In the second half only requests whose deadline or route timeout lies before the end are forwarded, in the first half also those for which twice the usual service time fits. All others get 503, which is true since nothing was sent, and a Retry-After of about 50 ms.

--- a/packages/instance/src/direct/decision.ts
+++ b/packages/instance/src/direct/decision.ts
@@ -10,6 +10,8 @@
   Refused = 'refused-by-endpoints',
   ConnectionBroken = 'connection-broken',
   TimedOut = 'timeout',
+  /** The request might not have been finished before the end of a planned stop. */
+  Stopping = 'stopping',
   CallerDisconnected = 'caller-left',
 }
 
--- a/packages/instance/src/direct/exchange_options.ts
+++ b/packages/instance/src/direct/exchange_options.ts
@@ -1,5 +1,5 @@
 import type {TimerService} from '@primrosestage/common';
-import type {ControlView} from '@primrosestage/steering';
+import type {ControlView, StopSchedule} from '@primrosestage/steering';
 import type {StartSpan} from '../telemetry/hop_span.js';
 import type {DirectMetrics} from './direct_metrics.js';
 import type {EndpointAgent} from './endpoint_agent.js';
@@ -25,6 +25,8 @@
   names: WireNames;
   metrics: DirectMetrics;
   log: RequestLog;
+  /** Returns the times of the planned stop; undefined unless the instance is stopping. */
+  getStopSchedule: () => StopSchedule | undefined;
   /** Starts spans; undefined if tracing is off. */
   startSpan?: StartSpan;
   /** Returns a random number in [0, 1). */
--- a/packages/instance/src/direct/planned_stop.ts
+++ b/packages/instance/src/direct/planned_stop.ts
@@ -1,12 +1,9 @@
 import type {EventLogger, TimerService} from '@primrosestage/common';
+import type {StopSchedule} from '@primrosestage/steering';
 import type {ConnectionTracker} from '../http/connection_tracker.js';
 
-/** Fraction of the stop timeout after which no new connections are accepted. */
-const ACCEPT_FRACTION = 0.5;
-/** Time reserved for the exit of the process, in milliseconds. */
-const EXIT_RESERVE_MS = 500;
-/** Fraction of the stop timeout for which to wait for callers that keep connecting. */
-const ACCEPT_WAIT_FRACTION = 0.15;
+/** Fraction of the time for new connections for which to wait further while callers connect. */
+const ACCEPT_WAIT_FRACTION = 0.3;
 
 /** Time without a request after which a caller's connection is closed, in milliseconds. */
 export const QUIET_PERIOD_MS = 300;
@@ -16,7 +13,7 @@
   tracker: ConnectionTracker;
   timers: TimerService;
   logger: EventLogger;
-  stopTimeoutMs: number;
+  schedule: StopSchedule;
   /** Returns the number of requests in progress, without responses that are still streamed. */
   getOpenRequests: () => number;
   /** Announces to the other instances that this one no longer serves. */
@@ -25,28 +22,27 @@
 
 /**
  * Stops serving without interrupting a request: callers that hold a cached directory response are
- * served for half of the stop timeout, then connections close as their requests end.
- * @param options - The connections to drain and the stop timeout.
+ * served up to the time in the schedule, then connections close as their requests end.
+ * @param options - The connections to drain and the schedule.
  */
 export async function runPlannedStop(
   options: PlannedStopOptions,
 ): Promise<void> {
-  const {tracker, timers, logger, stopTimeoutMs} = options;
+  const {tracker, timers, logger, schedule} = options;
   const startedAt = timers.now();
   logger.info('stop started', {
     openRequests: options.getOpenRequests(),
     connections: tracker.size,
-    stopTimeoutMs,
+    acceptMs: Math.round(schedule.acceptUntil - startedAt),
+    endMs: Math.round(schedule.endAt - startedAt),
   });
   tracker.startDraining();
   options.announce();
-  await timers.sleep(
-    Math.max(0, startedAt + stopTimeoutMs * ACCEPT_FRACTION - timers.now()),
-  );
-  await tracker.stopAccepting(stopTimeoutMs * ACCEPT_WAIT_FRACTION);
-  const endAt = startedAt + stopTimeoutMs - EXIT_RESERVE_MS;
+  const acceptMs = Math.max(0, schedule.acceptUntil - startedAt);
+  await timers.sleep(acceptMs);
+  await tracker.stopAccepting(acceptMs * ACCEPT_WAIT_FRACTION);
   await tracker.closeWhenIdle(
-    endAt - timers.now(),
+    schedule.endAt - timers.now(),
     () => options.getOpenRequests() === 0,
   );
   logger.info('stop done', {
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -30,6 +30,8 @@
 const MAX_RESPONSE_MS = 3_600_000;
 /** Base of `retry-after` without a configuration or an estimate of free slots, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 300;
+/** Base of `retry-after` while this instance stops and others serve, in milliseconds. */
+const STOPPING_RETRY_AFTER_MS = 50;
 
 /** Handles one request from its arrival to its final response. */
 export class RequestExchange {
@@ -211,7 +213,7 @@
     if (this.requestId !== '') {
       headers[this.options.names.requestId] = this.requestId;
     }
-    if (status === 503) headers['retry-after'] = this.getRetryAfter();
+    if (status === 503) headers['retry-after'] = this.getRetryAfter(decision);
     if (status === 413 || status === 431) headers['connection'] = 'close';
     if (this.isFinished) return;
     this.isFinished = true;
@@ -220,10 +222,14 @@
     this.recordCompletion(status, decision);
   }
 
-  private getRetryAfter(): string {
+  private getRetryAfter(decision: Decision): string {
     const {timers, random} = this.options;
+    const capacityInMs =
+      decision === Decision.Stopping
+        ? STOPPING_RETRY_AFTER_MS
+        : (this.sender?.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS);
     this.retryAfterMs = getRetryAfterMs({
-      capacityInMs: this.sender?.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS,
+      capacityInMs,
       remainingMs:
         this.deadlineAt === 0
           ? Infinity
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -1,5 +1,9 @@
 import type {IncomingMessage} from 'node:http';
-import {isIdempotent, type Route} from '@primrosestage/steering';
+import {
+  canFinishBeforeStop,
+  isIdempotent,
+  type Route,
+} from '@primrosestage/steering';
 import {AttemptOutcome, type EndpointResponse} from './attempt.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
 import {Decision} from './decision.js';
@@ -9,6 +13,7 @@
 import {
   createAttemptRecord,
   type OpenAttempt,
+  RESPONSE_GRACE_MS,
   startAttempt,
 } from './start_attempt.js';
 
@@ -68,9 +73,12 @@
     const race = new AttemptRace(this.options.timers);
     let decision = Decision.NoCapacity;
     for (let sent = 0; ;) {
-      const open = this.mayStartAttempt(sent)
-        ? await this.startNextAttempt()
-        : undefined;
+      const canFinish = this.canFinishBeforeStop();
+      if (!canFinish) decision = Decision.Stopping;
+      const open =
+        canFinish && this.mayStartAttempt(sent)
+          ? await this.startNextAttempt()
+          : undefined;
       if (open) {
         sent++;
         race.add(open, this.awaitAttempt(open));
@@ -124,6 +132,17 @@
     return false;
   }
 
+  private canFinishBeforeStop(): boolean {
+    const {selector, timers, getStopSchedule} = this.options;
+    const schedule = getStopSchedule();
+    if (!schedule) return true;
+    return canFinishBeforeStop(schedule, {
+      now: timers.now(),
+      answeredBy: this.request.timeoutAt + RESPONSE_GRACE_MS,
+      expectedMs: 2 * selector.getServiceMs(this.request.service),
+    });
+  }
+
   private recordFailure(outcome: AttemptOutcome): Decision {
     switch (outcome) {
       case AttemptOutcome.Refused:
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -3,8 +3,10 @@
 import {
   type ControlChanges,
   ControlView,
+  createStopSchedule,
   type MemberInfo,
   MemberTable,
+  type StopSchedule,
   type ViewEffects,
 } from '@primrosestage/steering';
 import type {Registry} from 'prom-client';
@@ -107,9 +109,9 @@
   const metrics = createDirectMetrics(options.registry);
   const view = new ControlView(settings.bounds.drainMs);
   const agent = new EndpointAgent();
-  let isStopping = false;
+  let stopSchedule: StopSchedule | undefined;
   let servingSince: number | undefined;
-  const isReady = () => !isStopping && servingSince !== undefined;
+  const isReady = () => !stopSchedule && servingSince !== undefined;
   const announcer = new Announcer(settings, timers);
   const self = (): MemberInfo =>
     announcer.create({
@@ -154,6 +156,7 @@
     names,
     metrics,
     log: new RequestLog(logger),
+    getStopSchedule: () => stopSchedule,
     startSpan: options.startSpan,
     random: options.random,
   });
@@ -307,12 +310,15 @@
       settings.seedAddresses = seedAddresses;
     },
     stop: async () => {
-      isStopping = true;
+      stopSchedule = createStopSchedule(
+        timers.now(),
+        settings.bounds.stopTimeoutMs,
+      );
       await runPlannedStop({
         tracker,
         timers,
         logger,
-        stopTimeoutMs: settings.bounds.stopTimeoutMs,
+        schedule: stopSchedule,
         getOpenRequests: () => handler.openRequests,
         announce: () => gossip.announce(),
       });
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -66,6 +66,12 @@
 export {MemberDissemination} from './member_dissemination.js';
 export {pickRandom, splitBroadcast, type BroadcastBranch} from './overlay.js';
 export {WarmObjects} from './warm_objects.js';
+export {
+  canFinishBeforeStop,
+  createStopSchedule,
+  type StoppingRequest,
+  type StopSchedule,
+} from './stop_schedule.js';
 export {getRetryAfterMs, type RetryAfterOptions} from './retry_after.js';
 export {PreferenceLimiter, type RegionSlots} from './preference_limiter.js';
 export {
