End the requests that are open at the end of a planned stop with a status

What callers saw: a closed connection, 0.5 s before the stop timeout, for requests that an endpoint was still working on, and for requests that had never been sent to one.

Cause: runPlannedStop returned at its end and disposing of the instance closed all connections, with open requests or not.

Change: at the end of the schedule each open request gets its final status, 503 where surely no endpoint has run it and 502 otherwise, and 100 ms are left to write it. An exchange that was ended while its body was arriving forwards nothing afterwards.

Test: two tests in planned_stop.test.ts failed before (socket hang up; no response within 5 s) and pass now. A trial without the check after the body has arrived passes as well, since the schedule and the timeout refuse the attempt by then; the check stays, because the refusal must not depend on these.

--- a/packages/instance/src/direct/planned_stop.ts
+++ b/packages/instance/src/direct/planned_stop.ts
@@ -5,6 +5,9 @@
 /** Fraction of the time for new connections for which to wait further while callers connect. */
 const ACCEPT_WAIT_FRACTION = 0.3;
 
+/** Time for which the last responses are written before the process exits, in milliseconds. */
+const FLUSH_MS = 100;
+
 /** Time without a request after which a caller's connection is closed, in milliseconds. */
 export const QUIET_PERIOD_MS = 300;
 
@@ -16,6 +19,8 @@
   schedule: StopSchedule;
   /** Returns the number of requests in progress, without responses that are still streamed. */
   getOpenRequests: () => number;
+  /** Ends the requests that are still in progress. */
+  endUnfinished: () => void;
   /** Announces to the other instances that this one no longer serves. */
   announce: () => void;
 }
@@ -45,6 +50,10 @@
     schedule.endAt - timers.now(),
     () => options.getOpenRequests() === 0,
   );
+  if (tracker.size > 0) {
+    options.endUnfinished();
+    await timers.sleep(FLUSH_MS);
+  }
   logger.info('stop done', {
     openRequests: options.getOpenRequests(),
     connections: tracker.size,
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -77,6 +77,13 @@
     }
   }
 
+  /** Ends the request at the end of a planned stop; does nothing if the response is written. */
+  endForStop(): void {
+    if (this.isFinished) return;
+    this.finishFailed(Decision.Stopping);
+    this.sender?.cancelOpenAttempts();
+  }
+
   private async handle(): Promise<void> {
     const {view, names, timers, selector} = this.options;
     const {configuration} = view;
@@ -118,8 +125,9 @@
       return;
     }
     await this.options.startQueue.waitForStart();
+    if (this.isFinished) return;
     if (body === BodyFault.Aborted || this.hasCallerDisconnected()) {
-      if (!this.isFinished) this.finishWithoutCaller();
+      this.finishWithoutCaller();
       return;
     }
     this.service = selector.chooseService(route, this.objectKey);
--- a/packages/instance/src/direct/request_handler.ts
+++ b/packages/instance/src/direct/request_handler.ts
@@ -5,6 +5,7 @@
 /** Handles the HTTP requests of callers and counts those in progress. */
 export class RequestHandler {
   private openCount = 0;
+  private readonly unfinished = new Set<RequestExchange>();
 
   /**
    * Creates the handler.
@@ -17,6 +18,11 @@
     return this.openCount;
   }
 
+  /** Ends the requests that a planned stop cannot wait for. */
+  endUnfinished(): void {
+    for (const exchange of this.unfinished) exchange.endForStop();
+  }
+
   /**
    * Handles one request.
    * @param req - The request.
@@ -26,6 +32,8 @@
     this.openCount++;
     this.options.metrics.openRequests.set(this.openCount);
     const exchange = new RequestExchange(req, res, this.options);
+    this.unfinished.add(exchange);
+    res.once('close', () => this.unfinished.delete(exchange));
     void exchange.run().finally(() => {
       this.openCount--;
       this.options.metrics.openRequests.set(this.openCount);
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -320,6 +320,7 @@
         logger,
         schedule: stopSchedule,
         getOpenRequests: () => handler.openRequests,
+        endUnfinished: () => handler.endUnfinished(),
         announce: () => gossip.announce(),
       });
     },
--- a/packages/instance/test/direct/planned_stop.test.ts
+++ b/packages/instance/test/direct/planned_stop.test.ts
@@ -1,10 +1,12 @@
 import http from 'node:http';
+import net from 'node:net';
 import {RequestKind} from '@primrosestage/steering';
 import {afterEach, describe, expect, it} from 'vitest';
 import type {DirectSettings} from '../../src/direct/index.js';
 import {
   BOUNDS,
   createRoute,
+  HOST,
   putConfiguration,
   putEndpoint,
   queryDirectory,
@@ -15,6 +17,7 @@
   waitUntilServing,
 } from './fleet.js';
 import {MemoryRegistry} from './memory_registry.js';
+import {NAMES} from './names.js';
 import {TestFleet} from './test_fleet.js';
 
 describe('planned stop', () => {
@@ -107,6 +110,49 @@
     expect(refused.length).toBeGreaterThan(0);
     expect(refused.filter(({id}) => stub.ran.includes(id))).toEqual([]);
   });
+
+  // An order that waits for an endpoint at the end of the stop ends with a status, not with a reset.
+  it('guards against closing connections without a response at the end of a planned stop', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await fleet.startEndpoint('e1');
+    stub.delayMs = 5_000;
+    putConfiguration(registry, 1, [createRoute({timeoutMs: 8_000})]);
+    putEndpoint(registry, stub);
+    const instance = await fleet.start(registry, 43);
+    await waitUntilServing(instance);
+    const open = send(instance, {deadlineMs: 8_000});
+    await sleep(50);
+    await instance.instance.stop();
+    await instance.instance[Symbol.asyncDispose]();
+    expect((await open).status).toBe(502);
+  });
+
+  // A refusal at the end of the stop must stay true if the rest of the body arrives after it.
+  it('guards against running a request that was refused before its body arrived', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await fleet.startEndpoint('e1');
+    putConfiguration(registry, 1, [createRoute({timeoutMs: 8_000})]);
+    putEndpoint(registry, stub);
+    const instance = await fleet.start(registry, 45);
+    await waitUntilServing(instance);
+    const [host, port] = instance.settings.callerAddress.split(':');
+    const socket = net.connect({host, port: Number(port)});
+    let received = '';
+    socket.on('data', bytes => (received += String(bytes)));
+    socket.on('error', () => {});
+    socket.write(
+      `POST /page HTTP/1.1\r\nHost: ${HOST}\r\n${NAMES.requestId}: half\r\n` +
+        'Content-Length: 8\r\n\r\nhalf',
+    );
+    await sleep(50);
+    const stop = instance.instance.stop();
+    await waitFor('the request is refused', () => received !== '');
+    socket.write('rest');
+    await stop;
+    socket.destroy();
+    expect(received).toContain(' 503 ');
+    expect(stub.ran).toEqual([]);
+  });
 });
 
 function withStopTimeout(stopTimeoutMs: number): Partial<DirectSettings> {
