Reset a streamed response that the end of a planned stop aborts

What callers saw: half of a long answer without a length, and an orderly end of the connection, so that it looked complete.

Cause: disposing of an instance closes the callers' sockets before the end of the endpoints' sockets is handled, and a socket that is closed ends with FIN.

Change: the end of the stop destroys the endpoint's stream, whose handler resets the caller's connection.

--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -40,6 +40,8 @@
   private isCallerDisconnected = false;
   private isFinished = false;
   private sender?: RetryingSender;
+  /** Remaining body of a response that is being streamed. */
+  private bodyStream?: IncomingMessage;
   private route?: Route;
   private service?: string;
   private objectKey = '';
@@ -77,8 +79,12 @@
     }
   }
 
-  /** Ends the request at the end of a planned stop; does nothing if the response is written. */
+  /**
+   * Ends the request at the end of a planned stop. A response that is still being streamed is
+   * aborted: an orderly close would mark one without a length as complete.
+   */
   endForStop(): void {
+    this.bodyStream?.destroy();
     if (this.isFinished) return;
     this.finishFailed(Decision.Stopping);
     this.sender?.cancelOpenAttempts();
@@ -173,6 +179,7 @@
     this.isFinished = true;
     this.sender?.stop();
     if (!this.res.destroyed) {
+      this.bodyStream = response.bodyStream;
       if (response.bodyStream) this.monitorStream(response.bodyStream, from);
       writeResponse(response, this.res, this.req.method === 'HEAD');
     }
--- a/packages/instance/test/direct/planned_stop.test.ts
+++ b/packages/instance/test/direct/planned_stop.test.ts
@@ -153,6 +153,29 @@
     expect(received).toContain(' 503 ');
     expect(stub.ran).toEqual([]);
   });
+
+  // A response without a length looks complete if its connection ends in an orderly way.
+  it('guards against a streamed response that looks complete at the end of a planned stop', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await fleet.startEndpoint('e1');
+    stub.handle = (req, _res, self) => {
+      const headers = Object.entries(self.getDefaultHeaders(req));
+      const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
+      req.socket.write(
+        `HTTP/1.1 200 OK\r\nConnection: close\r\n${lines.join('')}\r\n`,
+      );
+      req.socket.write('x'.repeat(2_000_000));
+    };
+    putConfiguration(registry, 1, [createRoute({timeoutMs: 8_000})]);
+    putEndpoint(registry, stub);
+    const instance = await fleet.start(registry, 44);
+    await waitUntilServing(instance);
+    const open = send(instance, {deadlineMs: 8_000}).catch(() => undefined);
+    await sleep(100);
+    await instance.instance.stop();
+    await instance.instance[Symbol.asyncDispose]();
+    expect((await open)?.isComplete ?? false).toBe(false);
+  });
 });
 
 function withStopTimeout(stopTimeoutMs: number): Partial<DirectSettings> {
