Treat a response head that cannot be written as broken

Cause: the parser of Node.js reads heads that its writer refuses. The request was marked as finished and its timeout stopped before writeHead threw.

Change: an attempt checks status, names and values of a response's head as the writer does. A head that fails the check, or a status below 200, is a broken response: retried where allowed, 502 otherwise. An error in the handler of a response ends its attempt too.

--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -1,12 +1,13 @@
 import http, {type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
-import type {TimerService} from '@primrosestage/common';
+import {getErrorMessage, type TimerService} from '@primrosestage/common';
 import {
   AttemptOutcome,
   type AttemptResult,
   type EndpointResponse,
 } from './attempt.js';
 import {type EndpointAgent, isResponseComplete} from './endpoint_agent.js';
+import {findHeadFault} from './find_head_fault.js';
 import type {WireNames} from './wire_names.js';
 
 /** Largest response body that is buffered until complete, in bytes; longer ones are streamed. */
@@ -112,7 +113,7 @@
     this.req.on('close', () =>
       this.end(this.getFailureOutcome(), 'connection closed'),
     );
-    this.req.on('response', res => this.handleResponse(res));
+    this.req.on('response', res => this.tryHandleResponse(res));
     this.req.end(request.body);
   }
 
@@ -143,6 +144,15 @@
     return this.isConnected ? AttemptOutcome.Broken : AttemptOutcome.NotSent;
   }
 
+  /** An error that leaves an event handler would leave the attempt open until its timeout. */
+  private tryHandleResponse(res: IncomingMessage): void {
+    try {
+      this.handleResponse(res);
+    } catch (err) {
+      this.end(AttemptOutcome.Broken, getErrorMessage(err));
+    }
+  }
+
   private handleResponse(res: IncomingMessage): void {
     const fault = this.findResponseFault(res);
     this.readLimit(res);
@@ -201,6 +211,8 @@
   /** Returns why a response must not be forwarded to the caller, or undefined if it may be. */
   private findResponseFault(res: IncomingMessage): string | undefined {
     const {names} = this.context;
+    const headFault = findHeadFault(res);
+    if (headFault !== undefined) return headFault;
     const id = res.headers[names.requestId];
     if (id !== undefined && id !== this.request.requestId) {
       return `answer to request ${String(id)}`;
--- a/packages/instance/test/direct/endpoint_responses.test.ts
+++ b/packages/instance/test/direct/endpoint_responses.test.ts
@@ -129,6 +129,31 @@
       res.writeHead(503, self.getDefaultHeaders(req)).end();
     }));
 
+  // Node.js reads these heads but refuses to write them, which left the caller without a response.
+  it.each([
+    ['a status of zeros', 'HTTP/1.1 000 OK', 'x-extra: 1'],
+    ['an interim status', 'HTTP/1.1 101 Switching', 'x-extra: 1'],
+    ['a header without a name', 'HTTP/1.1 200 OK', ': 1'],
+    ['a space after a header name', 'HTTP/1.1 200 OK', 'x-extra : 1'],
+  ])(
+    'guards against a request that is never answered after %s',
+    async (_, statusLine, extraHeader) =>
+      expectFailure((req, _res, self) => {
+        const headers = Object.entries(self.getDefaultHeaders(req));
+        const lines = headers.map(([name, value]) => `${name}: ${value}`);
+        req.socket.end(
+          [
+            statusLine,
+            ...lines,
+            extraHeader,
+            'content-length: 5',
+            '',
+            'whole',
+          ].join('\r\n'),
+        );
+      }),
+  );
+
   it('guards against extra bytes that become the response to the next request', async () => {
     stub.handle = (req, res, self) => {
       self.respond(req, res);
