Forward headers that are named like properties of objects

What endpoints saw: a header named `constructor` arrived with the text of a JavaScript function in front of its value.

Cause: headers were collected in an object with the usual prototype, so that `headers['constructor']` was taken for an earlier header of the same name.

Change: the object has no prototype.

Test: "forwards a header that is named like a property of objects" failed before ('function Object() { [native code] }, plain') and passes now.

Ruled out: other lookups by a name from the wire; response headers are read by configured names, and routes and endpoints are in maps.

--- a/packages/instance/src/direct/caller_request.ts
+++ b/packages/instance/src/direct/caller_request.ts
@@ -13,7 +13,8 @@
   omitted: ReadonlySet<string>,
 ): Record<string, string | string[]> {
   const connectionOptions = getConnectionOptions(rawHeaders);
-  const headers: Record<string, string | string[]> = {};
+  // Without a prototype, a header named `constructor` is like any other.
+  const headers = Object.create(null) as Record<string, string | string[]>;
   for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
     const name = (rawHeaders[i] ?? '').toLowerCase();
     const value = rawHeaders[i + 1] ?? '';
--- a/packages/instance/test/direct/endpoint_responses.test.ts
+++ b/packages/instance/test/direct/endpoint_responses.test.ts
@@ -154,6 +154,20 @@
       }),
   );
 
+  it('forwards a header that is named like a property of objects', async () => {
+    let received: unknown;
+    stub.handle = (req, res, self) => {
+      received = req.headers.constructor;
+      res.writeHead(200, {
+        ...self.getDefaultHeaders(req),
+        'x-constructor': '1',
+      });
+      res.end();
+    };
+    await send(instance, {headers: {constructor: 'plain'}});
+    expect(received).toBe('plain');
+  });
+
   it('guards against extra bytes that become the response to the next request', async () => {
     stub.handle = (req, res, self) => {
       self.respond(req, res);
--- a/packages/instance/test/direct/fleet.ts
+++ b/packages/instance/test/direct/fleet.ts
@@ -260,6 +260,7 @@
   id?: string;
   agent?: http.Agent;
   signal?: AbortSignal;
+  headers?: http.OutgoingHttpHeaders;
 }
 
 /** Sends a request as a caller does. */
@@ -278,6 +279,7 @@
       signal: request.signal,
       headers: {
         host: request.host ?? HOST,
+        ...request.headers,
         [NAMES.requestId]: request.id ?? `request-${++requestCount}`,
         [NAMES.deadlineMs]: String(request.deadlineMs ?? 2_000),
         ...(request.object === undefined
