End every request with one true status, whatever throws on its way

What callers saw, or could see: 400 for an error that was not theirs, also after an endpoint had run the request; no answer at all where an error came after the request had been marked as finished, and where its body stopped arriving.

Cause: one catch for all errors, which chose 400 or 502 and did nothing for a finished request; the request was marked as finished before its response was written; the timeout started only after the body; an attempt was no longer counted as open before its outcome was recorded, so that an error in between forgot that it may have run.

Change: each error ends the request once, with 400 only where the head of the caller's own request cannot be forwarded, 503 where surely nothing ran, 502 otherwise, and a reset where part of a response is written or none can be. What an endpoint answered is forwarded even if recording it fails. An endpoint whose address cannot be used fails one attempt, not the request.

--- a/packages/instance/src/direct/decision.ts
+++ b/packages/instance/src/direct/decision.ts
@@ -13,6 +13,8 @@
   /** The request might not have been finished before the end of a planned stop. */
   Stopping = 'stopping',
   CallerDisconnected = 'caller-left',
+  /** An unexpected error of this instance. */
+  InternalError = 'internal-error',
 }
 
 /**
--- a/packages/instance/src/direct/find_head_fault.ts
+++ b/packages/instance/src/direct/head_fault.ts
@@ -4,6 +4,8 @@
 /** Lowest status of a final response. */
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 999;
+/** Characters that may not stand in the path of a request. */
+const INVALID_PATH_CHARACTERS = /[^\u0021-\u00ff]/;
 
 /**
  * Finds out why the head of a response cannot be written again. Node.js reads heads that it refuses
@@ -11,12 +13,27 @@
  * @param res - The response of an endpoint.
  * @returns The reason, or undefined if the head can be forwarded.
  */
-export function findHeadFault(res: IncomingMessage): string | undefined {
+export function findResponseHeadFault(
+  res: IncomingMessage,
+): string | undefined {
   const status = res.statusCode ?? 0;
   if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
     return `status ${status} is not a final one`;
   }
-  const {rawHeaders} = res;
+  return findHeaderFault(res.rawHeaders);
+}
+
+/**
+ * Finds out why the head of a request cannot be written again.
+ * @param req - The request of a caller.
+ * @returns The reason, or undefined if the head can be forwarded.
+ */
+export function findRequestHeadFault(req: IncomingMessage): string | undefined {
+  if (INVALID_PATH_CHARACTERS.test(req.url ?? '/')) return 'invalid path';
+  return findHeaderFault(req.rawHeaders);
+}
+
+function findHeaderFault(rawHeaders: readonly string[]): string | undefined {
   try {
     for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
       const name = rawHeaders[i] ?? '';
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -19,6 +19,7 @@
 import type {RequestExchangeOptions} from './exchange_options.js';
 import {monitorStream} from './monitor_stream.js';
 import {RetryingSender} from './retrying_sender.js';
+import {UnforwardableRequestError} from './unforwardable_request_error.js';
 import {RESPONSE_GRACE_MS, type OpenAttempt} from './start_attempt.js';
 import {writeResponse} from './write_response.js';
 
@@ -47,7 +48,7 @@
   private objectKey = '';
   private deadlineAt = 0;
   private retryAfterMs?: number;
-  private readonly span?: HopSpan;
+  private span?: HopSpan;
 
   constructor(
     private readonly req: IncomingMessage,
@@ -56,12 +57,6 @@
   ) {
     this.arrivedAt = options.timers.now();
     this.requestId = String(req.headers[options.names.requestId] ?? '');
-    this.span = options.startSpan?.({
-      step: Step.Ingress,
-      peer: req.socket.remoteAddress ?? '',
-      requestId: this.requestId,
-      traceParent: getHeader(req.headers, HeaderName.TraceParent),
-    });
     res.on('close', () => this.handleClose());
     res.on('error', () => this.handleClose());
     req.on('aborted', () => this.handleClose());
@@ -70,12 +65,11 @@
   /** Handles the request up to its final response; never rejects. */
   async run(): Promise<void> {
     try {
+      this.startSpan();
       await this.handle();
     } catch (err) {
-      // The request cannot be forwarded unchanged, for example because of an invalid path.
       this.options.log.writeError(this.requestId, err);
-      const mayHaveRun = this.sender?.mayHaveRun === true;
-      this.finish(mayHaveRun ? 502 : 400, Decision.BadRequest);
+      this.finishAfterError(err);
     }
   }
 
@@ -90,8 +84,17 @@
     this.sender?.cancelOpenAttempts();
   }
 
+  private startSpan(): void {
+    this.span = this.options.startSpan?.({
+      step: Step.Ingress,
+      peer: this.req.socket.remoteAddress ?? '',
+      requestId: this.requestId,
+      traceParent: getHeader(this.req.headers, HeaderName.TraceParent),
+    });
+  }
+
   private async handle(): Promise<void> {
-    const {view, names, timers, selector} = this.options;
+    const {view, names, timers} = this.options;
     const {configuration} = view;
     if (!configuration) {
       this.finish(503, Decision.NoConfiguration);
@@ -125,7 +128,25 @@
       MAX_BUFFERED_BODY_BYTES,
       configuration.limits.maxBodyBytes,
     );
+    const timeout = timers.after(
+      Math.max(0, timeoutAt - timers.now()) + RESPONSE_GRACE_MS,
+      () => this.handleTimeout(),
+    );
+    try {
+      await this.receiveAndForward(route, maxBytes, timeoutAt);
+    } finally {
+      timeout[Symbol.dispose]();
+    }
+  }
+
+  private async receiveAndForward(
+    route: Route,
+    maxBytes: number,
+    timeoutAt: number,
+  ): Promise<void> {
+    const {selector} = this.options;
     const body = await readBody(this.req, maxBytes);
+    if (this.isFinished) return;
     if (body === BodyFault.TooLarge) {
       this.finish(413, Decision.TooLarge);
       return;
@@ -155,15 +176,7 @@
       },
       this.options,
     );
-    const timeout = timers.after(
-      Math.max(0, timeoutAt - timers.now()) + RESPONSE_GRACE_MS,
-      () => this.handleTimeout(),
-    );
-    try {
-      await this.forwardOrFail(this.sender);
-    } finally {
-      timeout[Symbol.dispose]();
-    }
+    await this.forwardOrFail(this.sender);
   }
 
   private async forwardOrFail(sender: RetryingSender): Promise<void> {
@@ -176,13 +189,13 @@
   }
 
   private forwardResponse(response: EndpointResponse, from: OpenAttempt): void {
-    this.isFinished = true;
     this.sender?.stop();
     if (!this.res.destroyed) {
       this.bodyStream = response.bodyStream;
       if (response.bodyStream) this.monitorStream(response.bodyStream, from);
       writeResponse(response, this.res, this.req.method === 'HEAD');
     }
+    this.isFinished = true;
     this.recordCompletion(response.status, Decision.Endpoint);
   }
 
@@ -219,8 +232,30 @@
   }
 
   private finishFailed(decision: Decision): void {
-    const mayHaveRun = this.sender?.mayHaveRun === true;
-    this.finish(getFailureStatus(decision, mayHaveRun), decision);
+    this.finish(getFailureStatus(decision, this.mayHaveRun), decision);
+  }
+
+  /** Ends the request after an error that may have occurred at any step, with a true status. */
+  private finishAfterError(err: unknown): void {
+    this.bodyStream?.destroy();
+    this.sender?.cancelOpenAttempts();
+    if (this.isFinished) return;
+    if (this.res.headersSent) {
+      this.isFinished = true;
+      this.res.socket?.resetAndDestroy();
+      this.recordCompletion(0, Decision.InternalError);
+      return;
+    }
+    // Headers of an endpoint's response may have been set before writing it failed.
+    for (const name of this.res.getHeaderNames()) this.res.removeHeader(name);
+    this.res.shouldKeepAlive = false;
+    if (err instanceof UnforwardableRequestError && !this.mayHaveRun) {
+      this.finish(400, Decision.BadRequest);
+    } else this.finishFailed(Decision.InternalError);
+  }
+
+  private get mayHaveRun(): boolean {
+    return this.sender?.mayHaveRun === true;
   }
 
   private finish(status: number, decision: Decision): void {
@@ -229,11 +264,19 @@
       headers[this.options.names.requestId] = this.requestId;
     }
     if (status === 503) headers['retry-after'] = this.getRetryAfter(decision);
-    if (status === 413 || status === 431) headers['connection'] = 'close';
+    const isBodyAwaited = decision === Decision.TimedOut && !this.req.complete;
+    if (status === 413 || status === 431 || isBodyAwaited) {
+      headers['connection'] = 'close';
+    }
     if (this.isFinished) return;
     this.isFinished = true;
     this.sender?.stop();
-    if (!this.res.destroyed) this.res.writeHead(status, headers).end();
+    try {
+      if (!this.res.destroyed) this.res.writeHead(status, headers).end();
+    } catch (err) {
+      this.options.log.writeError(this.requestId, err);
+      this.res.socket?.resetAndDestroy();
+    }
     this.recordCompletion(status, decision);
   }
 
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -4,7 +4,11 @@
   isIdempotent,
   type Route,
 } from '@primrosestage/steering';
-import {AttemptOutcome, type EndpointResponse} from './attempt.js';
+import {
+  AttemptOutcome,
+  type AttemptResult,
+  type EndpointResponse,
+} from './attempt.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
 import {Decision} from './decision.js';
 import type {RequestExchangeOptions} from './exchange_options.js';
@@ -95,7 +99,7 @@
       if (response && this.isResponseFinal(finished, sent, race.size)) {
         return {response, from: finished.open};
       }
-      decision = this.recordFailure(outcome);
+      decision = getFailureDecision(outcome);
       if (this.hasUncertainAttempt && !isIdempotent(route.kind)) {
         return {decision};
       }
@@ -143,21 +147,6 @@
     });
   }
 
-  private recordFailure(outcome: AttemptOutcome): Decision {
-    switch (outcome) {
-      case AttemptOutcome.Refused:
-        return Decision.Refused;
-      case AttemptOutcome.NotSent:
-        return Decision.NoEndpoint;
-      case AttemptOutcome.TimedOut:
-        this.hasUncertainAttempt = true;
-        return Decision.TimedOut;
-      default:
-        this.hasUncertainAttempt = true;
-        return Decision.ConnectionBroken;
-    }
-  }
-
   /** An error response to an idempotent request is retried if attempts and time remain. */
   private isResponseFinal(
     {result: {response, outcome}}: FinishedAttempt,
@@ -195,9 +184,20 @@
   }
 
   private async awaitAttempt(open: OpenAttempt): Promise<FinishedAttempt> {
-    const {selector, limitTracker, timers, metrics} = this.options;
     const result = await open.attempt.result;
     this.openAttempts.delete(open);
+    if (!isSurelyNotRun(result.outcome)) this.hasUncertainAttempt = true;
+    try {
+      this.observe(open, result);
+    } catch (err) {
+      // What the endpoint answered reaches the caller all the same.
+      this.options.log.writeError(this.request.requestId, err);
+    }
+    return {open, result};
+  }
+
+  private observe(open: OpenAttempt, result: AttemptResult): void {
+    const {selector, limitTracker, timers, metrics} = this.options;
     const at = timers.now();
     const {objectKey} = this.request;
     observeAttempt(open, result, selector, {at, objectKey});
@@ -210,6 +210,24 @@
     this.finishedAttempts.push(
       createAttemptRecord(open, result.outcome, result.reason, ms),
     );
-    return {open, result};
+  }
+}
+
+function isSurelyNotRun(outcome: AttemptOutcome): boolean {
+  return (
+    outcome === AttemptOutcome.Refused || outcome === AttemptOutcome.NotSent
+  );
+}
+
+function getFailureDecision(outcome: AttemptOutcome): Decision {
+  switch (outcome) {
+    case AttemptOutcome.Refused:
+      return Decision.Refused;
+    case AttemptOutcome.NotSent:
+      return Decision.NoEndpoint;
+    case AttemptOutcome.TimedOut:
+      return Decision.TimedOut;
+    default:
+      return Decision.ConnectionBroken;
   }
 }
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -7,7 +7,7 @@
   type EndpointResponse,
 } from './attempt.js';
 import {type EndpointAgent, isResponseComplete} from './endpoint_agent.js';
-import {findHeadFault} from './find_head_fault.js';
+import {findResponseHeadFault} from './head_fault.js';
 import type {WireNames} from './wire_names.js';
 
 /** Largest response body that is buffered until complete, in bytes; longer ones are streamed. */
@@ -211,7 +211,7 @@
   /** Returns why a response must not be forwarded to the caller, or undefined if it may be. */
   private findResponseFault(res: IncomingMessage): string | undefined {
     const {names} = this.context;
-    const headFault = findHeadFault(res);
+    const headFault = findResponseHeadFault(res);
     if (headFault !== undefined) return headFault;
     const id = res.headers[names.requestId];
     if (id !== undefined && id !== this.request.requestId) {
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -12,6 +12,7 @@
 } from '@primrosestage/steering';
 import {parseAddress} from '../http/parse_address.js';
 import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
+import {AttemptOutcome} from './attempt.js';
 import {copyHeaders} from './caller_request.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import {
@@ -19,6 +20,7 @@
   type EndpointSelector,
   type SelectionRequest,
 } from './endpoint_selector.js';
+import {findRequestHeadFault} from './head_fault.js';
 import type {LimitTracker} from './limit_tracker.js';
 import type {RatePermits} from './rate_permits.js';
 import type {AttemptRecord, LimitRecord} from './request_log.js';
@@ -27,6 +29,7 @@
   type AttemptRequest,
   sendAttempt,
 } from './send_attempt.js';
+import {UnforwardableRequestError} from './unforwardable_request_error.js';
 import type {WireNames} from './wire_names.js';
 
 /**
@@ -130,7 +133,8 @@
     if (result === BeginResult.Cold) return {limited};
     if (result === BeginResult.Begun) {
       const target = {choice, endpoint, candidate};
-      return {open: sendTo(target, remainingMs, source, options), limited};
+      const open = tryStart(target, remainingMs, source, options);
+      return {open, limited};
     }
     if (result === BeginResult.PermitRequested) {
       await options.permits.waitForReply(endpoint);
@@ -139,6 +143,20 @@
   return {};
 }
 
+function tryStart(
+  target: AttemptTarget,
+  remainingMs: number,
+  source: AttemptSource,
+  options: AttemptStartOptions,
+): OpenAttempt {
+  try {
+    return sendTo(target, remainingMs, source, options);
+  } catch (err) {
+    options.selector.getLoad(target.endpoint).end();
+    throw err;
+  }
+}
+
 /** Sends the request to the selected endpoint, for which it has been counted. */
 function sendTo(
   {choice, endpoint, candidate}: AttemptTarget,
@@ -146,9 +164,10 @@
   source: AttemptSource,
   options: AttemptStartOptions,
 ): OpenAttempt {
-  const {selector, timers, names} = options;
+  const {timers, names} = options;
   const {req, body} = source;
   const {entry} = endpoint;
+  const limit = options.limitTracker.describe(endpoint);
   const headers: Record<string, string | string[] | number> = copyHeaders(
     req.rawHeaders,
     new Set([names.deadlineMs, names.expectedEndpoint, 'content-length']),
@@ -175,25 +194,46 @@
     timeoutMs: remainingMs + RESPONSE_GRACE_MS,
     connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs),
   };
-  let attempt: Attempt;
-  try {
-    attempt = sendAttempt(request, options);
-  } catch (err) {
-    selector.getLoad(endpoint).end();
-    span?.end('not-sent', getErrorMessage(err));
-    throw err;
-  }
   return {
     endpoint,
-    attempt,
+    attempt: trySendAttempt(request, source, options),
     span,
     startedAt: timers.now(),
     depth: candidate.depth,
-    limit: options.limitTracker.describe(endpoint),
+    limit,
     hedgeDelayMs: HEDGE_DELAY_FACTOR * choice.finishMs + MIN_HEDGE_DELAY_MS,
   };
 }
 
+/**
+ * Sends the request; an error that only concerns the endpoint, such as an invalid address, fails
+ * just this attempt.
+ * @throws UnforwardableRequestError if no endpoint can get this request.
+ */
+function trySendAttempt(
+  request: AttemptRequest,
+  {req}: AttemptSource,
+  options: AttemptStartOptions,
+): Attempt {
+  try {
+    return sendAttempt(request, options);
+  } catch (err) {
+    const fault = findRequestHeadFault(req);
+    if (fault !== undefined) {
+      throw new UnforwardableRequestError(
+        req.socket.remoteAddress ?? 'caller',
+        fault,
+      );
+    }
+    const result = {
+      outcome: AttemptOutcome.NotSent,
+      reason: getErrorMessage(err),
+      isReused: false,
+    };
+    return {result: Promise.resolve(result), cancel: () => {}};
+  }
+}
+
 /**
  * Describes an attempt for the log.
  * @param open - The attempt.
--- /dev/null
+++ b/packages/instance/test/direct/request_errors.test.ts
@@ -0,0 +1,124 @@
+import http from 'node:http';
+import net from 'node:net';
+import {RequestKind} from '@primrosestage/steering';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {EndpointSelector} from '../../src/direct/endpoint_selector.js';
+import type {EndpointStub} from './endpoint_stub.js';
+import {
+  createRoute,
+  HOST,
+  putConfiguration,
+  putEndpoint,
+  send,
+  sleep,
+  type TestInstance,
+  waitFor,
+  waitUntilServing,
+} from './fleet.js';
+import {MemoryRegistry} from './memory_registry.js';
+import {NAMES} from './names.js';
+import {TestFleet} from './test_fleet.js';
+
+describe('unexpected errors on the way of a request', () => {
+  const fleet = new TestFleet();
+  let stub: EndpointStub;
+  let instance: TestInstance;
+
+  beforeEach(async () => {
+    const registry = new MemoryRegistry();
+    stub = await fleet.startEndpoint('e1');
+    putConfiguration(registry, 1, [
+      createRoute({attempts: 1}),
+      createRoute({
+        name: 'orders',
+        prefix: '/orders/',
+        kind: RequestKind.Unsafe,
+      }),
+    ]);
+    putEndpoint(registry, stub);
+    instance = await fleet.start(registry, 46);
+    await waitUntilServing(instance);
+  });
+
+  afterEach(async () => {
+    vi.restoreAllMocks();
+    await fleet.end();
+  });
+
+  const fail = () => {
+    throw new TypeError('unexpected');
+  };
+
+  // The request had been refused with 400, as if its caller had made a mistake.
+  it('guards against blaming the caller for an error before the request is sent', async () => {
+    vi.spyOn(EndpointSelector.prototype, 'select').mockImplementation(fail);
+    const response = await send(instance, {path: '/orders/1', method: 'POST'});
+    expect(response.status).toBe(503);
+    expect(Number(response.headers['retry-after'])).toBeGreaterThan(0);
+    expect(stub.ran).toEqual([]);
+  });
+
+  // An error of a statistic must not replace what the endpoint answered.
+  it('guards against losing a response because it cannot be recorded', async () => {
+    vi.spyOn(EndpointSelector.prototype, 'observeResponse').mockImplementation(
+      fail,
+    );
+    const response = await send(instance, {path: '/orders/1', method: 'POST'});
+    expect(response).toMatchObject({status: 200, body: 'answer of e1'});
+  });
+
+  // The request ran, so that neither 400 nor 503 is true, and the endpoint's stamp belongs to 200.
+  it('guards against a request without a response because it cannot be written', async () => {
+    const {writeHead} = http.ServerResponse.prototype;
+    vi.spyOn(http.ServerResponse.prototype, 'writeHead').mockImplementation(
+      function (this: http.ServerResponse, ...args) {
+        if (args[0] === 200 && this.socket?.localPort === getPort(instance)) {
+          this.setHeader(NAMES.stamp, 'stamp-e1');
+          fail();
+        }
+        return writeHead.apply(this, args as Parameters<typeof writeHead>);
+      },
+    );
+    const response = await send(instance, {path: '/orders/1', method: 'POST'});
+    expect(response.status).toBe(502);
+    expect(response.headers[NAMES.stamp]).toBeUndefined();
+    expect(stub.ran).toHaveLength(1);
+  });
+
+  // An answer that cannot be written at all ends with its connection.
+  it('guards against an open connection because no status can be written', async () => {
+    const {writeHead} = http.ServerResponse.prototype;
+    vi.spyOn(http.ServerResponse.prototype, 'writeHead').mockImplementation(
+      function (this: http.ServerResponse, ...args) {
+        if (this.socket?.localPort === getPort(instance)) fail();
+        return writeHead.apply(this, args as Parameters<typeof writeHead>);
+      },
+    );
+    await expect(send(instance)).rejects.toThrow();
+  });
+
+  // Without a timeout for the body, the request had no response until its caller gave up.
+  it('guards against a request without a response because its body stops', async () => {
+    const socket = net.connect(getPort(instance), getHost(instance));
+    let received = '';
+    let isClosed = false;
+    socket.on('data', bytes => (received += String(bytes)));
+    socket.on('close', () => (isClosed = true));
+    socket.write(
+      `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\n${NAMES.requestId}: half\r\n` +
+        'Content-Length: 8\r\n\r\nhalf',
+    );
+    await waitFor('the connection is closed', () => isClosed);
+    await sleep(50);
+    expect(received).toContain(' 503 ');
+    expect(stub.ran).toEqual([]);
+  });
+});
+
+function getPort(instance: TestInstance): number {
+  return Number(instance.settings.callerAddress.split(':')[1]);
+}
+
+function getHost(instance: TestInstance): string {
+  return instance.settings.callerAddress.split(':')[0] ?? '';
+}
