Believe a refusal without an id only on a new connection

What callers could see: an order that an endpoint was running counted as refused, and ran at a second endpoint as well, or was answered 503. Reported by other operators: a faulty endpoint wrote an earlier refusal once more on a kept connection.

Cause: a refusal was checked for the id of another request, but not for a missing id.

Change: a refusal without an id on a reused connection is a broken response.

Test: "guards against a refusal without an id that is taken for one of the next request" failed before (ran twice) and passes now; the same with the id of the earlier request passed before.

--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -161,10 +161,7 @@
       this.end(AttemptOutcome.Broken, fault);
       return;
     }
-    const isRefusal =
-      res.headers[this.context.names.notRun] !== undefined ||
-      res.statusCode === 421;
-    if (isRefusal) {
+    if (this.isRefusal(res)) {
       this.end(AttemptOutcome.Refused, `status ${res.statusCode}`);
       this.discardBody(res);
       return;
@@ -217,9 +214,13 @@
     if (id !== undefined && id !== this.request.requestId) {
       return `answer to request ${String(id)}`;
     }
-    if (res.headers[names.notRun] !== undefined) return undefined;
+    if (this.isRefusal(res)) {
+      // It may be a late copy of the refusal of an earlier request on this connection.
+      return id === undefined && this.req.reusedSocket
+        ? 'refusal without request id on a reused connection'
+        : undefined;
+    }
     const status = res.statusCode ?? 0;
-    if (status === 421) return undefined;
     // These statuses suggest that the request has not run, but only the not-run header proves it.
     if (status === 408 || status === 429 || status === 503) {
       return `status ${status} without the not-run marker`;
@@ -233,6 +234,13 @@
     return undefined;
   }
 
+  private isRefusal(res: IncomingMessage): boolean {
+    return (
+      res.headers[this.context.names.notRun] !== undefined ||
+      res.statusCode === 421
+    );
+  }
+
   private end(
     outcome: AttemptOutcome,
     reason: string,
--- a/packages/instance/test/direct/endpoint_responses.test.ts
+++ b/packages/instance/test/direct/endpoint_responses.test.ts
@@ -205,6 +205,36 @@
     await second[Symbol.asyncDispose]();
   });
 
+  // The endpoint writes an earlier refusal once more while it runs the next request.
+  it.each([
+    ['without an id', ''],
+    ['with the id of the refused request', `${NAMES.requestId}: refused\r\n`],
+  ])(
+    'guards against a refusal %s that is taken for one of the next request',
+    async (_, idLine) => {
+      const second = await new EndpointStub('e2').start();
+      putEndpoint(registry, second, {bornAt: Date.now()});
+      await sleep(150);
+      const refusal = `HTTP/1.1 503 Busy\r\n${NAMES.notRun}: 1\r\n${idLine}Content-Length: 0\r\n\r\n`;
+      for (const each of [stub, second]) {
+        each.handle = (req, res, self) => self.refuse(req, res);
+      }
+      await send(instance, {path: '/orders/1', method: 'POST', id: 'refused'});
+      for (const each of [stub, second]) {
+        each.handle = req => req.socket.write(refusal);
+      }
+      const response = await send(instance, {
+        path: '/orders/1',
+        method: 'POST',
+        id: 'running',
+      });
+      expect([...stub.ran, ...second.ran]).toEqual(['running']);
+      expect(response.status).toBe(502);
+      registry.set('endpoints/e2');
+      await second[Symbol.asyncDispose]();
+    },
+  );
+
   it('responds 503 with retry-after if the endpoint refuses', async () => {
     stub.handle = (req, res, self) => self.refuse(req, res);
     const response = await send(instance, {path: '/orders/1', method: 'POST'});
