Pass over an item of the registry that cannot be decoded

What was seen: an instance with one undecodable item in its registry never got past it; each read failed and was repeated.

Cause: an error of the decoder failed the whole list or watch, and counted as a registry that does not answer.

Change: such an item is reported in a log line and passed over.

Test: "guards against an instance that stops following because of one unreadable item" failed before (not serving after 5 s) and passes now.

--- a/packages/instance/src/direct/control_sync.ts
+++ b/packages/instance/src/direct/control_sync.ts
@@ -6,6 +6,7 @@
 import {
   RegistryError,
   RegistryFault,
+  type RegistryItem,
   type RegistryItems,
 } from '@primrosestage/control';
 import {
@@ -15,7 +16,7 @@
   type MemberInfo,
   type MemberTable,
 } from '@primrosestage/steering';
-import type {ControlSource} from './control_source.js';
+import type {ControlSource, DecodedItem} from './control_source.js';
 import type {DirectMetrics} from './direct_metrics.js';
 import {StalledWatchDetector} from './stalled_watch_detector.js';
 
@@ -244,7 +245,7 @@
   }
 
   private apply({items, revision}: RegistryItems, isFull: boolean): void {
-    const {source, members, timers, logger} = this.options;
+    const {members, timers, logger} = this.options;
     const changes: ControlChanges = {
       revision,
       isFull,
@@ -253,7 +254,7 @@
     };
     const registrations: MemberInfo[] = [];
     for (const item of items) {
-      const decoded = source.decode(item);
+      const decoded = this.decode(item);
       if (!decoded) continue;
       if (decoded.fault !== undefined) {
         logger.warn('registry item ignored', {
@@ -271,6 +272,15 @@
     this.options.apply(changes, 'registry');
   }
 
+  /** An item that cannot be decoded must not keep this instance from following the others. */
+  private decode(item: RegistryItem): DecodedItem | undefined {
+    try {
+      return this.options.source.decode(item);
+    } catch (err) {
+      return {fault: getErrorMessage(err)};
+    }
+  }
+
   private markRegistryLost(err: unknown): void {
     const {view, logger} = this.options;
     view.endpointTable.markRegistryUnavailable();
--- a/packages/instance/test/direct/control.test.ts
+++ b/packages/instance/test/direct/control.test.ts
@@ -284,4 +284,19 @@
       first.settings.callerAddress,
     );
   }, 20_000);
+
+  // An item of another writer that cannot be decoded made every read of its region's follower fail.
+  it('guards against an instance that stops following because of one unreadable item', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await fleet.startEndpoint('e1');
+    putConfiguration(registry, 1, [createRoute()]);
+    registry.set('endpoints/odd', 'not JSON');
+    const instance = await fleet.start(registry, 97);
+    putEndpoint(registry, stub);
+    await waitUntilServing(instance);
+    await waitFor('the endpoint is used', async () => {
+      const {status} = await send(instance);
+      return status === 200;
+    });
+  });
 });
