Report a datagram to an invalid address instead of throwing

What was seen: with five registrations of instances whose address has the port 99999, two instances did not find each other in 5 s.

Cause: dgram throws for an invalid port, out of the round that sends; the round's later destinations got nothing, each time.

Change: the socket reports the error as it does for any datagram that could not be sent.

Test: "guards against an instance whose address keeps others from being heard" failed before (uncaught exceptions, not found after 5 s) and passes now.

--- a/packages/instance/src/direct/gossip_socket.ts
+++ b/packages/instance/src/direct/gossip_socket.ts
@@ -52,9 +52,15 @@
   send(bytes: Buffer, address: string): void {
     if (!this.isOpen) return;
     const {host, port} = parseAddress(address);
-    this.socket.send(bytes, port, host, err => {
+    const handleResult = (err: Error | null) => {
       if (err) this.onError(createError(address, err));
-    });
+    };
+    try {
+      this.socket.send(bytes, port, host, handleResult);
+    } catch (err) {
+      // An invalid address must not keep the sender from its other destinations.
+      handleResult(err as Error);
+    }
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/instance/test/direct/control.test.ts
+++ b/packages/instance/test/direct/control.test.ts
@@ -299,4 +299,40 @@
       return status === 200;
     });
   });
+
+  // A datagram to an invalid address threw, so that the later destinations of a round got none.
+  it('guards against an instance whose address keeps others from being heard', async () => {
+    const registry = new MemoryRegistry();
+    putConfiguration(registry, 1, [createRoute()]);
+    for (let i = 0; i < 5; i++) {
+      const address = '127.0.7.250:99999';
+      registry.set(`members/odd-${i}`, {
+        id: `odd-${i}`,
+        zone: 'north-a',
+        region: 'north',
+        controlAddress: address,
+        gossipAddress: address,
+        callerAddress: address,
+        bornAt: 1,
+        version: 0,
+        isServing: false,
+        isFollowing: false,
+        openRequests: {},
+        heartbeat: 0,
+      });
+    }
+    const errors: unknown[] = [];
+    const recordError = (err: unknown) => errors.push(err);
+    process.on('uncaughtException', recordError);
+    const first = await fleet.start(registry, 98);
+    const second = await fleet.start(registry, 99);
+    await waitUntilServing(first);
+    await waitUntilServing(second);
+    await waitFor('the instances know each other', async () => {
+      const listed = await queryDirectory(first, 'north');
+      return listed.includes(second.settings.callerAddress);
+    });
+    process.off('uncaughtException', recordError);
+    expect(errors).toEqual([]);
+  });
 });
