--- a/packages/instance/test/direct/endpoint_responses.test.ts
+++ b/packages/instance/test/direct/endpoint_responses.test.ts
@@ -235,6 +235,21 @@
     },
   );
 
+  // The address was taken for a mistake of the caller, whose order got 400.
+  it('guards against blaming the caller for an endpoint with an unusable address', async () => {
+    putEndpoint(registry, {id: 'e0', address: '127.0.0.1:99999'});
+    await sleep(150);
+    const statuses = new Set<number>();
+    for (let i = 0; i < 20; i++) {
+      const object = `odd-${i}`;
+      const path = '/orders/1';
+      const {status} = await send(instance, {path, method: 'POST', object});
+      statuses.add(status);
+    }
+    registry.set('endpoints/e0');
+    expect(statuses).toEqual(new Set([200]));
+  });
+
   it('responds 503 with retry-after if the endpoint refuses', async () => {
     stub.handle = (req, res, self) => self.refuse(req, res);
     const response = await send(instance, {path: '/orders/1', method: 'POST'});
