--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -23,6 +23,8 @@
   readonly bodies: string[] = [];
   handle?: StubHandler;
   delayMs = 5;
+  /** Returns the delay of each request in place of `delayMs`. */
+  drawDelayMs?: () => number;
   /** Monotonic time in milliseconds at which each request arrived, refused ones included. */
   readonly arrivedAt: number[] = [];
   /** Value of the rate limit header; undefined for no limit. */
@@ -119,7 +121,10 @@
         if (!res.writableFinished) this.aborted.push(id);
       });
       if (this.handle) this.handle(req, res, this);
-      else setTimeout(() => this.respond(req, res), this.delayMs);
+      else {
+        const delayMs = this.drawDelayMs?.() ?? this.delayMs;
+        setTimeout(() => this.respond(req, res), delayMs);
+      }
     });
   }
 }
