Limit timers to the longest delay of Node.js

What callers saw: a request with a very long deadline, on a route without a timeout, ended at once with a failure.

Cause: Node.js runs a timer with a delay beyond 2^31 - 1 ms after 1 ms.

Change: the timer service limits delays.

--- a/packages/common/src/time/real_timer_service.ts
+++ b/packages/common/src/time/real_timer_service.ts
@@ -1,6 +1,9 @@
 import {performance} from 'node:perf_hooks';
 import type {TimerService} from './timer_service.js';
 
+/** Longest delay of a timer of Node.js, in milliseconds; it would run a longer one at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /** Implements the timer service with the clocks and timers of Node.js. */
 export class RealTimerService implements TimerService {
   now(): number {
@@ -12,12 +15,12 @@
   }
 
   every(intervalMs: number, fn: () => void): AsyncDisposable & Disposable {
-    const timer = setInterval(fn, intervalMs);
+    const timer = setInterval(fn, limitDelay(intervalMs));
     return createSubscription(() => clearInterval(timer));
   }
 
   after(delayMs: number, fn: () => void): AsyncDisposable & Disposable {
-    const timer = setTimeout(fn, delayMs);
+    const timer = setTimeout(fn, limitDelay(delayMs));
     return createSubscription(() => clearTimeout(timer));
   }
 
@@ -29,12 +32,16 @@
         signal?.removeEventListener('abort', finish);
         resolve();
       };
-      const timer = setTimeout(finish, delayMs);
+      const timer = setTimeout(finish, limitDelay(delayMs));
       signal?.addEventListener('abort', finish, {once: true});
     });
   }
 }
 
+function limitDelay(delayMs: number): number {
+  return Math.min(delayMs, MAX_DELAY_MS);
+}
+
 function createSubscription(cancel: () => void): AsyncDisposable & Disposable {
   return {
     [Symbol.dispose]: cancel,
--- a/packages/instance/test/direct/endpoint_responses.test.ts
+++ b/packages/instance/test/direct/endpoint_responses.test.ts
@@ -26,6 +26,7 @@
     stub = await new EndpointStub('e1').start();
     putConfiguration(registry, Date.now(), [
       createRoute({attempts: 1}),
+      createRoute({name: 'patient', prefix: '/patient/', timeoutMs: 0}),
       createRoute({name: 'hedged', prefix: '/hedged/', attempts: 2}),
       createRoute({
         name: 'orders',
@@ -310,6 +311,14 @@
     expect(stub.ran).toHaveLength(1);
   });
 
+  // A delay beyond the range of a timer counts as 1 ms, so that such callers got 504 at once.
+  it('guards against a timeout at once for a caller with a very long deadline', async () => {
+    stub.delayMs = 100;
+    const path = '/patient/1';
+    const response = await send(instance, {path, deadlineMs: 1e12});
+    expect(response.status).toBe(200);
+  });
+
   it('responds 504 at the timeout of the route', async () => {
     stub.delayMs = 3_000;
     const startedAt = performance.now();
