Respond 404 to a directory request whose target is no URL

What callers saw: no response, and an uncaught error in the log of the instance, for a target such as `//`.

Cause: the URL constructor throws out of the server's handler.

Change: such a target gets 404.

Test: "guards against a request without a response because of its target" failed before (no response, ERR_INVALID_URL) and passes now. It belongs to the class in docs/incidents/request-errors.md.

--- a/packages/instance/src/direct/http_servers.ts
+++ b/packages/instance/src/direct/http_servers.ts
@@ -11,6 +11,9 @@
 /** Time for which callers may cache a directory response, in milliseconds. */
 const DIRECTORY_TTL_MS = 1_500;
 
+/** Base of the request targets, which have no host. */
+const DIRECTORY_BASE = 'http://directory';
+
 /** Configures the server of the directory. */
 export interface DirectoryServerOptions {
   settings: DirectSettings;
@@ -33,8 +36,8 @@
 ): http.Server {
   const {settings, members, paths, timers, metrics} = options;
   return http.createServer((req, res) => {
-    const url = new URL(req.url ?? '/', 'http://directory');
-    if (url.pathname !== paths.directory) {
+    const url = parseUrl(req.url ?? '/');
+    if (url?.pathname !== paths.directory) {
       res.writeHead(404, {'content-length': '0'}).end();
       return;
     }
@@ -52,6 +55,13 @@
   });
 }
 
+/** Parses a request target; returns undefined for one that Node.js reads although it is no URL. */
+function parseUrl(target: string): URL | undefined {
+  return URL.canParse(target, DIRECTORY_BASE)
+    ? new URL(target, DIRECTORY_BASE)
+    : undefined;
+}
+
 /**
  * Creates the server that responds with 200 while callers may be directed to this instance.
  * @param isReady - Returns whether they may.
--- a/packages/instance/test/direct/request_errors.test.ts
+++ b/packages/instance/test/direct/request_errors.test.ts
@@ -115,6 +115,29 @@
   });
 });
 
+describe('the directory', () => {
+  const fleet = new TestFleet();
+
+  afterEach(() => fleet.end());
+
+  // A target that is no URL threw out of the server, and its caller had no response.
+  it('guards against a request without a response because of its target', async () => {
+    const registry = new MemoryRegistry();
+    putConfiguration(registry, 1, [createRoute()]);
+    const instance = await fleet.start(registry, 48);
+    await waitUntilServing(instance);
+    const [host, port] = instance.settings.directoryAddress.split(':');
+    const status = await new Promise(resolve => {
+      http
+        .get({host, port, path: '//', agent: false}, res =>
+          resolve(res.statusCode),
+        )
+        .on('error', resolve);
+    });
+    expect(status).toBe(404);
+  });
+});
+
 function getPort(instance: TestInstance): number {
   return Number(instance.settings.callerAddress.split(':')[1]);
 }
