Treat an answer without a length as cut if the request was not sent yet

Cause: a reset directly behind the last bytes is reported as an end; the empty write that tells the two apart waited behind the queued bytes of the request.

Change: a connection that ends while bytes of the request are unsent does not prove that an answer without a length is whole.

Test: "responses without a length that begin before the request has been read guards against one that looks complete after a reset" fails without the change ('answered') and passes with it; an answer that ends in order after the request is still whole.

Ruled out: waiting for the result of the probe, which may take seconds.

--- a/packages/instance/src/direct/endpoint_agent.ts
+++ b/packages/instance/src/direct/endpoint_agent.ts
@@ -23,7 +23,7 @@
     ...args: Parameters<http.Agent['createConnection']>
   ): ReturnType<http.Agent['createConnection']> {
     const socket = super.createConnection(...args);
-    socket?.prependListener('end', probeForReset);
+    socket?.prependListener('end', handleEnd);
     return socket;
   }
 
@@ -61,15 +61,34 @@
  * @param response - A response that has been read to its end.
  */
 export function isResponseComplete(response: http.IncomingMessage): boolean {
-  return response.complete && !response.socket?.errored;
+  const {socket} = response;
+  if (!response.complete || socket?.errored) return false;
+  return isSelfDelimited(response) || !endedBeforeRequest.has(socket);
 }
 
+/**
+ * Returns whether a response has a length or chunks, so that its end does not depend on its
+ * connection.
+ * @param response - A response.
+ */
+export function isSelfDelimited({headers}: http.IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
+/** Connections that ended while bytes of a request were still to be sent. */
+const endedBeforeRequest = new WeakSet<Duplex>();
+
 /**
  * Detects a reset that libuv reports as an end of stream, as it does if the reset arrives directly
- * after the last bytes: even an empty write then fails at once.
+ * after the last bytes: even an empty write then fails at once. Behind unsent bytes the write would
+ * wait, so that nothing shows whether the end is a reset.
  */
-function probeForReset(this: Duplex): void {
-  if (this.writable) this.write(EMPTY_BUFFER);
+function handleEnd(this: Duplex): void {
+  if (this.writableLength > 0) endedBeforeRequest.add(this);
+  else if (this.writable) this.write(EMPTY_BUFFER);
 }
 
 function destroySocket(this: Socket): void {
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -6,7 +6,11 @@
   type AttemptResult,
   type EndpointResponse,
 } from './attempt.js';
-import {type EndpointAgent, isResponseComplete} from './endpoint_agent.js';
+import {
+  type EndpointAgent,
+  isResponseComplete,
+  isSelfDelimited,
+} from './endpoint_agent.js';
 import {findResponseHeadFault} from './head_fault.js';
 import type {WireNames} from './wire_names.js';
 
@@ -298,10 +302,3 @@
     bodyStream,
   };
 }
-
-function isSelfDelimited(res: IncomingMessage): boolean {
-  return (
-    res.headers['content-length'] !== undefined ||
-    res.headers['transfer-encoding'] !== undefined
-  );
-}
--- a/packages/instance/test/direct/reset_responses.test.ts
+++ b/packages/instance/test/direct/reset_responses.test.ts
@@ -1,4 +1,9 @@
+import net from 'node:net';
+import {RealTimerService} from '@primrosestage/common';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {AttemptOutcome} from '../../src/direct/attempt.js';
+import {EndpointAgent} from '../../src/direct/endpoint_agent.js';
+import {sendAttempt} from '../../src/direct/send_attempt.js';
 import {getTestPort} from '../support/get_test_port.js';
 import {type RawServer, startRawServer} from '../support/start_raw_server.js';
 import {
@@ -73,3 +78,77 @@
     },
   );
 });
+
+describe('responses without a length that begin before the request has been read', () => {
+  const address = `127.40.11.2:${getTestPort(0)}`;
+  const body = Buffer.alloc(12 * 1024 * 1024);
+  let server: net.Server;
+  let isRequestRead: boolean;
+  const agent = new EndpointAgent();
+
+  const respond = (socket: net.Socket) => {
+    socket.write(
+      `HTTP/1.1 200 OK\r\n${NAMES.requestId}: early\r\n${NAMES.stamp}: s\r\n\r\nhalf`,
+      () => {
+        if (isRequestRead) socket.end();
+        else socket.resetAndDestroy();
+      },
+    );
+  };
+
+  beforeEach(async () => {
+    server = net.createServer({allowHalfOpen: true}, socket => {
+      let received = 0;
+      socket.on('error', () => {});
+      socket.on('data', bytes => {
+        const isFirst = received === 0;
+        received += bytes.length;
+        if (!isRequestRead) socket.pause();
+        const isDue = isRequestRead ? received > body.length : isFirst;
+        if (isDue) respond(socket);
+      });
+    });
+    const [host, port] = address.split(':');
+    await new Promise<void>(resolve => {
+      server.listen(Number(port), host, resolve);
+    });
+  });
+
+  afterEach(async () => {
+    agent.destroy();
+    await new Promise(resolve => server.close(resolve));
+  });
+
+  const attempt = () => {
+    const [host = '', port] = address.split(':');
+    return sendAttempt(
+      {
+        host,
+        port: Number(port),
+        method: 'POST',
+        path: '/',
+        headers: {host, 'content-length': body.length},
+        body,
+        requestId: 'early',
+        timeoutMs: 5_000,
+        connectTimeoutMs: 1_000,
+      },
+      {agent, timers: new RealTimerService(), names: NAMES},
+    ).result;
+  };
+
+  // The probe for a reset waited behind the bytes of the request, so half an answer looked whole.
+  it('guards against one that looks complete after a reset', async () => {
+    isRequestRead = false;
+    for (let i = 0; i < ROUNDS; i++) {
+      expect((await attempt()).outcome).toBe(AttemptOutcome.Broken);
+    }
+  });
+
+  it('accepts one that ends in order after the request has been read', async () => {
+    isRequestRead = true;
+    for (let i = 0; i < ROUNDS; i++) {
+      expect((await attempt()).outcome).toBe(AttemptOutcome.Answered);
+    }
+  });
+});
