Let the registry confirm itself before a watch is opened again

Cause: the registry was judged by the watch alone. A reopened watch without an answer looked like one without changes, so that its follower kept the role up to 16.5 s; a watch that works in a quiet store did not end an outage until the next change.

Change: after an outage, a stalled watch or a take-over, the registry has to answer a read before the next watch. A read of the first follower that fails ends its role at once.

Test: "guards against a follower that stays although its registry does not answer" and "guards against an outage that lasts until the next change" failed before (5 s) and pass now.

Ruled out: a shorter watch, a call every few seconds for each follower; this costs one call per outage, stall or take-over.

--- a/packages/instance/src/direct/control_sync.ts
+++ b/packages/instance/src/direct/control_sync.ts
@@ -73,6 +73,11 @@
   /** Delays the first watch at a system start, so that not every instance opens one. */
   private isDiscoveringPeers: boolean;
   private isRegistryLost = false;
+  /**
+   * Whether the registry must answer a read before the next watch. A watch that is pending shows
+   * neither that the registry is available nor that it is not.
+   */
+  private isConfirmationDue = false;
   private isReopening = false;
   private isFollower = false;
   /** Time since which another instance follows the registry in place of this one. */
@@ -93,7 +98,14 @@
       readRevision: () => source.store.readRevision(),
       shouldReadRevision: () =>
         this.isFollowing && this.election.isFirstFollower(timers.now()),
-      reopen: () => this.endWatch(),
+      reopen: () => {
+        this.isConfirmationDue = true;
+        this.endWatch();
+      },
+      handleUnavailable: err => {
+        this.markRegistryLost(err);
+        this.endWatch();
+      },
       timers,
       logger,
     });
@@ -147,7 +159,7 @@
         this.position =
           this.position === undefined
             ? await this.list()
-            : await this.watch(this.position);
+            : await this.confirmAndWatch(this.position);
         backoffMs = INITIAL_BACKOFF_MS;
         await this.delayNextWatch(signal);
       } catch (err) {
@@ -201,7 +213,10 @@
     const now = timers.now();
     if (this.election.shouldFollow(now)) {
       this.redundantSince = Infinity;
-      if (!this.isFollower) logger.info('following registry');
+      if (!this.isFollower) {
+        logger.info('following registry');
+        this.isConfirmationDue = true;
+      }
       this.isFollower = true;
       return true;
     }
@@ -223,6 +238,14 @@
     return listed.revision;
   }
 
+  private async confirmAndWatch(after: number): Promise<number> {
+    if (this.isConfirmationDue) {
+      await this.options.source.store.readRevision();
+      this.markRegistryAvailable();
+    }
+    return this.watch(after);
+  }
+
   private async watch(after: number): Promise<number> {
     const {source, timers} = this.options;
     const watchAbort = new AbortController();
@@ -249,6 +272,7 @@
     const changes: ControlChanges = {
       revision,
       isFull,
+      isFromRegistry: true,
       endpoints: [],
       evacuations: [],
     };
@@ -284,6 +308,7 @@
   private markRegistryLost(err: unknown): void {
     const {view, logger} = this.options;
     view.endpointTable.markRegistryUnavailable();
+    this.isConfirmationDue = true;
     if (this.isRegistryLost) return;
     this.isRegistryLost = true;
     logger.warn('registry lost', {
@@ -299,6 +324,7 @@
       logger.info('registry regained', {revision: view.revision});
     }
     this.isRegistryLost = false;
+    this.isConfirmationDue = false;
     view.endpointTable.markRegistryAvailable(timers.now());
   }
 
--- a/packages/instance/src/direct/stalled_watch_detector.ts
+++ b/packages/instance/src/direct/stalled_watch_detector.ts
@@ -21,6 +21,8 @@
   shouldReadRevision: () => boolean;
   /** Reopens the watch. */
   reopen: () => void;
+  /** Called if the registry does not answer a read. */
+  handleUnavailable: (err: unknown) => void;
   timers: TimerService;
   logger: EventLogger;
 }
@@ -32,11 +34,6 @@
  */
 export class StalledWatchDetector implements AsyncDisposable {
   private behindSince?: number;
-  /**
-   * Whether the last read failed. Only the first of consecutive failures reopens the watch, so that
-   * a registry that is down does not end watches again and again.
-   */
-  private hasReadFailed = false;
   private isReading = false;
   private readTimer?: AsyncDisposable;
 
@@ -79,7 +76,6 @@
     this.isReading = true;
     try {
       const revision = await readRevision();
-      this.hasReadFailed = false;
       await timers.sleep(DELIVERY_TIMEOUT_MS);
       // A watch that has returned in the meantime works, even if it has not caught up.
       const isStalled =
@@ -90,10 +86,12 @@
         seen: revision,
       });
     } catch (err) {
-      if (!this.hasReadFailed) {
-        this.reopen('not confirmed', {reason: getErrorMessage(err)});
+      if (getPosition() === positionBefore) {
+        this.options.logger.warn('registry watch is not confirmed', {
+          reason: getErrorMessage(err),
+        });
+        this.options.handleUnavailable(err);
       }
-      this.hasReadFailed = true;
     } finally {
       this.isReading = false;
     }
--- a/packages/instance/test/direct/control.test.ts
+++ b/packages/instance/test/direct/control.test.ts
@@ -335,4 +335,57 @@
     process.off('uncaughtException', recordError);
     expect(errors).toEqual([]);
   });
+
+  // A pending watch kept the follower's role for 16.5 s, while nobody else read the registry.
+  it('guards against a follower that stays although its registry does not answer', async () => {
+    const registry = new MemoryRegistry();
+    const silentRegistry = new MemoryRegistry();
+    for (const each of [registry, silentRegistry]) {
+      putConfiguration(each, 1, [createRoute()]);
+    }
+    const first = await fleet.start(silentRegistry, 101);
+    const second = await fleet.start(registry, 102, {
+      seedAddresses: [first.settings.controlAddress],
+    });
+    await waitUntilServing(second);
+    await waitFor('the second no longer follows', () =>
+      second.lines.some(({event}) => event.startsWith('no longer following')),
+    );
+    silentRegistry.isSilent = true;
+    putConfiguration(registry, 2, [createRoute({prefix: '/new/'})]);
+    await waitFor(
+      'both have the configuration',
+      async () =>
+        (await send(first)).status === 404 &&
+        (await send(second)).status === 404,
+    );
+  }, 20_000);
+
+  // In a quiet registry, the outage lasted up to the next change, which then counted as a lapse.
+  it('guards against an outage that lasts until the next change', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await fleet.startEndpoint('e1');
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, stub);
+    const instance = await fleet.start(registry, 103);
+    await waitUntilServing(instance);
+    // The registration would be the change that ends the outage.
+    await waitFor('the instance is registered', () =>
+      instance.lines.some(({event}) => event === 'registered'),
+    );
+    await sleep(300);
+    registry.fault = RegistryFault.NoResponse;
+    registry.wakeWatches();
+    await waitFor('the outage is detected', () =>
+      instance.lines.some(({event}) => event === 'registry lost'),
+    );
+    registry.fault = undefined;
+    await waitFor('the outage has ended', () =>
+      instance.lines.some(({event}) => event === 'registry regained'),
+    );
+    await sleep(2_500);
+    registry.set('endpoints/e1');
+    await sleep(300);
+    expect((await send(instance)).status).toBe(503);
+  });
 });
--- a/packages/instance/test/direct/memory_registry.ts
+++ b/packages/instance/test/direct/memory_registry.ts
@@ -7,10 +7,15 @@
   type RegistryWrite,
 } from '@primrosestage/control';
 
+/** Time after which a read without a response fails, in milliseconds. */
+const SILENT_READ_MS = 200;
+
 /** Holds items in memory and injects faults into the calls of its readers. */
 export class MemoryRegistry implements RegistryStore {
   /** Fault with which calls fail at once. */
   fault?: RegistryFault;
+  /** Whether calls get no response: watches stay pending, and reads fail after a while. */
+  isSilent = false;
   /** Whether watches never return changes. */
   isStalled = false;
   /** Number of watches that were started. */
@@ -52,6 +57,7 @@
   }
 
   async list(prefix: string): Promise<RegistryItems> {
+    await this.failIfSilent();
     this.throwInjectedFault();
     const items = [...this.items.values()];
     return {
@@ -67,6 +73,7 @@
   ): Promise<RegistryItems> {
     this.watchCount++;
     for (;;) {
+      while (this.isSilent && !signal.aborted) await this.waitForChange(signal);
       this.throwInjectedFault();
       if (signal.aborted) throw createError(RegistryFault.NoResponse);
       if (after < this.revision && !this.isStalled) {
@@ -82,6 +89,7 @@
   }
 
   async readRevision(): Promise<number> {
+    await this.failIfSilent();
     this.throwInjectedFault();
     return this.revision;
   }
@@ -96,6 +104,12 @@
     for (const wake of this.waiters) wake();
   }
 
+  private async failIfSilent(): Promise<void> {
+    if (!this.isSilent) return;
+    await new Promise(resolve => setTimeout(resolve, SILENT_READ_MS));
+    throw createError(RegistryFault.NoResponse);
+  }
+
   private throwInjectedFault(): void {
     if (this.fault) throw createError(this.fault);
   }
