Let only the reader of a removal decide whether it is a lapse

Cause: each instance applied its own outage to removals that another one had read, and an instance that stopped following kept its outage for good.

Change: only changes that an instance has read from the registry itself are judged by its outage; others carry the mark of their reader.

Test: "guards against keeping an endpoint that another instance has seen leave" failed before (lapsed) and passes now. The older test of the grace period now says that its change comes from the registry; its checks are the same.

--- a/packages/steering/src/direct/control_view.ts
+++ b/packages/steering/src/direct/control_view.ts
@@ -16,6 +16,8 @@
   revision: number;
   /** Whether the changes are a full snapshot, so that items not listed do not exist. */
   isFull: boolean;
+  /** Whether this instance has read the changes from the registry itself. */
+  isFromRegistry?: boolean;
   configuration?: RouteConfiguration;
   endpoints: EndpointChange[];
   evacuations: EvacuationChange[];
@@ -102,7 +104,11 @@
       effects.configuration = changes.configuration;
     }
     for (const change of changes.endpoints) {
-      const effect = this.endpointTable.apply(change, now);
+      const effect = this.endpointTable.apply(
+        change,
+        now,
+        changes.isFromRegistry,
+      );
       if (effect === EndpointEffect.None) continue;
       effects.endpoints.push({
         id: change.id,
@@ -178,7 +184,13 @@
   ): void {
     const {revision} = changes;
     const ids = new Set(changes.endpoints.map(({id}) => id));
-    for (const id of this.endpointTable.removeUnlisted(ids, revision, now)) {
+    const removed = this.endpointTable.removeUnlisted(
+      ids,
+      revision,
+      now,
+      changes.isFromRegistry,
+    );
+    for (const id of removed) {
       effects.endpoints.push({id, effect: EndpointEffect.Left, revision});
     }
     const zones = new Set(changes.evacuations.map(({zone}) => zone));
--- a/packages/steering/src/direct/endpoint_table.ts
+++ b/packages/steering/src/direct/endpoint_table.ts
@@ -97,9 +97,15 @@
    * Applies a change unless the same or a later one of the endpoint is known.
    * @param change - Change of one endpoint.
    * @param now - Monotonic time in milliseconds.
+   * @param isFromRegistry - Whether this instance has read the change itself. Only then can an
+   * outage that it has seen explain a removal; other instances mark lapses themselves.
    * @returns The effect on the table.
    */
-  apply(change: EndpointChange, now: number): EndpointEffect {
+  apply(
+    change: EndpointChange,
+    now: number,
+    isFromRegistry = false,
+  ): EndpointEffect {
     const last = this.lastChanges.get(change.id);
     if (last && last.revision >= change.revision) return EndpointEffect.None;
     this.lastChanges.set(change.id, change);
@@ -109,7 +115,10 @@
     const {entry} = change;
     if (!entry || entry.state === EndpointState.Draining) {
       if (!before) return EndpointEffect.None;
-      if (change.isRemoved && (change.isLapse || this.isLapsePossible(now))) {
+      const isLapse =
+        change.isLapse === true ||
+        (isFromRegistry && this.isLapsePossible(now));
+      if (change.isRemoved && isLapse) {
         // Peers that receive the change from here must treat it as a lapse too.
         this.lastChanges.set(change.id, {...change, isLapse: true});
         before.graceEndsAt = now + this.lapseGraceMs;
@@ -138,18 +147,21 @@
    * @param ids - Ids of the listed endpoints.
    * @param revision - Revision before the listing began; later entries are kept.
    * @param now - Monotonic time in milliseconds.
+   * @param isFromRegistry - Whether this instance has read the listing itself.
    * @returns Ids of the endpoints that left or lapsed.
    */
   removeUnlisted(
     ids: ReadonlySet<string>,
     revision: number,
     now: number,
+    isFromRegistry = false,
   ): string[] {
     const removedIds: string[] = [];
     for (const [id, {revision: knownRevision}] of [...this.endpoints]) {
       if (ids.has(id) || knownRevision > revision) continue;
       const at = Math.max(knownRevision + 0.5, revision);
-      const effect = this.apply({id, revision: at, isRemoved: true}, now);
+      const change = {id, revision: at, isRemoved: true};
+      const effect = this.apply(change, now, isFromRegistry);
       if (effect !== EndpointEffect.None) removedIds.push(id);
     }
     return removedIds;
--- a/packages/steering/test/direct/control_view.test.ts
+++ b/packages/steering/test/direct/control_view.test.ts
@@ -209,7 +209,10 @@
       view.endpointTable.markRegistryUnavailable();
       view.endpointTable.markRegistryAvailable(1_000);
       const effects = view.apply(
-        createChanges({endpoints: [createChange('e1', 2)]}),
+        createChanges({
+          endpoints: [createChange('e1', 2)],
+          isFromRegistry: true,
+        }),
         1_001,
       );
       expect(effects.endpoints[0]?.effect).toBe(EndpointEffect.Lapsed);
@@ -218,6 +221,19 @@
     }
   });
 
+  // Only the instance that reads a removal from the registry knows whether it may be a lapse.
+  it('guards against keeping an endpoint that another instance has seen leave', () => {
+    const view = new ControlView(DRAIN_MS);
+    const joinChange = createChange('e1', 1, EndpointState.Ready);
+    view.apply(createChanges({endpoints: [joinChange]}), 0);
+    view.endpointTable.markRegistryUnavailable();
+    const effects = view.apply(
+      createChanges({endpoints: [createChange('e1', 2)]}),
+      20_000,
+    );
+    expect(effects.endpoints[0]?.effect).toBe(EndpointEffect.Left);
+  });
+
   it('keeps the longer cold start of a process and takes the new one after a restart', () => {
     const view = new ControlView(DRAIN_MS);
     const createColdChange = (
