Split failure responses and control changes from their long files

After an error, open attempts are cancelled after the status has been chosen, as on a timeout, so that the choice cannot depend on the order of promises.

--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -17,6 +17,7 @@
 import type {HopSpan} from '../telemetry/hop_span.js';
 import {Decision, getFailureStatus} from './decision.js';
 import type {RequestExchangeOptions} from './exchange_options.js';
+import {discardHeaders, writeFailure} from './failure_response.js';
 import {monitorStream} from './monitor_stream.js';
 import {RetryingSender} from './retrying_sender.js';
 import {UnforwardableRequestError} from './unforwardable_request_error.js';
@@ -238,20 +239,24 @@
   /** Ends the request after an error that may have occurred at any step, with a true status. */
   private finishAfterError(err: unknown): void {
     this.bodyStream?.destroy();
-    this.sender?.cancelOpenAttempts();
-    if (this.isFinished) return;
-    if (this.res.headersSent) {
-      this.isFinished = true;
-      this.res.socket?.resetAndDestroy();
-      this.recordCompletion(0, Decision.InternalError);
-      return;
+    if (!this.isFinished) {
+      if (this.res.headersSent) this.abortResponse();
+      else {
+        discardHeaders(this.res);
+        const isCallersFault = err instanceof UnforwardableRequestError;
+        if (isCallersFault && !this.mayHaveRun) {
+          this.finish(400, Decision.BadRequest);
+        } else this.finishFailed(Decision.InternalError);
+      }
     }
-    // Headers of an endpoint's response may have been set before writing it failed.
-    for (const name of this.res.getHeaderNames()) this.res.removeHeader(name);
-    this.res.shouldKeepAlive = false;
-    if (err instanceof UnforwardableRequestError && !this.mayHaveRun) {
-      this.finish(400, Decision.BadRequest);
-    } else this.finishFailed(Decision.InternalError);
+    this.sender?.cancelOpenAttempts();
+  }
+
+  /** Resets the caller's connection, so that what was written of a response is not taken for whole. */
+  private abortResponse(): void {
+    this.isFinished = true;
+    this.res.socket?.resetAndDestroy();
+    this.recordCompletion(0, Decision.InternalError);
   }
 
   private get mayHaveRun(): boolean {
@@ -259,20 +264,25 @@
   }
 
   private finish(status: number, decision: Decision): void {
-    const headers: Record<string, string> = {'content-length': '0'};
-    if (this.requestId !== '') {
-      headers[this.options.names.requestId] = this.requestId;
-    }
-    if (status === 503) headers['retry-after'] = this.getRetryAfter(decision);
-    const isBodyAwaited = decision === Decision.TimedOut && !this.req.complete;
-    if (status === 413 || status === 431 || isBodyAwaited) {
-      headers['connection'] = 'close';
-    }
     if (this.isFinished) return;
     this.isFinished = true;
     this.sender?.stop();
+    if (status === 503) this.retryAfterMs = this.computeRetryAfterMs(decision);
+    const isBodyAwaited = decision === Decision.TimedOut && !this.req.complete;
+    const {requestId, retryAfterMs} = this;
+    const {names} = this.options;
     try {
-      if (!this.res.destroyed) this.res.writeHead(status, headers).end();
+      if (!this.res.destroyed) {
+        writeFailure(this.res, {
+          status,
+          requestId:
+            requestId === ''
+              ? undefined
+              : {name: names.requestId, value: requestId},
+          retryAfterMs,
+          closesConnection: status === 413 || status === 431 || isBodyAwaited,
+        });
+      }
     } catch (err) {
       this.options.log.writeError(this.requestId, err);
       this.res.socket?.resetAndDestroy();
@@ -280,13 +290,13 @@
     this.recordCompletion(status, decision);
   }
 
-  private getRetryAfter(decision: Decision): string {
+  private computeRetryAfterMs(decision: Decision): number {
     const {timers, random} = this.options;
     const capacityInMs =
       decision === Decision.Stopping
         ? STOPPING_RETRY_AFTER_MS
         : (this.sender?.retryAfterMs ?? NOT_READY_RETRY_AFTER_MS);
-    this.retryAfterMs = getRetryAfterMs({
+    return getRetryAfterMs({
       capacityInMs,
       remainingMs:
         this.deadlineAt === 0
@@ -294,7 +304,6 @@
           : Math.max(0, this.deadlineAt - timers.now()),
       random: random(),
     });
-    return (this.retryAfterMs / 1_000).toFixed(3);
   }
 
   /** The socket shows the end of a connection some event loop iterations before `close`. */
@@ -340,7 +349,7 @@
         status,
         decidedBy: decision,
         remainingMs: Math.round(this.deadlineAt - now),
-        retryAfterMs: status === 503 ? this.retryAfterMs : undefined,
+        retryAfterMs: this.retryAfterMs,
         ms: Math.round(ms),
         limited: this.sender?.limited,
         attempts: this.sender?.getAttemptRecords() ?? [],
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -1,13 +1,11 @@
 import http from 'node:http';
 import type {EventLogger, TimerService} from '@primrosestage/common';
 import {
-  type ControlChanges,
   ControlView,
   createStopSchedule,
   type MemberInfo,
   MemberTable,
   type StopSchedule,
-  type ViewEffects,
 } from '@primrosestage/steering';
 import type {Registry} from 'prom-client';
 import {ConnectionTracker} from '../http/connection_tracker.js';
@@ -16,14 +14,14 @@
 import type {StartSpan} from '../telemetry/hop_span.js';
 import {Announcer} from './announcer.js';
 import type {ControlSource} from './control_source.js';
+import {createChangeHandler} from './create_change_handler.js';
 import {createLimitControl} from './create_limit_control.js';
 import {ControlSync} from './control_sync.js';
-import {createDirectMetrics, type DirectMetrics} from './direct_metrics.js';
+import {createDirectMetrics} from './direct_metrics.js';
 import type {DirectSettings} from './direct_settings.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {EndpointSelector} from './endpoint_selector.js';
 import {Gossip} from './gossip.js';
-import {logEffects} from './log_effects.js';
 import {GossipSocket} from './gossip_socket.js';
 import {createPeerRouter, PeerExchange} from './peer_exchange.js';
 import {QUIET_PERIOD_MS, runPlannedStop} from './planned_stop.js';
@@ -46,11 +44,6 @@
 const LIMIT_REPORT_INTERVAL_MS = 5_000;
 /** Idle timeout of callers' connections until the configuration sets one, in milliseconds. */
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
-/**
- * Time beyond the configured idle and header timeouts after which a caller's connection is closed,
- * in milliseconds.
- */
-const IDLE_MARGIN_MS = 1_000;
 /**
  * Time for which a started instance assumes that it has not discovered all others yet, in
  * milliseconds.
@@ -169,28 +162,15 @@
     rejectMalformed(err, socket, logger),
   );
 
-  const apply = (changes: ControlChanges, from: string) => {
-    const since = view.revision;
-    const effects = view.apply(changes, timers.now());
-    logEffects(effects, {view, from, now: timers.now()}, logger);
-    countEffects(effects, metrics);
-    const isIncremental = from === 'registry' && !changes.isFull;
-    if (isIncremental && hasEffects(effects)) gossip.broadcastChanges(since);
-    if (view.isComplete) void startServing();
-    const {configuration} = effects;
-    if (!configuration) return;
-    const {limits} = configuration;
-    callerServer.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
-    callerServer.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
-    metrics.configurationVersion.set(configuration.version);
-    metrics.controlChanges.inc({kind: 'configuration'});
-    logger.info('configuration in force', {
-      version: configuration.version,
-      routes: configuration.routes.length,
-      revision: changes.revision,
-      from,
-    });
-  };
+  const apply = createChangeHandler({
+    view,
+    callerServer,
+    timers,
+    logger,
+    metrics,
+    broadcast: since => gossip.broadcastChanges(since),
+    handleComplete: () => void startServing(),
+  });
   let hasStartedServing = false;
   // While the port is closed, callers are refused and try another instance at once.
   const startServing = async () => {
@@ -347,22 +327,6 @@
   };
 }
 
-function countEffects(effects: ViewEffects, metrics: DirectMetrics): void {
-  for (const {effect} of effects.endpoints) {
-    metrics.controlChanges.inc({kind: `endpoint-${effect}`});
-  }
-  const {length} = effects.evacuations;
-  if (length > 0) metrics.controlChanges.inc({kind: 'evacuation'}, length);
-}
-
-function hasEffects(effects: ViewEffects): boolean {
-  return (
-    effects.configuration !== undefined ||
-    effects.endpoints.length > 0 ||
-    effects.evacuations.length > 0
-  );
-}
-
 function listen(server: http.Server, address: string): Promise<void> {
   const {host, port} = parseAddress(address);
   return new Promise((resolve, reject) => {
