Test a false refusal of an order that no other endpoint can take

A late copy of a refusal without an id, believed where no other endpoint has room, gives just that: the caller gets 503 for an order that its endpoint is running.

Change: a test of this case.

--- a/packages/instance/test/direct/endpoint_responses.test.ts
+++ b/packages/instance/test/direct/endpoint_responses.test.ts
@@ -236,6 +236,20 @@
     },
   );
 
+  // Where no other endpoint has room, the caller got 503, "not run", for an order that was running.
+  it('guards against a false refusal of an order that no other endpoint can take', async () => {
+    const path = '/orders/1';
+    stub.handle = (req, res, self) => self.refuse(req, res);
+    await send(instance, {path, method: 'POST'});
+    stub.handle = req =>
+      req.socket.write(
+        `HTTP/1.1 503 Busy\r\n${NAMES.notRun}: 1\r\nContent-Length: 0\r\n\r\n`,
+      );
+    const {status} = await send(instance, {path, method: 'POST'});
+    expect(stub.ran).toHaveLength(1);
+    expect(status).toBe(502);
+  });
+
   // The address was taken for a mistake of the caller, whose order got 400.
   it('guards against blaming the caller for an endpoint with an unusable address', async () => {
     putEndpoint(registry, {id: 'e0', address: '127.0.0.1:99999'});
