State rate limits in the refusals of the endpoint stub

Trace: all instances logged the limit within 0.15 s of each other, 1.6 s after it had been stated; until then the new false refusals were the only answers, and they did not carry it.

Change: refusals of the stub carry the limit, as its other answers do. The bound of the check stays as it is.

Ruled out: a slow spread between instances; it took 0.12 s.

--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -77,7 +77,8 @@
     res.end(`answer of ${this.id}`);
   }
 
-  private getLimitHeader(): Record<string, string> {
+  /** Returns the rate limit header, which every response of a limited endpoint carries. */
+  getLimitHeader(): Record<string, string> {
     const [name] = this.names.limit;
     return name === undefined || this.limit === undefined
       ? {}
@@ -94,6 +95,7 @@
     res.writeHead(503, {
       [this.names.requestId]: String(req.headers[this.names.requestId]),
       [this.names.notRun]: '1',
+      ...this.getLimitHeader(),
     });
     res.end();
   }
