Make the test of an invalid address independent of the order of probes

Two instances had to find each other among five registrations of others, of which each probes a random one every 1.2 s; in 5 s they may miss each other.

Change: the second instance finds the first through its seed, and the test watches for uncaught errors for 4 s, so that several probes meet an invalid address. With the socket as it was before the fix, the test fails on these errors.

--- a/packages/instance/test/direct/control.test.ts
+++ b/packages/instance/test/direct/control.test.ts
@@ -14,6 +14,9 @@
 import {MemoryRegistry} from './memory_registry.js';
 import {TestFleet} from './test_fleet.js';
 
+/** Time in which an instance probes silent ones several times, in milliseconds. */
+const PROBING_MS = 4_000;
+
 describe('control state', () => {
   const fleet = new TestFleet();
 
@@ -325,13 +328,17 @@
     const recordError = (err: unknown) => errors.push(err);
     process.on('uncaughtException', recordError);
     const first = await fleet.start(registry, 98);
-    const second = await fleet.start(registry, 99);
+    // Found through its seed: which registered instances are probed first is random.
+    const second = await fleet.start(registry, 99, {
+      seedAddresses: [first.settings.controlAddress],
+    });
     await waitUntilServing(first);
     await waitUntilServing(second);
     await waitFor('the instances know each other', async () => {
       const listed = await queryDirectory(first, 'north');
       return listed.includes(second.settings.callerAddress);
     });
+    await sleep(PROBING_MS);
     process.off('uncaughtException', recordError);
     expect(errors).toEqual([]);
   });
