Treat a head that cannot be written as malformed on the path with owners

Change: the exchange makes the same check; head_fault.ts moves to http/, which both paths use.

Test: three cases of peer_connection_pool.test.ts failed before (accepted with status 0 or 200) and pass now.

--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -11,7 +11,7 @@
   isResponseComplete,
   isSelfDelimited,
 } from './endpoint_agent.js';
-import {findResponseHeadFault} from './head_fault.js';
+import {findResponseHeadFault} from '../http/head_fault.js';
 import type {WireNames} from './wire_names.js';
 
 /** Largest response body that is buffered until complete, in bytes; longer ones are streamed. */
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -20,7 +20,7 @@
   type EndpointSelector,
   type SelectionRequest,
 } from './endpoint_selector.js';
-import {findRequestHeadFault} from './head_fault.js';
+import {findRequestHeadFault} from '../http/head_fault.js';
 import type {LimitTracker} from './limit_tracker.js';
 import type {RatePermits} from './rate_permits.js';
 import type {AttemptRecord, LimitRecord} from './request_log.js';
--- a/packages/instance/src/exchange/exchange.ts
+++ b/packages/instance/src/exchange/exchange.ts
@@ -7,7 +7,7 @@
   StepError,
   type TimerService,
 } from '@primrosestage/common';
-import {getHeader} from '../http/index.js';
+import {findResponseHeadFault, getHeader} from '../http/index.js';
 import type {PeerRequest} from './peer_connection_pool.js';
 
 /** Identifies why an exchange failed before or during its answer. */
@@ -23,7 +23,7 @@
   Body = 'body',
   /** The connection was closed or reset before the end of the answer. */
   Broken = 'broken',
-  /** The answer is invalid: a syntax error, no length, or the id of another request. */
+  /** The answer is invalid: its syntax, a head that cannot be forwarded, no length, or another request's id. */
   Malformed = 'malformed',
 }
 
@@ -166,8 +166,10 @@
     };
   }
 
-  /** Returns why an answer is invalid: it is for another request, or its length is undefined. */
+  /** Returns why an answer is invalid: its head, its request id, or its undefined length. */
   private findResponseFault(res: http.IncomingMessage): string | undefined {
+    const headFault = findResponseHeadFault(res);
+    if (headFault !== undefined) return headFault;
     const id = getHeader(res.headers, HeaderName.RequestId);
     const expected = this.request.requestId;
     if (id !== undefined && expected !== undefined && id !== expected) {
--- a/packages/instance/src/http/index.ts
+++ b/packages/instance/src/http/index.ts
@@ -1,3 +1,4 @@
+export {findResponseHeadFault} from './head_fault.js';
 export {copyEndToEndHeaders, getHeader} from './headers.js';
 export {listen, type Listener, type ListenOptions} from './listen.js';
 export {parseAddress, type HostPort} from './parse_address.js';
--- a/packages/instance/test/exchange/peer_connection_pool.test.ts
+++ b/packages/instance/test/exchange/peer_connection_pool.test.ts
@@ -95,6 +95,10 @@
   it.each([
     ['an answer without a length', `${OK}\r\nsome text`],
     ['malformed HTTP', 'rubbish\r\n\r\n'],
+    // Node.js reads these heads but refuses to write them.
+    ['a status of zeros', 'HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nok'],
+    ['a header without a name', `${OK}: 1\r\ncontent-length: 2\r\n\r\nok`],
+    ['a space after a name', `${OK}x : 1\r\ncontent-length: 2\r\n\r\nok`],
     ['a header of 32 KB', `${OK}x: ${'y'.repeat(32_768)}\r\n\r\n`],
     [
       'both content-length and chunked encoding',
