--- a/packages/instance/src/rpc/create_peer_client.ts
+++ b/packages/instance/src/rpc/create_peer_client.ts
@@ -34,6 +34,16 @@
   signal?: AbortSignal | null;
 }
 
+/** Tells a peer that cannot be reached from one that does not answer, and a stale connection. */
+function describeConnection({
+  socket,
+  reusedSocket,
+}: http.ClientRequest): string {
+  if (!socket) return 'no connection yet';
+  if (socket.connecting) return 'a connection that is not open yet';
+  return reusedSocket ? 'a reused connection' : 'a new connection';
+}
+
 function fetchOverAgent(
   url: string,
   init: FetchInit,
@@ -56,7 +66,7 @@
         req.destroy(
           new StepError(
             {step: Step.Membership, peer: options.address},
-            `no response within ${options.timeoutMs} ms`,
+            `no response within ${options.timeoutMs} ms on ${describeConnection(req)}`,
           ),
         ),
       options.timeoutMs,
