--- a/packages/instance/test/direct/endpoint_responses.test.ts
+++ b/packages/instance/test/direct/endpoint_responses.test.ts
@@ -2,7 +2,7 @@
 import net from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {RequestKind} from '@primrosestage/steering';
-import {EndpointStub, type StubHandler} from './endpoint_stub.js';
+import {EndpointStub, renderHead, type StubHandler} from './endpoint_stub.js';
 import {
   createRoute,
   HOST,
@@ -89,22 +89,16 @@
 
   it('guards against a reset response without a length that looks complete', () =>
     expectFailure((req, res, self) => {
-      const headers = Object.entries(self.getDefaultHeaders(req));
-      const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
+      const head = renderHead('200 OK', self.getDefaultHeaders(req));
       const socket = req.socket;
-      socket.write(
-        `HTTP/1.1 200 OK\r\nConnection: close\r\n${lines.join('')}\r\nhalf`,
-      );
+      socket.write(`${head}Connection: close\r\n\r\nhalf`);
       setTimeout(() => socket.resetAndDestroy(), 20);
     }));
 
   it('accepts a response without a length that ends with its connection', async () => {
     stub.handle = (req, _res, self) => {
-      const headers = Object.entries(self.getDefaultHeaders(req));
-      const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
-      req.socket.end(
-        `HTTP/1.1 200 OK\r\nConnection: close\r\n${lines.join('')}\r\nwhole`,
-      );
+      const head = renderHead('200 OK', self.getDefaultHeaders(req));
+      req.socket.end(`${head}Connection: close\r\n\r\nwhole`);
     };
     const response = await send(instance);
     expect(response).toMatchObject({status: 200, body: 'whole'});
@@ -132,25 +126,17 @@
 
   // Node.js reads these heads but refuses to write them, which left the caller without a response.
   it.each([
-    ['a status of zeros', 'HTTP/1.1 000 OK', 'x-extra: 1'],
-    ['an interim status', 'HTTP/1.1 101 Switching', 'x-extra: 1'],
-    ['a header without a name', 'HTTP/1.1 200 OK', ': 1'],
-    ['a space after a header name', 'HTTP/1.1 200 OK', 'x-extra : 1'],
+    ['a status of zeros', '000 OK', 'x-extra: 1'],
+    ['an interim status', '101 Switching', 'x-extra: 1'],
+    ['a header without a name', '200 OK', ': 1'],
+    ['a space after a header name', '200 OK', 'x-extra : 1'],
   ])(
     'guards against a request that is never answered after %s',
-    async (_, statusLine, extraHeader) =>
+    async (_, status, extraHeader) =>
       expectFailure((req, _res, self) => {
-        const headers = Object.entries(self.getDefaultHeaders(req));
-        const lines = headers.map(([name, value]) => `${name}: ${value}`);
+        const head = renderHead(status, self.getDefaultHeaders(req));
         req.socket.end(
-          [
-            statusLine,
-            ...lines,
-            extraHeader,
-            'content-length: 5',
-            '',
-            'whole',
-          ].join('\r\n'),
+          `${head}${extraHeader}\r\ncontent-length: 5\r\n\r\nwhole`,
         );
       }),
   );
--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -10,6 +10,21 @@
   stub: EndpointStub,
 ) => void;
 
+/**
+ * Renders the begin of a response's head, for responses that Node.js would not write.
+ * @param status - Status code and reason.
+ * @param headers - The headers; the empty line after the last one is left to the caller.
+ */
+export function renderHead(
+  status: string,
+  headers: Record<string, string>,
+): string {
+  const lines = Object.entries(headers).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  return `HTTP/1.1 ${status}\r\n${lines.join('')}`;
+}
+
 /** A backend server that refuses only what it has not run, echoes request ids and reports load. */
 export class EndpointStub implements AsyncDisposable {
   /** Ids of the requests that were run, in order. */
--- a/packages/instance/test/direct/planned_stop.test.ts
+++ b/packages/instance/test/direct/planned_stop.test.ts
@@ -1,12 +1,11 @@
 import http from 'node:http';
-import net from 'node:net';
 import {RequestKind} from '@primrosestage/steering';
 import {afterEach, describe, expect, it} from 'vitest';
 import type {DirectSettings} from '../../src/direct/index.js';
+import {renderHead} from './endpoint_stub.js';
 import {
   BOUNDS,
   createRoute,
-  HOST,
   putConfiguration,
   putEndpoint,
   queryDirectory,
@@ -16,10 +15,13 @@
   waitFor,
   waitUntilServing,
 } from './fleet.js';
+import {HalfRequest} from './half_request.js';
 import {MemoryRegistry} from './memory_registry.js';
-import {NAMES} from './names.js';
 import {TestFleet} from './test_fleet.js';
 
+/** A route on which requests outlast the stop. */
+const LONG_ROUTE = createRoute({timeoutMs: 8_000});
+
 describe('planned stop', () => {
   const fleet = new TestFleet();
 
@@ -78,15 +80,13 @@
 
   // A cached directory response sends callers to a stopping instance until its listener closes.
   it('guards against aborting a request that arrives late in a planned stop', async () => {
-    const registry = new MemoryRegistry();
-    const stub = await fleet.startEndpoint('e1');
+    const route = createRoute({kind: RequestKind.Unsafe, attempts: 1});
+    const {stub, instance} = await fleet.startServing(
+      42,
+      [route],
+      withStopTimeout(1_600),
+    );
     stub.delayMs = 350;
-    putConfiguration(registry, 1, [
-      createRoute({kind: RequestKind.Unsafe, attempts: 1}),
-    ]);
-    putEndpoint(registry, stub, {slots: 200});
-    const instance = await fleet.start(registry, 42, withStopTimeout(1_600));
-    await waitUntilServing(instance);
     const acceptUntil = performance.now() + 800;
     const stop = instance.instance.stop();
     const results: Promise<LateRequest>[] = [];
@@ -113,13 +113,8 @@
 
   // An order that waits for an endpoint at the end of the stop ends with a status, not with a reset.
   it('guards against closing connections without a response at the end of a planned stop', async () => {
-    const registry = new MemoryRegistry();
-    const stub = await fleet.startEndpoint('e1');
+    const {stub, instance} = await fleet.startServing(43, [LONG_ROUTE]);
     stub.delayMs = 5_000;
-    putConfiguration(registry, 1, [createRoute({timeoutMs: 8_000})]);
-    putEndpoint(registry, stub);
-    const instance = await fleet.start(registry, 43);
-    await waitUntilServing(instance);
     const open = send(instance, {deadlineMs: 8_000});
     await sleep(50);
     await instance.instance.stop();
@@ -129,47 +124,26 @@
 
   // A refusal at the end of the stop must stay true if the rest of the body arrives after it.
   it('guards against running a request that was refused before its body arrived', async () => {
-    const registry = new MemoryRegistry();
-    const stub = await fleet.startEndpoint('e1');
-    putConfiguration(registry, 1, [createRoute({timeoutMs: 8_000})]);
-    putEndpoint(registry, stub);
-    const instance = await fleet.start(registry, 45);
-    await waitUntilServing(instance);
-    const [host, port] = instance.settings.callerAddress.split(':');
-    const socket = net.connect({host, port: Number(port)});
-    let received = '';
-    socket.on('data', bytes => (received += String(bytes)));
-    socket.on('error', () => {});
-    socket.write(
-      `POST /page HTTP/1.1\r\nHost: ${HOST}\r\n${NAMES.requestId}: half\r\n` +
-        'Content-Length: 8\r\n\r\nhalf',
-    );
+    const {stub, instance} = await fleet.startServing(45, [LONG_ROUTE]);
+    const request = new HalfRequest(instance, '/page');
     await sleep(50);
     const stop = instance.instance.stop();
-    await waitFor('the request is refused', () => received !== '');
-    socket.write('rest');
+    await waitFor('the request is refused', () => request.received !== '');
+    request.sendRest();
     await stop;
-    socket.destroy();
-    expect(received).toContain(' 503 ');
+    request.close();
+    expect(request.received).toContain(' 503 ');
     expect(stub.ran).toEqual([]);
   });
 
   // A response without a length looks complete if its connection ends in an orderly way.
   it('guards against a streamed response that looks complete at the end of a planned stop', async () => {
-    const registry = new MemoryRegistry();
-    const stub = await fleet.startEndpoint('e1');
+    const {stub, instance} = await fleet.startServing(44, [LONG_ROUTE]);
     stub.handle = (req, _res, self) => {
-      const headers = Object.entries(self.getDefaultHeaders(req));
-      const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
-      req.socket.write(
-        `HTTP/1.1 200 OK\r\nConnection: close\r\n${lines.join('')}\r\n`,
-      );
+      const head = renderHead('200 OK', self.getDefaultHeaders(req));
+      req.socket.write(`${head}Connection: close\r\n\r\n`);
       req.socket.write('x'.repeat(2_000_000));
     };
-    putConfiguration(registry, 1, [createRoute({timeoutMs: 8_000})]);
-    putEndpoint(registry, stub);
-    const instance = await fleet.start(registry, 44);
-    await waitUntilServing(instance);
     const open = send(instance, {deadlineMs: 8_000}).catch(() => undefined);
     await sleep(100);
     await instance.instance.stop();
--- a/packages/instance/test/direct/request_errors.test.ts
+++ b/packages/instance/test/direct/request_errors.test.ts
@@ -1,21 +1,10 @@
 import http from 'node:http';
-import net from 'node:net';
 import {RequestKind} from '@primrosestage/steering';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {EndpointSelector} from '../../src/direct/endpoint_selector.js';
 import type {EndpointStub} from './endpoint_stub.js';
-import {
-  createRoute,
-  HOST,
-  putConfiguration,
-  putEndpoint,
-  send,
-  sleep,
-  type TestInstance,
-  waitFor,
-  waitUntilServing,
-} from './fleet.js';
-import {MemoryRegistry} from './memory_registry.js';
+import {createRoute, send, sleep, type TestInstance, waitFor} from './fleet.js';
+import {HalfRequest} from './half_request.js';
 import {NAMES} from './names.js';
 import {TestFleet} from './test_fleet.js';
 
@@ -25,19 +14,14 @@
   let instance: TestInstance;
 
   beforeEach(async () => {
-    const registry = new MemoryRegistry();
-    stub = await fleet.startEndpoint('e1');
-    putConfiguration(registry, 1, [
+    ({stub, instance} = await fleet.startServing(46, [
       createRoute({attempts: 1}),
       createRoute({
         name: 'orders',
         prefix: '/orders/',
         kind: RequestKind.Unsafe,
       }),
-    ]);
-    putEndpoint(registry, stub);
-    instance = await fleet.start(registry, 46);
-    await waitUntilServing(instance);
+    ]));
   });
 
   afterEach(async () => {
@@ -99,18 +83,10 @@
 
   // Without a timeout for the body, the request had no response until its caller gave up.
   it('guards against a request without a response because its body stops', async () => {
-    const socket = net.connect(getPort(instance), getHost(instance));
-    let received = '';
-    let isClosed = false;
-    socket.on('data', bytes => (received += String(bytes)));
-    socket.on('close', () => (isClosed = true));
-    socket.write(
-      `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\n${NAMES.requestId}: half\r\n` +
-        'Content-Length: 8\r\n\r\nhalf',
-    );
-    await waitFor('the connection is closed', () => isClosed);
+    const request = new HalfRequest(instance, '/orders/1');
+    await waitFor('the connection is closed', () => request.isClosed);
     await sleep(50);
-    expect(received).toContain(' 503 ');
+    expect(request.received).toContain(' 503 ');
     expect(stub.ran).toEqual([]);
   });
 });
@@ -122,10 +98,7 @@
 
   // A target that is no URL threw out of the server, and its caller had no response.
   it('guards against a request without a response because of its target', async () => {
-    const registry = new MemoryRegistry();
-    putConfiguration(registry, 1, [createRoute()]);
-    const instance = await fleet.start(registry, 48);
-    await waitUntilServing(instance);
+    const {instance} = await fleet.startServing(48, [createRoute()]);
     const [host, port] = instance.settings.directoryAddress.split(':');
     const status = await new Promise(resolve => {
       http
@@ -141,7 +114,3 @@
 function getPort(instance: TestInstance): number {
   return Number(instance.settings.callerAddress.split(':')[1]);
 }
-
-function getHost(instance: TestInstance): string {
-  return instance.settings.callerAddress.split(':')[0] ?? '';
-}
--- a/packages/instance/test/direct/test_fleet.ts
+++ b/packages/instance/test/direct/test_fleet.ts
@@ -1,7 +1,14 @@
+import type {Route} from '@primrosestage/steering';
 import type {ControlSource, DirectSettings} from '../../src/direct/index.js';
 import {EndpointStub} from './endpoint_stub.js';
-import {startInstance, type TestInstance} from './fleet.js';
-import type {MemoryRegistry} from './memory_registry.js';
+import {
+  putConfiguration,
+  putEndpoint,
+  startInstance,
+  type TestInstance,
+  waitUntilServing,
+} from './fleet.js';
+import {MemoryRegistry} from './memory_registry.js';
 
 /** Starts the endpoints and instances of one test and disposes of them afterwards. */
 export class TestFleet {
@@ -35,6 +42,26 @@
     return test;
   }
 
+  /**
+   * Starts an endpoint and an instance that uses it, and waits until the instance serves.
+   * @param number - Last part of the instance's loopback address.
+   * @param routes - The routes; all lead to the endpoint's service.
+   * @param changes - Settings that differ from the defaults.
+   */
+  async startServing(
+    number: number,
+    routes: Route[],
+    changes: Partial<DirectSettings> = {},
+  ): Promise<{stub: EndpointStub; instance: TestInstance}> {
+    const registry = new MemoryRegistry();
+    const stub = await this.startEndpoint('e1');
+    putConfiguration(registry, 1, routes);
+    putEndpoint(registry, stub, {slots: 200});
+    const instance = await this.start(registry, number, changes);
+    await waitUntilServing(instance);
+    return {stub, instance};
+  }
+
   /** Disposes of all instances and endpoints in reverse order of their start. */
   async end(): Promise<void> {
     for (const resource of this.resources.splice(0).reverse()) {
--- a/packages/instance/test/direct/truncated_heads.test.ts
+++ b/packages/instance/test/direct/truncated_heads.test.ts
@@ -1,14 +1,7 @@
 import type {Socket} from 'node:net';
 import {RequestKind} from '@primrosestage/steering';
 import {afterEach, describe, expect, it} from 'vitest';
-import {
-  createRoute,
-  putConfiguration,
-  putEndpoint,
-  send,
-  waitUntilServing,
-} from './fleet.js';
-import {MemoryRegistry} from './memory_registry.js';
+import {createRoute, send} from './fleet.js';
 import {NAMES} from './names.js';
 import {TestFleet} from './test_fleet.js';
 
@@ -38,14 +31,8 @@
   ])(
     'guards against a success after a head with %s that is cut anywhere (%s, reset: %s)',
     async (_, framing, isReset) => {
-      const registry = new MemoryRegistry();
-      const stub = await fleet.startEndpoint('e1');
-      putConfiguration(registry, 1, [
-        createRoute({kind: RequestKind.Unsafe, attempts: 1}),
-      ]);
-      putEndpoint(registry, stub);
-      const instance = await fleet.start(registry, 47);
-      await waitUntilServing(instance);
+      const route = createRoute({kind: RequestKind.Unsafe, attempts: 1});
+      const {stub, instance} = await fleet.startServing(47, [route]);
       const headBytes = createResponse('id-100', framing).indexOf('\r\n\r\n');
       for (let cut = 0; cut < headBytes + 4; cut++) {
         const id = `id-${100 + cut}`;
