Log how many requests the connection of an attempt has carried

Cause: the line of a request can't tell a refusal on a new connection from one on a connection that has carried others, which is what parts the first two hypotheses about the false refusals.

Change: each attempt's record has `connectionUses`, counted by the pool. It replaces `isReused`, which nobody read.

--- a/packages/instance/src/direct/attempt.ts
+++ b/packages/instance/src/direct/attempt.ts
@@ -45,8 +45,8 @@
   limit?: string;
   /** Monotonic time in milliseconds at which the response head arrived. */
   respondedAt?: number;
-  /** Whether a pooled connection was reused. */
-  isReused: boolean;
+  /** How many requests the connection has carried with this one; undefined without a connection. */
+  connectionUses?: number;
   /** Time to open a new connection in milliseconds; undefined for a pooled one. */
   connectMs?: number;
 }
--- a/packages/instance/src/direct/endpoint_agent.ts
+++ b/packages/instance/src/direct/endpoint_agent.ts
@@ -14,10 +14,23 @@
  * bytes cannot be parsed as the response to a later request.
  */
 export class EndpointAgent extends http.Agent {
+  private readonly uses = new WeakMap<Socket, number>();
+
   constructor() {
     super({keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64});
   }
 
+  /**
+   * Counts a request that is sent on a connection.
+   * @param socket - The connection.
+   * @returns The number of its requests so far.
+   */
+  countUse(socket: Socket): number {
+    const uses = (this.uses.get(socket) ?? 0) + 1;
+    this.uses.set(socket, uses);
+    return uses;
+  }
+
   /** Opens a connection that distinguishes a reset from an orderly close. */
   override createConnection(
     ...args: Parameters<http.Agent['createConnection']>
--- a/packages/instance/src/direct/request_log.ts
+++ b/packages/instance/src/direct/request_log.ts
@@ -27,6 +27,8 @@
   limit?: LimitRecord;
   outcome: string;
   reason: string;
+  /** How many requests the connection has carried with this one. */
+  connectionUses?: number;
   ms: number;
 }
 
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -120,7 +120,11 @@
   getAttemptRecords(): AttemptRecord[] {
     const now = this.options.timers.now();
     const open = [...this.openAttempts].map(each =>
-      createAttemptRecord(each, 'open', '', now - each.startedAt),
+      createAttemptRecord(
+        each,
+        {outcome: 'open', reason: ''},
+        now - each.startedAt,
+      ),
     );
     return [...this.finishedAttempts, ...open];
   }
@@ -207,9 +211,7 @@
     const {service} = open.endpoint.entry;
     metrics.attempts.inc({service, outcome: result.outcome});
     metrics.attemptSeconds.observe({service}, ms / 1_000);
-    this.finishedAttempts.push(
-      createAttemptRecord(open, result.outcome, result.reason, ms),
-    );
+    this.finishedAttempts.push(createAttemptRecord(open, result, ms));
   }
 }
 
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -78,6 +78,7 @@
   private isConnected = false;
   private connectMs?: number;
   private limit?: string;
+  private connectionUses?: number;
   private respondedAt?: number;
   private readonly startedAt: number;
   private readonly timeout: Disposable;
@@ -128,6 +129,7 @@
 
   private watchConnection(socket: Socket): void {
     socket.on('data', this.countBytes);
+    this.connectionUses = this.context.agent.countUse(socket);
     if (!socket.connecting) {
       this.isConnected = true;
       return;
@@ -266,7 +268,7 @@
       load: this.getLoad(),
       limit: this.limit,
       respondedAt: this.respondedAt,
-      isReused: this.req.reusedSocket,
+      connectionUses: this.connectionUses,
       connectMs: this.connectMs,
     });
   }
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -12,7 +12,7 @@
 } from '@primrosestage/steering';
 import {parseAddress} from '../http/parse_address.js';
 import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
-import {AttemptOutcome} from './attempt.js';
+import {AttemptOutcome, type AttemptResult} from './attempt.js';
 import {copyHeaders} from './caller_request.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import {
@@ -228,23 +228,28 @@
     const result = {
       outcome: AttemptOutcome.NotSent,
       reason: getErrorMessage(err),
-      isReused: false,
     };
     return {result: Promise.resolve(result), cancel: () => {}};
   }
 }
 
+/** How an attempt ended, or `open` if it has not ended. */
+export interface AttemptEnd extends Pick<
+  AttemptResult,
+  'reason' | 'connectionUses'
+> {
+  outcome: string;
+}
+
 /**
  * Describes an attempt for the log.
  * @param open - The attempt.
- * @param outcome - Its outcome, or `open` if it has not ended.
- * @param reason - Why there is no response.
+ * @param end - How it ended.
  * @param ms - Its duration in milliseconds.
  */
 export function createAttemptRecord(
   {endpoint, startedAt, depth, limit}: OpenAttempt,
-  outcome: string,
-  reason: string,
+  {outcome, reason, connectionUses}: AttemptEnd,
   ms: number,
 ): AttemptRecord {
   return {
@@ -255,6 +260,7 @@
     limit,
     outcome,
     reason,
+    connectionUses,
     ms: Math.round(ms),
   };
 }
