Judge the head of a response as a whole before believing any of it

Callers saw: 503, "not run", for orders that an endpoint was running, also 429 and 421 turned into it; the status or headers of another request's response; orders that ran twice after a retry.

Cause: the checks looked for each header by name, anywhere in the head. Where an endpoint cuts a response off within its head and then sends the due one, Node.js parses both as one head, with the status and not-run marker of the first and the id and stamp of the second. A refusal that also bore a stamp was believed, and so was one without an id on a new connection. The class: bytes of another response were taken as proof.

Change: judgeResponseHead, pure and typed, is the only place that says what a head is: answer, refusal, foreign or invalid. A refusal needs the request's id once, the marker once, no stamp, a status of 400 or above, and no sign of a second head (a status line within a value or the reason phrase, a header twice that occurs once). Foreign responses have an outcome of their own in log and metrics, and what they state of load and limits is not read.

Ruled out: believing fewer refusals by the connection's history, since reading the head tells all cases apart in which the due response is whole.

--- a/packages/instance/src/direct/attempt.ts
+++ b/packages/instance/src/direct/attempt.ts
@@ -10,6 +10,8 @@
   NotSent = 'not-sent',
   /** The connection failed or the response is invalid; the request may have run. */
   Broken = 'broken',
+  /** The response belongs to another request or consists of parts of one; the request may have run. */
+  Foreign = 'foreign',
   /** No response before the timeout; the request may have run. */
   TimedOut = 'timed-out',
   /** Cancelled because of a timeout, a caller's disconnect or the response of another attempt. */
--- a/packages/instance/src/direct/observe_attempt.ts
+++ b/packages/instance/src/direct/observe_attempt.ts
@@ -41,6 +41,7 @@
       selector.observeFailure(endpoint, true);
       break;
     case AttemptOutcome.Broken:
+    case AttemptOutcome.Foreign:
     case AttemptOutcome.TimedOut:
       selector.observeFailure(endpoint, false);
       break;
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -11,7 +11,7 @@
   isResponseComplete,
   isSelfDelimited,
 } from './endpoint_agent.js';
-import {findResponseHeadFault} from '../http/head_fault.js';
+import {HeadKind, judgeResponseHead} from './judge_response.js';
 import type {WireNames} from './wire_names.js';
 
 /** Largest response body that is buffered until complete, in bytes; longer ones are streamed. */
@@ -57,8 +57,8 @@
 }
 
 /**
- * Sends a request to an endpoint and receives its response. A response that is truncated, carries
- * another request id or lacks the request id or the endpoint's stamp is reported as broken.
+ * Sends a request to an endpoint and receives its response. Only a response whose head is proven to
+ * be the endpoint's response to this request is an answer or a refusal.
  * @param request - The request and its timeouts.
  * @param context - Connection pool, clock and header names.
  */
@@ -78,6 +78,7 @@
   private isConnected = false;
   private connectMs?: number;
   private limit?: string;
+  private load?: string;
   private connectionUses?: number;
   private respondedAt?: number;
   private readonly startedAt: number;
@@ -160,18 +161,28 @@
   }
 
   private handleResponse(res: IncomingMessage): void {
-    const fault = this.findResponseFault(res);
-    this.readLimit(res);
+    const {names} = this.context;
+    const {requestId} = this.request;
+    const {kind, reason} = judgeResponseHead(res, requestId, names);
     res.on('error', err => this.end(AttemptOutcome.Broken, err.message));
-    if (fault !== undefined) {
-      this.end(AttemptOutcome.Broken, fault);
+    if (kind === HeadKind.Foreign) {
+      this.end(AttemptOutcome.Foreign, reason);
+      return;
+    }
+    this.readStatements(res);
+    if (kind === HeadKind.Invalid) {
+      this.end(AttemptOutcome.Broken, reason);
       return;
     }
-    if (this.isRefusal(res)) {
-      this.end(AttemptOutcome.Refused, `status ${res.statusCode}`);
+    if (kind === HeadKind.Refusal) {
+      this.end(AttemptOutcome.Refused, reason);
       this.discardBody(res);
       return;
     }
+    this.receiveBody(res);
+  }
+
+  private receiveBody(res: IncomingMessage): void {
     const chunks: Buffer[] = [];
     let size = 0;
     const onData = (chunk: Buffer) => {
@@ -211,42 +222,6 @@
     res.once('close', () => timeout[Symbol.dispose]());
   }
 
-  /** Returns why a response must not be forwarded to the caller, or undefined if it may be. */
-  private findResponseFault(res: IncomingMessage): string | undefined {
-    const {names} = this.context;
-    const headFault = findResponseHeadFault(res);
-    if (headFault !== undefined) return headFault;
-    const id = res.headers[names.requestId];
-    if (id !== undefined && id !== this.request.requestId) {
-      return `answer to request ${String(id)}`;
-    }
-    if (this.isRefusal(res)) {
-      // It may be a late copy of the refusal of an earlier request on this connection.
-      return id === undefined && this.req.reusedSocket
-        ? 'refusal without request id on a reused connection'
-        : undefined;
-    }
-    const status = res.statusCode ?? 0;
-    // These statuses suggest that the request has not run, but only the not-run header proves it.
-    if (status === 408 || status === 429 || status === 503) {
-      return `status ${status} without the not-run marker`;
-    }
-    if (res.headers[names.stamp] === undefined || id === undefined) {
-      return `status ${status} without stamp or request id`;
-    }
-    if (res.headers['content-encoding'] !== undefined) {
-      return 'response has a content encoding';
-    }
-    return undefined;
-  }
-
-  private isRefusal(res: IncomingMessage): boolean {
-    return (
-      res.headers[this.context.names.notRun] !== undefined ||
-      res.statusCode === 421
-    );
-  }
-
   private end(
     outcome: AttemptOutcome,
     reason: string,
@@ -265,7 +240,7 @@
       outcome,
       response,
       reason,
-      load: this.getLoad(),
+      load: this.load,
       limit: this.limit,
       respondedAt: this.respondedAt,
       connectionUses: this.connectionUses,
@@ -273,20 +248,14 @@
     });
   }
 
-  /** A response to another request may be delayed, so its rate limit may be outdated. */
-  private readLimit(res: IncomingMessage): void {
+  /** Reads what the endpoint states of itself in a response to the request. */
+  private readStatements(res: IncomingMessage): void {
     const {names, timers} = this.context;
-    const id = res.headers[names.requestId];
-    if (id !== undefined && id !== this.request.requestId) return;
     this.respondedAt = timers.now();
-    const name = names.limit.find(each => res.headers[each] !== undefined);
-    if (name !== undefined) this.limit = String(res.headers[name]);
-  }
-
-  private getLoad(): string | undefined {
-    const {res} = this.req as http.ClientRequest & {res?: IncomingMessage};
-    const load = res?.headers[this.context.names.load];
-    return typeof load === 'string' ? load : undefined;
+    const limitName = names.limit.find(each => res.headers[each] !== undefined);
+    if (limitName !== undefined) this.limit = String(res.headers[limitName]);
+    const load = res.headers[names.load];
+    if (typeof load === 'string') this.load = load;
   }
 }
 
--- a/packages/instance/src/http/head_fault.ts
+++ b/packages/instance/src/http/head_fault.ts
@@ -14,7 +14,7 @@
  * @returns The reason, or undefined if the head can be forwarded.
  */
 export function findResponseHeadFault(
-  res: IncomingMessage,
+  res: Pick<IncomingMessage, 'statusCode' | 'rawHeaders'>,
 ): string | undefined {
   const status = res.statusCode ?? 0;
   if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
--- a/packages/instance/test/direct/foreign_bytes.test.ts
+++ b/packages/instance/test/direct/foreign_bytes.test.ts
@@ -17,7 +17,6 @@
   type ForeignResponse,
 } from './foreign_responses.js';
 import {MemoryRegistry} from './memory_registry.js';
-import {NAMES} from './names.js';
 
 /** Deadline of the requests; the true response may be lost in an interim one. */
 const DEADLINE_MS = 250;
