Apply the check for merged heads to the path with owners

An exchange with a backend server or another instance looked for outcome and id by name in a head that may consist of two, and believed a refusal without an id on a connection that had carried other requests.

Change: Exchange rejects merged heads as malformed. A not-run outcome needs the request's id, or a connection without earlier requests, where the contract did not ask for an id so far; it does now. What is not proven ends as `unknown`, for backend servers also where it was passed on as an answer.

Tests changed: two handlers of failures.test.ts and the backend stand-in echo the id in their refusals, as the contract now says; their checks are as they were.

--- a/packages/instance/src/exchange/exchange.ts
+++ b/packages/instance/src/exchange/exchange.ts
@@ -7,9 +7,23 @@
   StepError,
   type TimerService,
 } from '@primrosestage/common';
-import {findResponseHeadFault, getHeader} from '../http/index.js';
+import {
+  findMergedHeadFault,
+  findResponseHeadFault,
+  getHeader,
+} from '../http/index.js';
 import type {PeerRequest} from './peer_connection_pool.js';
 
+/** Headers of this system that occur once in a response. */
+const SINGLE_HEADERS: ReadonlySet<string> = new Set([
+  HeaderName.FreeSlots,
+  HeaderName.OriginalStatus,
+  HeaderName.Outcome,
+  HeaderName.Peer,
+  HeaderName.RequestId,
+  HeaderName.Step,
+]);
+
 /** Identifies why an exchange failed before or during its answer. */
 export enum FailureKind {
   /** No connection could be opened; nothing was written. */
@@ -48,6 +62,8 @@
       readonly res: http.IncomingMessage;
       /** Reads the body; throws an ExchangeError if it is incomplete. */
       readonly chunks: AsyncIterable<Buffer>;
+      /** Whether the connection had already been used for an earlier request. */
+      readonly isReused: boolean;
       cancel(): void;
       readonly err?: undefined;
     }
@@ -162,6 +178,7 @@
     return {
       res,
       chunks: this.readAnswer(res),
+      isReused: this.req.reusedSocket,
       cancel: () => this.fail(FailureKind.Cancelled, 'cancelled'),
     };
   }
@@ -170,6 +187,8 @@
   private findResponseFault(res: http.IncomingMessage): string | undefined {
     const headFault = findResponseHeadFault(res);
     if (headFault !== undefined) return headFault;
+    const merged = findMergedHeadFault(res, SINGLE_HEADERS);
+    if (merged !== undefined) return merged;
     const id = getHeader(res.headers, HeaderName.RequestId);
     const expected = this.request.requestId;
     if (id !== undefined && expected !== undefined && id !== expected) {
--- a/packages/instance/src/exchange/index.ts
+++ b/packages/instance/src/exchange/index.ts
@@ -1,5 +1,6 @@
 export type {Answer, AttemptResult, Refusal} from './attempt_result.js';
 export {ExchangeError, type ExchangeResult, FailureKind} from './exchange.js';
+export {isProvenNotRun} from './is_proven_not_run.js';
 export {
   PeerConnectionPool,
   type PeerConnectionPoolOptions,
--- a/packages/instance/src/http/index.ts
+++ b/packages/instance/src/http/index.ts
@@ -10,6 +10,7 @@
   readBody,
   type RequestBody,
 } from './request_body.js';
+export {findMergedHeadFault} from './merged_head.js';
 export {sendJson} from './send_json.js';
 export {sendRefusal, type RefusalOptions} from './send_refusal.js';
 export {createAdminHandler} from './create_admin_handler.js';
--- a/packages/instance/src/owner/backend.ts
+++ b/packages/instance/src/owner/backend.ts
@@ -18,6 +18,7 @@
   type Answer,
   type ExchangeError,
   FailureKind,
+  isProvenNotRun,
   PeerConnectionPool,
   type Refusal,
   toRefusal,
@@ -141,22 +142,10 @@
         source: DrainSource.Response,
       });
     }
-    const isNotRun =
-      res.statusCode === 503 &&
-      res.headers[HeaderName.Outcome] === Outcome.NotRun;
-    if (isNotRun) {
+    if (res.headers[HeaderName.Outcome] === Outcome.NotRun) {
       result.cancel();
-      return {
-        mayHaveRun: false,
-        mayRunForMs: 0,
-        refusal: {
-          outcome: Outcome.NotRun,
-          status: 503,
-          step: Step.Backend,
-          peer: endpoint.id,
-          message: `${endpoint.id} refused the request`,
-        },
-      };
+      const isProven = res.statusCode === 503 && isProvenNotRun(result);
+      return isProven ? this.createRefused() : this.createUnproven(ctx);
     }
     return {
       answer: {
@@ -172,6 +161,37 @@
     await this.pool[Symbol.asyncDispose]();
   }
 
+  private createRefused(): BackendResult {
+    const {id} = this.options.endpoint;
+    return {
+      mayHaveRun: false,
+      mayRunForMs: 0,
+      refusal: {
+        outcome: Outcome.NotRun,
+        status: 503,
+        step: Step.Backend,
+        peer: id,
+        message: `${id} refused the request`,
+      },
+    };
+  }
+
+  /** A refusal that may be one of another request does not show that this one is not running. */
+  private createUnproven(ctx: RequestContext): BackendResult {
+    const {id} = this.options.endpoint;
+    return {
+      mayHaveRun: true,
+      mayRunForMs: Math.max(0, ctx.deadlineAt - this.options.timers.now()),
+      refusal: {
+        outcome: Outcome.Unknown,
+        status: 502,
+        step: Step.Backend,
+        peer: id,
+        message: `${id} sent a refusal that may belong to another request`,
+      },
+    };
+  }
+
   private async *observeBody(
     ctx: RequestContext,
     chunks: AsyncIterable<Buffer>,
--- a/packages/instance/src/relay/read_refusal.ts
+++ b/packages/instance/src/relay/read_refusal.ts
@@ -1,5 +1,9 @@
 import {HeaderName, Outcome, Step} from '@primrosestage/common';
-import type {ExchangeResult, Refusal} from '../exchange/index.js';
+import {
+  type ExchangeResult,
+  isProvenNotRun,
+  type Refusal,
+} from '../exchange/index.js';
 import {getHeader} from '../http/index.js';
 
 const MAX_REFUSAL_BYTES = 8 * 1024;
@@ -26,13 +30,13 @@
     message: message ?? `${peer} answered ${statusCode}`,
     freeSlots: Number.isInteger(freeSlots) ? freeSlots : undefined,
   };
-  if (outcome === Outcome.NotRun) {
-    return {...common, outcome, status: statusCode};
+  if (isProvenNotRun(result)) {
+    return {...common, outcome: Outcome.NotRun, status: statusCode};
   }
   return {
     ...common,
     outcome: Outcome.Unknown,
-    status: outcome === undefined ? 502 : statusCode,
+    status: outcome === Outcome.Unknown ? statusCode : 502,
   };
 }
 
--- a/packages/instance/test/exchange/peer_connection_pool.test.ts
+++ b/packages/instance/test/exchange/peer_connection_pool.test.ts
@@ -76,6 +76,25 @@
 const OK = 'HTTP/1.1 200 OK\r\n';
 
 describe('PeerConnectionPool', () => {
+  // A response that was cut off within its head lent its status and outcome to the next one.
+  it.each([
+    ['a header', 'HTTP/1.1 503 Busy\r\nprimrose-outcome: not-run\r\nx: a'],
+    ['the reason phrase', 'HTTP/1.1 404 Not'],
+  ])(
+    'guards against a head that begins with another one cut off in %s',
+    async (_, foreign) => {
+      await start(socket => {
+        socket.write(
+          `${foreign}${OK}primrose-request-id: q-1\r\ncontent-length: 2\r\n\r\nok`,
+        );
+      });
+      expect(await sendAndRead()).toMatchObject({
+        kind: FailureKind.Malformed,
+        mayHaveRun: true,
+      });
+    },
+  );
+
   it.each([
     ['with content-length', `${OK}content-length: 10\r\n\r\nhalf`],
     ['chunked', `${OK}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`],
--- a/packages/instance/test/request_path/failures.test.ts
+++ b/packages/instance/test/request_path/failures.test.ts
@@ -36,6 +36,15 @@
   return `${system.getUrl(0)}/x`;
 }
 
+function refuse(req: http.IncomingMessage, res: http.ServerResponse): void {
+  const id = req.headers['primrose-request-id'];
+  res.writeHead(503, {
+    'primrose-outcome': 'not-run',
+    'primrose-request-id': id,
+  });
+  res.end();
+}
+
 const getRuns = () =>
   system.backends.reduce((sum, {requests}) => sum + requests.length, 0);
 
@@ -97,7 +106,7 @@
           sendRunNumber(req, res, run);
           return;
         }
-        res.writeHead(503, {'primrose-outcome': 'not-run'}).end();
+        refuse(req, res);
       },
       {endpoints: 2},
     );
@@ -110,10 +119,21 @@
     expect(refused.headers['primrose-outcome']).toBe('not-run');
   });
 
+  // The endpoint writes the refusal of an earlier request again while it runs this one.
+  it('guards against a refusal without an id on a connection that was used before', async () => {
+    const url = await start((req, res, run) => {
+      if (run === 1) sendRunNumber(req, res, run);
+      else res.writeHead(503, {'primrose-outcome': 'not-run'}).end();
+    });
+    await call(url, {method: 'POST', body: 'a'});
+    const {status, headers} = await call(url, {method: 'POST', body: 'b'});
+    expect([status, headers['primrose-outcome']]).toEqual([502, 'unknown']);
+  });
+
   it('guards against resending a body that was already streamed', async () => {
     const url = await start(
       (req, res) => {
-        res.writeHead(503, {'primrose-outcome': 'not-run'}).end();
+        refuse(req, res);
       },
       {endpoints: 2},
     );
--- a/packages/testing/src/backend/backend_server.ts
+++ b/packages/testing/src/backend/backend_server.ts
@@ -125,6 +125,8 @@
     if (this.isDraining) res.setHeader(HeaderName.Draining, '1');
     if (random.chance(this.faults.shedFraction)) {
       if (this.isDraining) this.drainReportedAtMs ??= Date.now();
+      const id = req.headers[HeaderName.RequestId];
+      if (id !== undefined) res.setHeader(HeaderName.RequestId, id);
       res.setHeader(HeaderName.Outcome, Outcome.NotRun);
       sendJson(res, 503, {message: 'no capacity'});
       return;
