Keep a response of the store from standing for the response to another call

Cause: responses of the store carry no identity, and all calls shared kept connections. A late response to an earlier call would have been taken for the next call's: a page or a revision for a list (an empty list removes all endpoints), a transaction for a lease, an older watch for a newer one.

GuardedAgent, which closes an idle connection on which data arrives, is now one class for endpoints, instances and both stores; it stood twice and was missing in four pools.

Ruled out: an id in the calls, which the store does not echo.

--- a/packages/common/src/net/create_agent.ts
+++ b/packages/common/src/net/create_agent.ts
@@ -1,4 +1,5 @@
-import http from 'node:http';
+import type http from 'node:http';
+import {GuardedAgent} from './guarded_agent.js';
 import type {ConnectFunction} from './connect_function.js';
 
 /** Configures a pool of connections. */
@@ -16,7 +17,7 @@
  * @returns The pool; `destroy` closes its connections.
  */
 export function createAgent(options: CreateAgentOptions): http.Agent {
-  const agent = new http.Agent({
+  const agent = new GuardedAgent({
     keepAlive: true,
     maxSockets: options.maxSockets ?? Infinity,
     timeout: options.idleTimeoutMs ?? 10_000,
--- a/packages/instance/src/direct/endpoint_agent.ts
+++ b/packages/instance/src/direct/endpoint_agent.ts
@@ -1,6 +1,7 @@
-import http from 'node:http';
+import type http from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
+import {GuardedAgent} from '@primrosestage/common';
 
 /** Longest time for which an idle connection to an endpoint stays open, in milliseconds. */
 const MAX_IDLE_MS = 4_000;
@@ -9,11 +10,8 @@
 const EMPTY_BUFFER = Buffer.alloc(0);
 const KEEP_ALIVE_TIMEOUT = /(?:^|[\s,])timeout=(\d+)/i;
 
-/**
- * Pools connections to endpoints. An idle connection is closed if it receives data, so that these
- * bytes cannot be parsed as the response to a later request.
- */
-export class EndpointAgent extends http.Agent {
+/** Pools connections to endpoints, which may advertise how long a connection may be idle. */
+export class EndpointAgent extends GuardedAgent {
   private readonly uses = new WeakMap<Socket, number>();
 
   constructor() {
@@ -40,21 +38,6 @@
     return socket;
   }
 
-  /**
-   * Decides whether a connection returns to the pool after a response.
-   * @param socket - The connection.
-   * @returns Whether the connection is kept alive.
-   */
-  override keepSocketAlive(socket: Socket): boolean {
-    if (socket.destroyed || socket.readableEnded) return false;
-    const idleMs = getIdleTimeoutMs(socket);
-    if (idleMs <= 0) return false;
-    socket.setTimeout(idleMs, destroySocket);
-    socket.on('data', destroySocket);
-    socket.unref();
-    return true;
-  }
-
   /**
    * Prepares a pooled connection for a request.
    * @param socket - The connection.
@@ -63,9 +46,16 @@
   override reuseSocket(socket: Socket, req: http.ClientRequest): void {
     socket.setTimeout(0);
     socket.removeListener('timeout', destroySocket);
-    socket.removeListener('data', destroySocket);
     super.reuseSocket(socket, req);
   }
+
+  protected override configureIdle(socket: Socket): boolean {
+    const idleMs = getIdleTimeoutMs(socket);
+    if (idleMs <= 0) return false;
+    socket.setTimeout(idleMs, destroySocket);
+    socket.unref();
+    return true;
+  }
 }
 
 /**
--- a/packages/instance/src/exchange/peer_connection_pool.ts
+++ b/packages/instance/src/exchange/peer_connection_pool.ts
@@ -137,18 +137,9 @@
     const keepSocketAlive = agent.keepSocketAlive.bind(agent) as (
       socket: Duplex,
     ) => boolean;
-    const reuseSocket = agent.reuseSocket.bind(agent);
     agent.keepSocketAlive = (socket: Duplex) => {
       this.idleSince.set(socket, this.options.timers.now());
-      // Bytes that arrive on an idle connection belong to no request. They would be parsed as
-      // the answer to the next request on this connection.
-      socket.on('data', destroyOnData);
-      socket.resume();
-      return keepSocketAlive(socket) && socket.readableLength === 0;
-    };
-    agent.reuseSocket = (socket: Duplex, req: http.ClientRequest) => {
-      socket.off('data', destroyOnData);
-      reuseSocket(socket, req);
+      return keepSocketAlive(socket);
     };
     return agent;
   }
@@ -170,7 +161,3 @@
     for (const exchange of silent) exchange.failSilent();
   }
 }
-
-function destroyOnData(this: Duplex): void {
-  this.destroy();
-}
