Close the connection of a response that is not forwarded

Callers saw, at other operators: requests that ended with their machine, which had run out of memory behind an endpoint that sends without end.

Cause: a response above 1 MiB is handed on as a stream. Where it was dropped (an order whose caller had left, a status that is retried, an attempt that lost against another), nobody closed it, and its first megabyte and its connection stayed until the endpoint closed. The class: a resource whose owner changes with a result that nobody takes.

Change: whoever drops a result closes its stream, and the attempts that are pending when a request ends are dropped as well.

Ruled out: endless heads, interim responses, chunk extensions and trailers, and bodies that are forwarded; their limits are tested with memory measured.

--- a/packages/instance/src/direct/attempt.ts
+++ b/packages/instance/src/direct/attempt.ts
@@ -52,3 +52,14 @@
   /** Time to open a new connection in milliseconds; undefined for a pooled one. */
   connectMs?: number;
 }
+
+/**
+ * Closes the connection of a response that is still being received and will not be forwarded.
+ * Otherwise it would stay open, with the received part in memory, until the endpoint closes it.
+ * @param result - Result of an attempt.
+ */
+export function discardResponse({
+  response,
+}: Pick<AttemptResult, 'response'>): void {
+  response?.bodyStream?.destroy();
+}
--- a/packages/instance/src/direct/attempt_race.ts
+++ b/packages/instance/src/direct/attempt_race.ts
@@ -1,5 +1,5 @@
 import type {TimerService} from '@primrosestage/common';
-import type {AttemptResult} from './attempt.js';
+import {type AttemptResult, discardResponse} from './attempt.js';
 import type {OpenAttempt} from './start_attempt.js';
 
 /** An attempt with its result. */
@@ -45,6 +45,14 @@
     return finished;
   }
 
+  /** Discards the responses of the attempts that are still pending, when they finish. */
+  discardPending(): void {
+    for (const pending of this.pending.values()) {
+      void pending.then(({result}) => discardResponse(result));
+    }
+    this.pending.clear();
+  }
+
   private async awaitFirstFinished(
     timeoutMs: number,
   ): Promise<FinishedAttempt | undefined> {
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -5,7 +5,11 @@
   isIdempotent,
   type Route,
 } from '@primrosestage/steering';
-import {AttemptOutcome, type EndpointResponse} from './attempt.js';
+import {
+  AttemptOutcome,
+  discardResponse,
+  type EndpointResponse,
+} from './attempt.js';
 import {
   BodyFault,
   getHeaderBytes,
@@ -182,7 +186,10 @@
 
   private async forwardOrFail(sender: RetryingSender): Promise<void> {
     const result = await sender.send();
-    if (this.isFinished) return;
+    if (this.isFinished) {
+      discardResponse(result);
+      return;
+    }
     if (result.response) {
       this.forwardResponse(result.response, result.from);
       sender.cancelOpenAttempts();
@@ -191,7 +198,8 @@
 
   private forwardResponse(response: EndpointResponse, from: OpenAttempt): void {
     this.sender?.stop();
-    if (!this.res.destroyed) {
+    if (this.res.destroyed) discardResponse({response});
+    else {
       this.bodyStream = response.bodyStream;
       if (response.bodyStream) this.monitorStream(response.bodyStream, from);
       writeResponse(response, this.res, this.req.method === 'HEAD');
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -7,6 +7,7 @@
 import {
   AttemptOutcome,
   type AttemptResult,
+  discardResponse,
   type EndpointResponse,
 } from './attempt.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
@@ -73,8 +74,16 @@
    * @returns The result; without meaning if the sender was stopped meanwhile.
    */
   async send(): Promise<SendResult> {
-    const {route} = this.request;
     const race = new AttemptRace(this.options.timers);
+    try {
+      return await this.sendUntilFinal(race);
+    } finally {
+      race.discardPending();
+    }
+  }
+
+  private async sendUntilFinal(race: AttemptRace): Promise<SendResult> {
+    const {route} = this.request;
     let decision = Decision.NoCapacity;
     for (let sent = 0; ;) {
       const canFinish = this.canFinishBeforeStop();
@@ -93,12 +102,16 @@
       const finished = await race.takeFirstFinished(
         isHedgeable ? open.hedgeDelayMs : Infinity,
       );
-      if (this.isStopped) return {decision};
-      if (!finished) continue;
-      const {response, outcome} = finished.result;
-      if (response && this.isResponseFinal(finished, sent, race.size)) {
-        return {response, from: finished.open};
+      if (!finished) {
+        if (this.isStopped) return {decision};
+        continue;
       }
+      const {response, outcome} = finished.result;
+      const isFinal =
+        !this.isStopped && this.isResponseFinal(finished, sent, race.size);
+      if (response && isFinal) return {response, from: finished.open};
+      discardResponse(finished.result);
+      if (this.isStopped) return {decision};
       decision = getFailureDecision(outcome);
       if (this.hasUncertainAttempt && !isIdempotent(route.kind)) {
         return {decision};
--- a/packages/instance/test/direct/endless_responses.test.ts
+++ b/packages/instance/test/direct/endless_responses.test.ts
@@ -1,5 +1,6 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
+import {RequestKind} from '@primrosestage/steering';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {EndpointStub} from './endpoint_stub.js';
 import {createFlood, type FloodOptions} from './flood.js';
@@ -58,6 +59,12 @@
     healthy = await new EndpointStub('sound').start();
     putConfiguration(registry, 1, [
       createRoute({attempts: 1, timeoutMs: 0}),
+      createRoute({
+        name: 'orders',
+        prefix: '/orders/',
+        kind: RequestKind.Unsafe,
+      }),
+      createRoute({name: 'retried', prefix: '/retried/'}),
       createRoute({
         name: 'others',
         prefix: '/others/',
@@ -145,6 +152,34 @@
     await waitFor('the connection is closed', () => flood.closed === 1);
   });
 
+  // The connection and the first megabyte of each such response were kept until the endpoint closed.
+  it.each([
+    ['to an order whose caller has left', '200 OK', '/orders/1'],
+    ['with a status that is retried', '500 Failed', '/retried/1'],
+  ])(
+    'guards against keeping an endless response %s',
+    async (_, status, path) => {
+      const flood = createFlood({
+        head: `HTTP/1.1 ${status}\r\nTransfer-Encoding: chunked\r\n`,
+        hasUsualHeaders: true,
+        repeated: '1000\r\n' + 'x'.repeat(0x1000) + '\r\n',
+      });
+      flooding.handle = (req, res, stub) => {
+        if (flooding.ran.length > 1) stub.respond(req, res);
+        else setTimeout(() => flood.handle(req, res, stub), 100);
+      };
+      const abort = new AbortController();
+      const sent = send(instance, {
+        path,
+        method: path.startsWith('/orders') ? 'POST' : 'GET',
+        signal: path.startsWith('/orders') ? abort.signal : undefined,
+      }).catch(() => undefined);
+      setTimeout(() => abort.abort(), 50);
+      await waitFor('the connection is closed', () => flood.closed === 1);
+      await sent;
+    },
+  );
+
   it('accepts a refusal by its header and closes a connection with an endless body', async () => {
     const {response, elapsedMs} = await measureFlood({
       head:
