Register an attempt before anything can happen after its request is sent

Callers could have seen: 503, "not run", for a request that is being sent.

Cause: the sender learned of an attempt when a promise resolved, some microtasks after the request was handed to its connection. A request that was ended in between, as a planned stop does from a promise of its own, counted as not run.

Change: startAttempt calls back in the same step as the request is sent.

Evidence: retrying_sender.test.ts saw `mayHaveRun` false directly after send() before, and true now.

Ruled out, by reading: timers and events, which Node.js runs only when no microtask is left.

--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -187,19 +187,20 @@
         ...request,
         selection: {route, service, objectKey, tried: this.tried},
         isFinished: () => this.isStopped,
+        handleStart: started => this.registerAttempt(started),
       },
       this.options,
     );
     if (limited?.length) this.limited = [...limited];
-    if (open) {
-      this.tried.add(open.endpoint.entry.id);
-      this.openAttempts.add(open);
-    } else if ('retryAfterMs' in refusal) {
-      this.retryAfterMs = refusal.retryAfterMs;
-    }
+    if ('retryAfterMs' in refusal) this.retryAfterMs = refusal.retryAfterMs;
     return open;
   }
 
+  private registerAttempt(open: OpenAttempt): void {
+    this.tried.add(open.endpoint.entry.id);
+    this.openAttempts.add(open);
+  }
+
   private async awaitAttempt(open: OpenAttempt): Promise<FinishedAttempt> {
     const result = await open.attempt.result;
     this.openAttempts.delete(open);
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -74,6 +74,8 @@
   timeoutAt: number;
   /** Returns whether the request needs no response any more. */
   isFinished: () => boolean;
+  /** Called when the request is being sent, before anything else can happen. */
+  handleStart: (open: OpenAttempt) => void;
 }
 
 /** An attempt that has not ended. */
@@ -134,6 +136,7 @@
     if (result === BeginResult.Begun) {
       const target = {choice, endpoint, candidate};
       const open = tryStart(target, remainingMs, source, options);
+      source.handleStart(open);
       return {open, limited};
     }
     if (result === BeginResult.PermitRequested) {
