Keep to what endpoints say: that they leave, and how long to wait

Cause: nothing read `Server-Leaving` or the `Retry-After` of a refusal.

Change: what an answer or a refusal with a proven head states is recorded for the process of the endpoint (EndpointNotices). Such an endpoint is no candidate for any attempt; where none is left the request is refused at once with the shortest rest of the waits. `retry-after` may stand twice in a head and is then ignored, so it no longer counts among the headers that show a merged head.

--- a/packages/instance/src/cli/run_direct_command.ts
+++ b/packages/instance/src/cli/run_direct_command.ts
@@ -20,6 +20,7 @@
   expectedEndpoint: 'primrose-expected-endpoint',
   load: 'primrose-load',
   limit: ['primrose-limit'],
+  leaving: ['primrose-leaving'],
   notRun: 'primrose-not-run',
 };
 
--- a/packages/instance/src/direct/attempt.ts
+++ b/packages/instance/src/direct/attempt.ts
@@ -45,6 +45,10 @@
   load?: string;
   /** Value of the endpoint's rate limit header. */
   limit?: string;
+  /** Whether the endpoint stated that it leaves. */
+  isLeaving?: boolean;
+  /** Value of `retry-after` of a response with status 503; repeated values are joined. */
+  retryAfter?: string;
   /** Monotonic time in milliseconds at which the response head arrived. */
   respondedAt?: number;
   /** How many requests the connection has carried with this one; undefined without a connection. */
--- a/packages/instance/src/direct/direct_metrics.ts
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -17,6 +17,7 @@
   peerCalls: Counter<'result'>;
   gossip: Counter<'result'>;
   endpointLimit: Gauge<'endpoint'>;
+  endpointNotices: Gauge<'notice'>;
   ratePermits: Counter<'result'>;
   configurationVersion: Gauge;
   openRequests: Gauge;
@@ -91,6 +92,12 @@
       labelNames: ['endpoint'],
       registers,
     }),
+    endpointNotices: new Gauge({
+      name: 'primrose_direct_endpoint_notices',
+      help: 'Endpoints that stated that they leave, or that they want no requests for some time.',
+      labelNames: ['notice'],
+      registers,
+    }),
     ratePermits: new Counter({
       name: 'primrose_direct_rate_permits_total',
       help: 'Permits for requests to limited endpoints by result.',
--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -5,6 +5,7 @@
   ColdRateLimiter,
   type ControlView,
   EndpointLoad,
+  type EndpointNotices,
   type EndpointChoice,
   getColdRateLimit,
   getConnectionQuota,
@@ -55,6 +56,14 @@
   limited: string[];
 }
 
+/** What excludes endpoints from the choice of this instance. */
+export interface EndpointConstraints {
+  /** The permits for requests to limited endpoints. */
+  permits: RatePermits;
+  /** Endpoints that leave, or want no requests for some time. */
+  notices: EndpointNotices;
+}
+
 /** Whether a request may be sent to the selected endpoint. */
 export enum BeginResult {
   Begun = 'begun',
@@ -90,14 +99,14 @@
    * @param settings - Zone and region of this instance, and bounds.
    * @param view - Endpoints, configuration and evacuated zones.
    * @param members - The instances among which the bounds are divided.
-   * @param permits - The permits for requests to limited endpoints.
+   * @param constraints - What excludes endpoints.
    * @param timers - The clock.
    */
   constructor(
     private readonly settings: DirectSettings,
     private readonly view: ControlView,
     private readonly members: MemberTable,
-    private readonly permits: RatePermits,
+    private readonly constraints: EndpointConstraints,
     private readonly timers: TimerService,
   ) {
     this.placement = new ObjectPlacement(settings, view, members, timers);
@@ -129,7 +138,9 @@
    */
   select(request: SelectionRequest): Selection {
     const now = this.timers.now();
+    const {permits, notices} = this.constraints;
     const ids = this.placement.rank(request);
+    let shortestWaitMs = Infinity;
     const candidates: Candidate[] = [];
     const limited: string[] = [];
     for (const id of ids) {
@@ -138,9 +149,14 @@
       if (!endpoint) continue;
       const state = this.getState(endpoint);
       if (!state.load.isUsable(now)) continue;
+      const waitMs = notices.getWaitMs(endpoint.entry, now);
+      if (waitMs > 0) {
+        shortestWaitMs = Math.min(shortestWaitMs, waitMs);
+        continue;
+      }
       const rank = candidates.length + limited.length;
       if (rank >= MAX_CANDIDATES && candidates.length > 0) break;
-      if (this.permits.isBlocked(endpoint)) {
+      if (permits.isBlocked(endpoint)) {
         limited.push(id);
         continue;
       }
@@ -155,6 +171,7 @@
       remainingMs: request.remainingMs,
       objectiveMs: request.route.objectiveMs,
       queueLimit: QUEUE_LIMIT,
+      shortestWaitMs,
     });
     const endpoint =
       choice.id === undefined
@@ -184,7 +201,7 @@
     if (!state.coldRateLimiter.canAcquire(now, coldLimit)) {
       return BeginResult.Cold;
     }
-    const permit = this.permits.tryTake(endpoint);
+    const permit = this.constraints.permits.tryTake(endpoint);
     if (permit === PermitResult.Denied) return BeginResult.NoPermit;
     if (permit === PermitResult.Requested) return BeginResult.PermitRequested;
     state.coldRateLimiter.tryAcquire(now, coldLimit);
--- a/packages/instance/src/direct/exchange_options.ts
+++ b/packages/instance/src/direct/exchange_options.ts
@@ -4,6 +4,7 @@
 import type {DirectMetrics} from './direct_metrics.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import type {EndpointSelector} from './endpoint_selector.js';
+import type {NoticeTracker} from './notice_tracker.js';
 import type {LimitTracker} from './limit_tracker.js';
 import type {RatePermits} from './rate_permits.js';
 import type {RetryBudgets} from './retry_budgets.js';
@@ -17,6 +18,7 @@
   selector: EndpointSelector;
   limitTracker: LimitTracker;
   permits: RatePermits;
+  noticeTracker: NoticeTracker;
   retryBudgets: RetryBudgets;
   agent: EndpointAgent;
   /** Delays the start of requests until closed connections of callers have been detected. */
--- a/packages/instance/src/direct/judge_response.ts
+++ b/packages/instance/src/direct/judge_response.ts
@@ -31,7 +31,7 @@
 /** Lowest status of a refusal. */
 const MIN_REFUSAL_STATUS = 400;
 /** Status by which an endpoint refuses a request for another endpoint, also without the marker. */
-const MISDIRECTED_STATUS = 421;
+export const MISDIRECTED_STATUS = 421;
 /** Statuses that suggest that the request has not run, which only the not-run marker proves. */
 const UNPROVEN_REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 429, 503]);
 
@@ -48,13 +48,13 @@
   requestId: string,
   names: WireNames,
 ): HeadJudgement {
-  const unwritable = findResponseHeadFault(head);
-  if (unwritable !== undefined) return invalid(unwritable);
   const merged = findMergedHeadFault(head, getSingleHeaders(names));
   if (merged !== undefined) return foreign(merged);
   const id = head.headers[names.requestId];
   if (id === undefined) return foreign('response without a request id');
   if (id !== requestId) return foreign(`response to request ${String(id)}`);
+  const unwritable = findResponseHeadFault(head);
+  if (unwritable !== undefined) return invalid(unwritable);
   return judgeOwnHead(head, names);
 }
 
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -215,11 +215,13 @@
   }
 
   private observe(open: OpenAttempt, result: AttemptResult): void {
-    const {selector, limitTracker, timers, metrics} = this.options;
+    const {selector, limitTracker, noticeTracker, timers, metrics} =
+      this.options;
     const at = timers.now();
     const {objectKey} = this.request;
     observeAttempt(open, result, selector, {at, objectKey});
     limitTracker.observeAttempt(open, result);
+    noticeTracker.observeAttempt(open.endpoint.entry, result);
     open.span?.end(result.outcome, result.response ? undefined : result.reason);
     const ms = at - open.startedAt;
     const {service} = open.endpoint.entry;
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -3,6 +3,7 @@
 import {
   ControlView,
   createStopSchedule,
+  EndpointNotices,
   type MemberInfo,
   MemberTable,
   type StopSchedule,
@@ -23,6 +24,7 @@
 import {EndpointSelector} from './endpoint_selector.js';
 import {Gossip} from './gossip.js';
 import {GossipSocket} from './gossip_socket.js';
+import {NoticeTracker} from './notice_tracker.js';
 import {createPeerRouter, PeerExchange} from './peer_exchange.js';
 import {QUIET_PERIOD_MS, runPlannedStop} from './planned_stop.js';
 import {
@@ -130,11 +132,13 @@
     announce: () => gossip.announceLimits(),
   });
   const {limits, tracker: limitTracker, permits} = limitControl;
+  const notices = new EndpointNotices();
+  const noticeTracker = new NoticeTracker({notices, timers, logger, metrics});
   const selector: EndpointSelector = new EndpointSelector(
     settings,
     view,
     members,
-    permits,
+    {permits, notices},
     timers,
   );
   const handler = new RequestHandler({
@@ -142,6 +146,7 @@
     selector,
     limitTracker,
     permits,
+    noticeTracker,
     retryBudgets: new RetryBudgets(settings.bounds, members, timers),
     agent,
     startQueue: new RequestStartQueue(timers),
@@ -271,6 +276,7 @@
       }
       selector.sweep();
       limitTracker.prune(view.endpointTable);
+      noticeTracker.prune(view.endpointTable);
       permits.prune();
     }),
     timers.every(LIMIT_REPORT_INTERVAL_MS, () =>
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -11,7 +11,11 @@
   isResponseComplete,
   isSelfDelimited,
 } from './endpoint_agent.js';
-import {HeadKind, judgeResponseHead} from './judge_response.js';
+import {
+  HeadKind,
+  judgeResponseHead,
+  MISDIRECTED_STATUS,
+} from './judge_response.js';
 import type {WireNames} from './wire_names.js';
 
 /** Largest response body that is buffered until complete, in bytes; longer ones are streamed. */
@@ -79,6 +83,8 @@
   private connectMs?: number;
   private limit?: string;
   private load?: string;
+  private isLeaving = false;
+  private retryAfter?: string;
   private connectionUses?: number;
   private respondedAt?: number;
   private readonly startedAt: number;
@@ -242,6 +248,8 @@
       reason,
       load: this.load,
       limit: this.limit,
+      isLeaving: this.isLeaving,
+      retryAfter: this.retryAfter,
       respondedAt: this.respondedAt,
       connectionUses: this.connectionUses,
       connectMs: this.connectMs,
@@ -256,9 +264,21 @@
     if (limitName !== undefined) this.limit = String(res.headers[limitName]);
     const load = res.headers[names.load];
     if (typeof load === 'string') this.load = load;
+    // A misdirected request was refused by another endpoint than the one that was meant.
+    if (res.statusCode === MISDIRECTED_STATUS) return;
+    this.isLeaving = names.leaving.some(each => res.headers[each] === '1');
+    if (res.statusCode === 503) this.retryAfter = getRetryAfter(res);
   }
 }
 
+/** Node.js keeps only the first of repeated values in `headers`. */
+function getRetryAfter({rawHeaders}: IncomingMessage): string | undefined {
+  const values = rawHeaders.filter(
+    (_, i) => i % 2 === 1 && rawHeaders[i - 1]?.toLowerCase() === 'retry-after',
+  );
+  return values.length === 0 ? undefined : values.join(', ');
+}
+
 function createResponse(
   res: IncomingMessage,
   chunks: Buffer[],
--- a/packages/instance/src/direct/wire_names.ts
+++ b/packages/instance/src/direct/wire_names.ts
@@ -17,6 +17,11 @@
    * responses carry it.
    */
   limit: readonly string[];
+  /**
+   * Headers with the value 1 by which an endpoint states that it leaves, of which any counts. It
+   * gets no new request until another process of it has started.
+   */
+  leaving: readonly string[];
   /** Header that an endpoint sets if it has not run the request. */
   notRun: string;
 }
--- a/packages/instance/src/http/merged_head.ts
+++ b/packages/instance/src/http/merged_head.ts
@@ -9,7 +9,6 @@
   'content-length',
   'content-type',
   'location',
-  'retry-after',
 ]);
 
 /** The parts of a response that show whether its head consists of two. */
--- a/packages/instance/test/direct/names.ts
+++ b/packages/instance/test/direct/names.ts
@@ -9,5 +9,6 @@
   expectedEndpoint: 'x-expected-endpoint',
   load: 'x-load',
   limit: ['x-limit'],
+  leaving: ['x-leaving'],
   notRun: 'x-not-run',
 };
--- a/packages/steering/src/direct/choose_endpoint.ts
+++ b/packages/steering/src/direct/choose_endpoint.ts
@@ -32,6 +32,11 @@
   objectiveMs: number;
   /** Maximum number of requests queued at an endpoint beyond its slots. */
   queueLimit: number;
+  /**
+   * Shortest time after which an endpoint that is no candidate takes requests again, in
+   * milliseconds; Infinity if there is none.
+   */
+  shortestWaitMs?: number;
 }
 
 /** Factor on the service time if the object is not cached. */
@@ -91,13 +96,19 @@
     }
   }
   if (best) return {id: best.id, finishMs: getFinishMs(best)};
-  const retryAfterMs = Number.isFinite(earliestCapacityMs)
-    ? Math.min(
-        MAX_RETRY_AFTER_MS,
-        Math.max(MIN_RETRY_AFTER_MS, earliestCapacityMs),
-      )
-    : MAX_RETRY_AFTER_MS / 4;
-  return {retryAfterMs};
+  return {
+    retryAfterMs: getRetryDelay(earliestCapacityMs, options.shortestWaitMs),
+  };
+}
+
+/** Returns when to retry: once a queue is expected to be shorter, or an endpoint's wait is over. */
+function getRetryDelay(capacityMs: number, waitMs = Infinity): number {
+  const boundedMs = Math.min(
+    MAX_RETRY_AFTER_MS,
+    Math.max(MIN_RETRY_AFTER_MS, capacityMs),
+  );
+  if (Number.isFinite(capacityMs)) return Math.min(boundedMs, waitMs);
+  return Number.isFinite(waitMs) ? waitMs : MAX_RETRY_AFTER_MS / 4;
 }
 
 /**
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -17,6 +17,12 @@
   EndpointTable,
   type KnownEndpoint,
 } from './endpoint_table.js';
+export {
+  type EndpointNotice,
+  EndpointNotices,
+  type EndpointProcess,
+  NoticeChange,
+} from './endpoint_notices.js';
 export {SlidingCounter} from './sliding_counter.js';
 export {DemandLevel} from './demand_level.js';
 export {SharedRetryBudget, type RetryBounds} from './shared_retry_budget.js';
--- a/packages/testing/src/bench/direct/primrosestage_policy.ts
+++ b/packages/testing/src/bench/direct/primrosestage_policy.ts
@@ -15,6 +15,7 @@
   type MemberInfo,
   MemberTable,
   type Route,
+  EndpointNotices,
 } from '@primrosestage/steering';
 import type {CachingEndpoint} from './caching_endpoint.js';
 import type {SimRequestKind} from './deployment.js';
@@ -212,7 +213,7 @@
       settings,
       view,
       members,
-      permits,
+      {permits, notices: new EndpointNotices()},
       clock,
     );
     return {zone, limitControl, selector, members, view, self};
