Split the measurements of endpoints from their selection

Change: EndpointStates holds the state of each endpoint's process and its round-trip time. No behaviour changes.

--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/endpoint_selector.ts
@@ -2,7 +2,6 @@
 import {
   type Candidate,
   chooseEndpoint,
-  ColdRateLimiter,
   type ControlView,
   EndpointLoad,
   type EndpointNotices,
@@ -14,9 +13,9 @@
   type MemberTable,
   type Route,
   WeightedSplitter,
-  WarmObjects,
 } from '@primrosestage/steering';
 import type {DirectSettings} from './direct_settings.js';
+import {type EndpointState, EndpointStates} from './endpoint_states.js';
 import {ObjectPlacement} from './object_placement.js';
 import {PermitResult, type RatePermits} from './rate_permits.js';
 
@@ -29,10 +28,6 @@
 const QUEUE_LIMIT = 5;
 /** Service time that is assumed before any measurement, in milliseconds. */
 const DEFAULT_SERVICE_MS = 150;
-/** Round-trip times that are assumed before any measurement, in milliseconds. */
-const DEFAULT_ROUND_TRIP_MS = {zone: 1, region: 4, otherRegions: 60};
-/** Weight of a new sample in the moving average of the round-trip time. */
-const ROUND_TRIP_SMOOTHING = 0.3;
 
 /** Describes a request for which an endpoint is selected. */
 export interface SelectionRequest {
@@ -75,21 +70,9 @@
   PermitRequested = 'permit-requested',
 }
 
-interface EndpointState {
-  load: EndpointLoad;
-  coldRateLimiter: ColdRateLimiter;
-  warmObjects: WarmObjects;
-  idHash: number;
-  /** Rank of this instance for the endpoint, cached for a version of the member table. */
-  rank?: {value: number; version: number};
-  roundTripMs?: number;
-  bornAt: number;
-  wasUnreachable: boolean;
-}
-
 /** Selects endpoints by the control view and the measurements of this instance. */
 export class EndpointSelector {
-  private readonly states = new Map<string, EndpointState>();
+  private readonly states: EndpointStates;
   private readonly splitters = new WeakMap<Route, WeightedSplitter>();
   private readonly serviceMs = new Map<string, number>();
   private readonly placement: ObjectPlacement;
@@ -109,6 +92,7 @@
     private readonly constraints: EndpointConstraints,
     private readonly timers: TimerService,
   ) {
+    this.states = new EndpointStates(settings);
     this.placement = new ObjectPlacement(settings, view, members, timers);
   }
 
@@ -147,7 +131,7 @@
       if (request.tried.has(id)) continue;
       const endpoint = this.view.endpointTable.get(id);
       if (!endpoint) continue;
-      const state = this.getState(endpoint);
+      const state = this.states.get(endpoint);
       if (!state.load.isUsable(now)) continue;
       const waitMs = notices.getWaitMs(endpoint.entry, now);
       if (waitMs > 0) {
@@ -192,7 +176,7 @@
    */
   begin(endpoint: KnownEndpoint): BeginResult {
     const now = this.timers.now();
-    const state = this.getState(endpoint);
+    const state = this.states.get(endpoint);
     // Requests to a warm endpoint are counted because they are within the window if it turns cold.
     const coldLimit =
       endpoint.coldUntil > now
@@ -214,7 +198,7 @@
    * @param endpoint - The endpoint.
    */
   getLoad(endpoint: KnownEndpoint): EndpointLoad {
-    return this.getState(endpoint).load;
+    return this.states.get(endpoint).load;
   }
 
   /**
@@ -230,7 +214,7 @@
     sent: {depth: number; objectKey: string},
   ): void {
     const now = this.timers.now();
-    const state = this.getState(endpoint);
+    const state = this.states.get(endpoint);
     this.handleRecovery(endpoint, state, now);
     const wasWarm = state.warmObjects.has(sent.objectKey, now);
     state.warmObjects.add(sent.objectKey, now);
@@ -238,7 +222,7 @@
     const ahead = Math.max(0, sent.depth - slots + 1) / Math.max(1, slots);
     const workMs = Math.max(
       1,
-      (elapsedMs - this.getRoundTripMs(endpoint, state)) / (1 + ahead),
+      (elapsedMs - this.states.getRoundTripMs(endpoint)) / (1 + ahead),
     );
     if (!wasWarm) {
       state.load.observeReachable(now);
@@ -255,7 +239,7 @@
    */
   observeRefusal(endpoint: KnownEndpoint): void {
     const now = this.timers.now();
-    const state = this.getState(endpoint);
+    const state = this.states.get(endpoint);
     this.handleRecovery(endpoint, state, now);
     state.load.observeRefusal(now);
   }
@@ -266,7 +250,7 @@
    * @param isUnreachable - Whether no connection could be opened.
    */
   observeFailure(endpoint: KnownEndpoint, isUnreachable: boolean): void {
-    const state = this.getState(endpoint);
+    const state = this.states.get(endpoint);
     if (isUnreachable) state.wasUnreachable = true;
     state.load.observeFailure(isUnreachable, this.timers.now());
   }
@@ -277,10 +261,7 @@
    * @param connectMs - The time in milliseconds.
    */
   observeConnect(endpoint: KnownEndpoint, connectMs: number): void {
-    const state = this.getState(endpoint);
-    const previous = state.roundTripMs ?? connectMs;
-    state.roundTripMs =
-      previous + ROUND_TRIP_SMOOTHING * (connectMs - previous);
+    this.states.observeConnect(endpoint, connectMs);
   }
 
   /**
@@ -317,7 +298,7 @@
       depth: load.getDepth(now),
       serviceMs:
         load.averageServiceMs || this.getServiceMs(endpoint.entry.service),
-      roundTripMs: this.getRoundTripMs(endpoint, state),
+      roundTripMs: this.states.getRoundTripMs(endpoint),
       failureRatio: load.averageFailureRatio,
       isBlocked:
         load.inFlight >= this.getConnectionLimit(endpoint) ||
@@ -381,35 +362,4 @@
   private getService(name: string) {
     return this.view.configuration?.services.get(name);
   }
-
-  private getRoundTripMs(
-    endpoint: KnownEndpoint,
-    state: EndpointState,
-  ): number {
-    if (state.roundTripMs !== undefined) return state.roundTripMs;
-    const {zone} = endpoint.entry;
-    if (zone === this.settings.zone) return DEFAULT_ROUND_TRIP_MS.zone;
-    const isSameRegion =
-      this.settings.regionsByZone.get(zone) === this.settings.region;
-    return isSameRegion
-      ? DEFAULT_ROUND_TRIP_MS.region
-      : DEFAULT_ROUND_TRIP_MS.otherRegions;
-  }
-
-  private getState(endpoint: KnownEndpoint): EndpointState {
-    const {id, bornAt} = endpoint.entry;
-    let state = this.states.get(id);
-    if (!state || state.bornAt !== bornAt) {
-      state = {
-        load: new EndpointLoad(),
-        coldRateLimiter: state?.coldRateLimiter ?? new ColdRateLimiter(),
-        warmObjects: new WarmObjects(),
-        idHash: hash32(id),
-        bornAt,
-        wasUnreachable: false,
-      };
-      this.states.set(id, state);
-    }
-    return state;
-  }
 }
