--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -42,6 +42,8 @@
   drawDelayMs?: () => number;
   /** Monotonic time in milliseconds at which each request arrived, refused ones included. */
   readonly arrivedAt: number[] = [];
+  /** Ids and times of the requests that arrived, refused ones included. */
+  readonly arrivals: Array<{id: string; at: number}> = [];
   /** Value of the rate limit header; undefined for no limit. */
   limit?: string;
   private readonly server: http.Server;
@@ -101,7 +103,11 @@
   }
 
   /** Refuses the request as not run, and removes it from the recorded runs. */
-  refuse(req: http.IncomingMessage, res: http.ServerResponse): void {
+  refuse(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    headers: Record<string, string> = {},
+  ): void {
     const index = this.ran.lastIndexOf(
       String(req.headers[this.names.requestId]),
     );
@@ -111,6 +117,7 @@
       [this.names.requestId]: String(req.headers[this.names.requestId]),
       [this.names.notRun]: '1',
       ...this.getLimitHeader(),
+      ...headers,
     });
     res.end();
   }
@@ -130,7 +137,9 @@
       res.end();
       return;
     }
-    this.arrivedAt.push(performance.now());
+    const at = performance.now();
+    this.arrivedAt.push(at);
+    this.arrivals.push({id, at});
     this.deadlines.push(Number(req.headers[this.names.deadlineMs]));
     const chunks: Buffer[] = [];
     req.on('data', (chunk: Buffer) => chunks.push(chunk));
