Log which connection carried a request, and how often it carried its id

A refusal that is believed proves nothing where its connection had carried the same id before, since it may be the copy of an earlier one. The log could not tell this case: the record of an attempt had the number of requests of its connection, but neither which connection it was nor which ids it had carried, and attempts that were still open had neither.

Each attempt's record now has `connection` (its number within the process), `connectionUses` as before, and `idUses`, 2 or more where the connection had carried the id.

--- a/packages/instance/src/direct/attempt.ts
+++ b/packages/instance/src/direct/attempt.ts
@@ -51,8 +51,6 @@
   retryAfter?: string;
   /** Monotonic time in milliseconds at which the response head arrived. */
   respondedAt?: number;
-  /** How many requests the connection has carried with this one; undefined without a connection. */
-  connectionUses?: number;
   /** Time to open a new connection in milliseconds; undefined for a pooled one. */
   connectMs?: number;
 }
--- a/packages/instance/src/direct/endpoint_agent.ts
+++ b/packages/instance/src/direct/endpoint_agent.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {GuardedAgent} from '@primrosestage/common';
+import {CarriedIds} from '@primrosestage/steering';
 
 /** Longest time for which an idle connection to an endpoint stays open, in milliseconds. */
 const MAX_IDLE_MS = 4_000;
@@ -10,23 +11,45 @@
 const EMPTY_BUFFER = Buffer.alloc(0);
 const KEEP_ALIVE_TIMEOUT = /(?:^|[\s,])timeout=(\d+)/i;
 
+/** Describes the use of a connection by one request. */
+export interface ConnectionUse {
+  /** Number of the connection within this process. */
+  readonly connection: number;
+  /** How many requests the connection has carried with this one. */
+  readonly connectionUses: number;
+  /** How often the connection has carried the id of this request with this one. */
+  readonly idUses: number;
+}
+
+/** What is known of an open connection. */
+interface ConnectionRecord {
+  readonly connection: number;
+  readonly ids: CarriedIds;
+  uses: number;
+}
+
 /** Pools connections to endpoints, which may advertise how long a connection may be idle. */
 export class EndpointAgent extends GuardedAgent {
-  private readonly uses = new WeakMap<Socket, number>();
+  private readonly records = new WeakMap<Socket, ConnectionRecord>();
+  private connectionCount = 0;
 
   constructor() {
     super({keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64});
   }
 
   /**
-   * Counts a request that is sent on a connection.
+   * Records a request that is sent on a connection.
    * @param socket - The connection.
-   * @returns The number of its requests so far.
+   * @param requestId - Id of the request.
    */
-  countUse(socket: Socket): number {
-    const uses = (this.uses.get(socket) ?? 0) + 1;
-    this.uses.set(socket, uses);
-    return uses;
+  recordUse(socket: Socket, requestId: string): ConnectionUse {
+    const record = this.getRecord(socket);
+    record.uses++;
+    return {
+      connection: record.connection,
+      connectionUses: record.uses,
+      idUses: record.ids.add(requestId),
+    };
   }
 
   /** Opens a connection that distinguishes a reset from an orderly close. */
@@ -56,6 +79,15 @@
     socket.unref();
     return true;
   }
+
+  private getRecord(socket: Socket): ConnectionRecord {
+    const known = this.records.get(socket);
+    if (known) return known;
+    const connection = ++this.connectionCount;
+    const record = {connection, ids: new CarriedIds(), uses: 0};
+    this.records.set(socket, record);
+    return record;
+  }
 }
 
 /**
--- a/packages/instance/src/direct/request_log.ts
+++ b/packages/instance/src/direct/request_log.ts
@@ -1,4 +1,5 @@
 import {getErrorMessage, type EventLogger} from '@primrosestage/common';
+import type {ConnectionUse} from './endpoint_agent.js';
 
 /** Most log lines per second about successful single-attempt requests; others are not limited. */
 const MAX_ROUTINE_LINES_PER_S = 100;
@@ -15,8 +16,8 @@
   coordinator: string;
 }
 
-/** Describes one attempt in the log line of its request. */
-export interface AttemptRecord {
+/** Describes one attempt in the log line of its request; one without a connection has no use of it. */
+export interface AttemptRecord extends Partial<ConnectionUse> {
   endpoint: string;
   /** Revision of the endpoint's entry and its age in milliseconds. */
   revision: number;
@@ -27,8 +28,6 @@
   limit?: LimitRecord;
   outcome: string;
   reason: string;
-  /** How many requests the connection has carried with this one. */
-  connectionUses?: number;
   ms: number;
 }
 
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -7,6 +7,7 @@
   type EndpointResponse,
 } from './attempt.js';
 import {
+  type ConnectionUse,
   type EndpointAgent,
   isResponseComplete,
   isSelfDelimited,
@@ -57,6 +58,8 @@
 /** A running attempt that can be cancelled. */
 export interface Attempt {
   readonly result: Promise<AttemptResult>;
+  /** Returns how the attempt uses its connection; undefined without a connection. */
+  getConnectionUse(): ConnectionUse | undefined;
   cancel(): void;
 }
 
@@ -71,11 +74,16 @@
   context: AttemptContext,
 ): Attempt {
   const sender = new AttemptSender(request, context);
-  return {result: sender.result, cancel: () => sender.cancel()};
+  return {
+    result: sender.result,
+    getConnectionUse: () => sender.connectionUse,
+    cancel: () => sender.cancel(),
+  };
 }
 
 class AttemptSender {
   readonly result: Promise<AttemptResult>;
+  connectionUse?: ConnectionUse;
   private readonly req: http.ClientRequest;
   private resolve!: (result: AttemptResult) => void;
   private isDone = false;
@@ -85,7 +93,6 @@
   private load?: string;
   private isLeaving = false;
   private retryAfter?: string;
-  private connectionUses?: number;
   private respondedAt?: number;
   private readonly startedAt: number;
   private readonly timeout: Disposable;
@@ -136,7 +143,10 @@
 
   private watchConnection(socket: Socket): void {
     socket.on('data', this.countBytes);
-    this.connectionUses = this.context.agent.countUse(socket);
+    this.connectionUse = this.context.agent.recordUse(
+      socket,
+      this.request.requestId,
+    );
     if (!socket.connecting) {
       this.isConnected = true;
       return;
@@ -251,7 +261,6 @@
       isLeaving: this.isLeaving,
       retryAfter: this.retryAfter,
       respondedAt: this.respondedAt,
-      connectionUses: this.connectionUses,
       connectMs: this.connectMs,
     });
   }
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -232,15 +232,16 @@
       outcome: AttemptOutcome.NotSent,
       reason: getErrorMessage(err),
     };
-    return {result: Promise.resolve(result), cancel: () => {}};
+    return {
+      result: Promise.resolve(result),
+      getConnectionUse: () => undefined,
+      cancel: () => {},
+    };
   }
 }
 
 /** How an attempt ended, or `open` if it has not ended. */
-export interface AttemptEnd extends Pick<
-  AttemptResult,
-  'reason' | 'connectionUses'
-> {
+export interface AttemptEnd extends Pick<AttemptResult, 'reason'> {
   outcome: string;
 }
 
@@ -251,8 +252,8 @@
  * @param ms - Its duration in milliseconds.
  */
 export function createAttemptRecord(
-  {endpoint, startedAt, depth, limit}: OpenAttempt,
-  {outcome, reason, connectionUses}: AttemptEnd,
+  {endpoint, attempt, startedAt, depth, limit}: OpenAttempt,
+  {outcome, reason}: AttemptEnd,
   ms: number,
 ): AttemptRecord {
   return {
@@ -263,7 +264,7 @@
     limit,
     outcome,
     reason,
-    connectionUses,
+    ...attempt.getConnectionUse(),
     ms: Math.round(ms),
   };
 }
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -1,3 +1,4 @@
+export {CarriedIds, MAX_CARRIED_IDS} from './carried_ids.js';
 export {RequestKind, isIdempotent} from './request_kind.js';
 export type {
   CallerLimits,
