Send an id once on each connection of the path with owners

Seen: a caller that sends a request again under its id gets the refusal of the first sending for the second one, which runs; a test endpoint that writes its 503 again before the true answer shows it. Callers see 503 and `not-run`, or the endpoint's 503 as the answer.

Cause: a connection was chosen without regard to the ids that it had carried. The copy has the id of the request under way, so that no check of its bytes can tell it from the due answer.

Change: `CarriedRequests` records per connection which ids have gone out on it, 256 at most. An exchange looks at the connection that it was given before it writes the first byte, also where the agent gives a freed connection directly to a waiting request, without asking whether it is kept. A connection that must not carry the request is closed, and another one is chosen; one whose record is full is closed when it becomes idle. This holds for backend servers and for other instances, which share the pool.

The tests of the pool sent each request under the same id; they now have an id each, since they test the reuse of connections.

Ruled out: a refusal of a backend server that has the `not-run` marker closes its connection already, so that its copy reaches no later request.

--- /dev/null
+++ b/packages/instance/src/exchange/carried_requests.ts
@@ -0,0 +1,43 @@
+import type {Duplex} from 'node:stream';
+
+/** Maximum number of ids that are kept per connection, which bounds the memory for them. */
+export const MAX_IDS_PER_CONNECTION = 256;
+
+/**
+ * Records which requests each connection has carried. A peer may repeat the refusal of a request on
+ * the connection that carried it. The copy has the id of the request, so that it would pass for the
+ * refusal of a later sending under the same id. An id therefore goes out on a connection once.
+ */
+export class CarriedRequests {
+  private readonly idsByConnection = new WeakMap<Duplex, Set<string>>();
+
+  /**
+   * Records that a connection is to carry a request, unless it must not.
+   * @param connection - The connection.
+   * @param requestId - Id of the request; undefined for a probe.
+   * @returns False if the connection has carried the id, may carry no further ids or has unread data;
+   *   always true for a new connection.
+   */
+  tryAdd(connection: Duplex, requestId: string | undefined): boolean {
+    const ids = this.idsByConnection.get(connection);
+    if (ids === undefined) {
+      const firstIds = requestId === undefined ? [] : [requestId];
+      this.idsByConnection.set(connection, new Set(firstIds));
+      return true;
+    }
+    if (connection.readableLength > 0) return false;
+    if (requestId === undefined) return true;
+    if (ids.has(requestId) || !this.hasRoom(connection)) return false;
+    ids.add(requestId);
+    return true;
+  }
+
+  /**
+   * Returns whether a connection may carry further requests.
+   * @param connection - The connection.
+   */
+  hasRoom(connection: Duplex): boolean {
+    const ids = this.idsByConnection.get(connection);
+    return ids === undefined || ids.size < MAX_IDS_PER_CONNECTION;
+  }
+}
--- a/packages/instance/src/exchange/exchange.ts
+++ b/packages/instance/src/exchange/exchange.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import type {Socket} from 'node:net';
 import {once} from 'node:events';
 import {
   getErrorMessage,
@@ -12,6 +13,7 @@
   findResponseHeadFault,
   getHeader,
 } from '../http/index.js';
+import type {CarriedRequests} from './carried_requests.js';
 import type {PeerRequest} from './peer_connection_pool.js';
 
 /** Headers of this system that occur once in a response. */
@@ -39,6 +41,8 @@
   Broken = 'broken',
   /** The answer is invalid: its syntax, a head that cannot be forwarded, no length, or another request's id. */
   Malformed = 'malformed',
+  /** The connection must not carry the request; nothing was written. */
+  UnsuitableConnection = 'unsuitable-connection',
 }
 
 /** Describes why an exchange failed and whether the peer may have run the request. */
@@ -76,6 +80,8 @@
   timers: TimerService;
   progressTimeoutMs: number;
   connectTimeoutMs: number;
+  /** Records the requests that connections have carried. */
+  carried: CarriedRequests;
 }
 
 /** Sends one request over a pooled connection and receives its answer. */
@@ -114,15 +120,7 @@
   /** Sends the request and waits for the headers of the answer. */
   async run(): Promise<ExchangeResult> {
     const {req} = this;
-    req.on('socket', socket => {
-      this.recordProgress();
-      if (socket.connecting) {
-        socket.once('connect', () => {
-          this.isConnected = true;
-          this.recordProgress();
-        });
-      } else this.isConnected = true;
-    });
+    req.on('socket', socket => this.handleConnection(socket));
     req.on('information', () => this.recordProgress());
     let hasResponse = false;
     const head = new Promise<ExchangeResult>(resolve => {
@@ -137,7 +135,6 @@
         resolve(this.handleResponse(res));
       });
     });
-    void this.writeBody();
     return head;
   }
 
@@ -166,6 +163,30 @@
     );
   }
 
+  /**
+   * Begins to write on the connection that the agent has chosen, unless it must not carry the
+   * request. The agent gives a connection directly to a request that waits for one, so that only
+   * the exchange sees each connection before it is written to.
+   */
+  private handleConnection(socket: Socket): void {
+    const {carried} = this.options;
+    if (!carried.tryAdd(socket, this.request.requestId)) {
+      this.fail(
+        FailureKind.UnsuitableConnection,
+        'the connection must not carry the request',
+      );
+      return;
+    }
+    this.recordProgress();
+    if (socket.connecting) {
+      socket.once('connect', () => {
+        this.isConnected = true;
+        this.recordProgress();
+      });
+    } else this.isConnected = true;
+    void this.writeBody();
+  }
+
   private handleResponse(res: http.IncomingMessage): ExchangeResult {
     const fault = this.findResponseFault(res);
     // Failures reach the reader; without a listener, one before the first read would be uncaught.
--- a/packages/instance/src/exchange/peer_connection_pool.ts
+++ b/packages/instance/src/exchange/peer_connection_pool.ts
@@ -7,7 +7,8 @@
   type TimerService,
 } from '@primrosestage/common';
 import {parseAddress, type RequestBody} from '../http/index.js';
-import {Exchange, type ExchangeResult} from './exchange.js';
+import {CarriedRequests} from './carried_requests.js';
+import {Exchange, type ExchangeResult, FailureKind} from './exchange.js';
 
 /**
  * Maximum idle time of a connection that is used for a non-idempotent request, in milliseconds.
@@ -55,6 +56,7 @@
   private agent: http.Agent;
   private readonly active = new Set<Exchange>();
   private readonly idleSince = new WeakMap<object, number>();
+  private readonly carried = new CarriedRequests();
   private readonly progressCheck: AsyncDisposable;
 
   constructor(private readonly options: PeerConnectionPoolOptions) {
@@ -80,6 +82,33 @@
     if (request.needsFreshConnection) {
       this.closeIdle(timers.now() - MAX_FRESH_IDLE_MS);
     }
+    for (;;) {
+      const result = await this.startExchange(request);
+      // An unsuitable connection has been closed, so that another one is chosen next.
+      if (result.err?.kind !== FailureKind.UnsuitableConnection) return result;
+    }
+  }
+
+  /**
+   * Closes idle connections.
+   * @param idleBefore - Closes those that became idle before this monotonic time in milliseconds.
+   */
+  closeIdle(idleBefore = Infinity): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) {
+      for (const socket of sockets ?? []) {
+        if ((this.idleSince.get(socket) ?? -Infinity) < idleBefore) {
+          socket.destroy();
+        }
+      }
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.progressCheck[Symbol.asyncDispose]();
+    this.agent.destroy();
+  }
+
+  private startExchange(request: PeerRequest): Promise<ExchangeResult> {
     const {host, port} = parseAddress(this.options.address);
     const headers = {...request.headers};
     const length = request.body.contentLength;
@@ -102,31 +131,13 @@
     const exchange = new Exchange(req, request, {
       ...this.options,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      carried: this.carried,
     });
     this.active.add(exchange);
     void exchange.ended.then(() => this.active.delete(exchange));
     return exchange.run();
   }
 
-  /**
-   * Closes idle connections.
-   * @param idleBefore - Closes those that became idle before this monotonic time in milliseconds.
-   */
-  closeIdle(idleBefore = Infinity): void {
-    for (const sockets of Object.values(this.agent.freeSockets)) {
-      for (const socket of sockets ?? []) {
-        if ((this.idleSince.get(socket) ?? -Infinity) < idleBefore) {
-          socket.destroy();
-        }
-      }
-    }
-  }
-
-  async [Symbol.asyncDispose](): Promise<void> {
-    await this.progressCheck[Symbol.asyncDispose]();
-    this.agent.destroy();
-  }
-
   private createPoolAgent(): http.Agent {
     const agent = createAgent({
       connect: this.options.connect,
@@ -138,6 +149,7 @@
       socket: Duplex,
     ) => boolean;
     agent.keepSocketAlive = (socket: Duplex) => {
+      if (!this.carried.hasRoom(socket)) return false;
       this.idleSince.set(socket, this.options.timers.now());
       return keepSocketAlive(socket);
     };
--- a/packages/instance/test/exchange/peer_connection_pool.test.ts
+++ b/packages/instance/test/exchange/peer_connection_pool.test.ts
@@ -1,7 +1,13 @@
 import type net from 'node:net';
 import {connectTcp, RealTimerService, Step} from '@primrosestage/common';
+import fc from 'fast-check';
 import {afterEach, describe, expect, it} from 'vitest';
-import {FailureKind, PeerConnectionPool} from '../../src/exchange/index.js';
+import {
+  FailureKind,
+  PeerConnectionPool,
+  type PeerRequest,
+} from '../../src/exchange/index.js';
+import {MAX_IDS_PER_CONNECTION} from '../../src/exchange/carried_requests.js';
 import {createBufferedBody} from '../../src/http/index.js';
 import {getTestPort} from '../support/get_test_port.js';
 import {type RawServer, startRawServer} from '../support/start_raw_server.js';
@@ -13,6 +19,8 @@
 
 let server: RawServer;
 let pool: PeerConnectionPool;
+/** Number of requests sent by the test. */
+let sentCount: number;
 
 afterEach(async () => {
   await pool[Symbol.asyncDispose]();
@@ -21,7 +29,9 @@
 
 async function start(
   handle: (socket: net.Socket, run: number) => void,
+  maxSockets = 4,
 ): Promise<void> {
+  sentCount = 0;
   server = await startRawServer(ADDRESS, handle);
   pool = new PeerConnectionPool({
     step: Step.Backend,
@@ -29,7 +39,7 @@
     address: ADDRESS,
     connect: connectTcp,
     timers,
-    maxSockets: 4,
+    maxSockets,
     progressTimeoutMs: PROGRESS_TIMEOUT_MS,
   });
 }
@@ -41,24 +51,26 @@
   mayHaveRun?: boolean;
 }
 
-/** Sends a request and reads the complete answer. */
-async function sendAndRead(
-  options: {
-    isFresh?: boolean;
-    deadlineMs?: number;
-    signal?: AbortSignal;
-  } = {},
-): Promise<ExchangeSummary> {
-  const result = await pool.send({
+/** Creates a request; each has an id of its own unless one is given. */
+function createRequest(options: Partial<PeerRequest> = {}): PeerRequest {
+  return {
     method: 'GET',
     path: '/',
     headers: {},
-    requestId: 'q-1',
+    requestId: `q-${++sentCount}`,
     body: createBufferedBody(Buffer.alloc(0)),
-    deadlineAt: timers.now() + (options.deadlineMs ?? 5_000),
-    needsFreshConnection: options.isFresh ?? false,
-    signal: options.signal ?? new AbortController().signal,
-  });
+    deadlineAt: timers.now() + 5_000,
+    needsFreshConnection: false,
+    signal: new AbortController().signal,
+    ...options,
+  };
+}
+
+/** Sends a request and reads the complete answer. */
+async function sendAndRead(
+  options: Partial<PeerRequest> = {},
+): Promise<ExchangeSummary> {
+  const result = await pool.send(createRequest(options));
   if (result.err) {
     const {kind, mayHaveRun} = result.err;
     return {body: '', kind, mayHaveRun};
@@ -74,6 +86,14 @@
 }
 
 const OK = 'HTTP/1.1 200 OK\r\n';
+const OK_EMPTY = `${OK}content-length: 0\r\n\r\n`;
+const OK_Q1 = `${OK}primrose-request-id: q-1\r\ncontent-length: 2\r\n\r\nok`;
+const REFUSAL_WITHOUT_ID =
+  'HTTP/1.1 503 Busy\r\nprimrose-outcome: not-run\r\ncontent-length: 0\r\n\r\n';
+const REFUSAL = REFUSAL_WITHOUT_ID.replace(
+  'content-length',
+  'primrose-request-id: q-1\r\ncontent-length',
+);
 
 describe('PeerConnectionPool', () => {
   // A response that was cut off within its head lent its status and outcome to the next one.
@@ -159,7 +179,7 @@
     });
     await sendAndRead();
     await sleep(600);
-    expect(await sendAndRead({isFresh: true})).toEqual({
+    expect(await sendAndRead({needsFreshConnection: true})).toEqual({
       status: 200,
       body: 'ok',
     });
@@ -168,7 +188,7 @@
 
   it('guards against opening a new connection for every request', async () => {
     await start(socket => socket.write(`${OK}content-length: 2\r\n\r\nok`));
-    for (let i = 0; i < 3; i++) await sendAndRead({isFresh: true});
+    for (let i = 0; i < 3; i++) await sendAndRead({needsFreshConnection: true});
     expect(server.sockets).toHaveLength(1);
   });
 
@@ -211,15 +231,7 @@
     await start(socket =>
       socket.write(`${OK}content-length: ${body.length}\r\n\r\n${body}`),
     );
-    const result = await pool.send({
-      method: 'GET',
-      path: '/',
-      headers: {},
-      body: createBufferedBody(Buffer.alloc(0)),
-      deadlineAt: timers.now() + 5_000,
-      needsFreshConnection: false,
-      signal: new AbortController().signal,
-    });
+    const result = await pool.send(createRequest());
     let bytes = 0;
     for await (const chunk of result.err ? [] : result.chunks) {
       if (bytes === 0) await sleep(3 * PROGRESS_TIMEOUT_MS);
@@ -230,7 +242,7 @@
 
   it('guards against an exchange that continues after its deadline', async () => {
     await start(() => {});
-    expect(await sendAndRead({deadlineMs: 50})).toMatchObject({
+    expect(await sendAndRead({deadlineAt: timers.now() + 50})).toMatchObject({
       kind: FailureKind.Deadline,
       mayHaveRun: true,
     });
@@ -246,4 +258,71 @@
       mayHaveRun: false,
     });
   });
+
+  // A copy of a refusal has the id of its request, so that only another connection tells it apart.
+  it('guards against taking a copy of a refusal for the refusal of the same id sent again', async () => {
+    await start((socket, run) => {
+      if (run === 1) return socket.write(REFUSAL);
+      if (socket === server.sockets[0]) socket.write(REFUSAL);
+      return socket.write(OK_Q1);
+    });
+    const sent = {requestId: 'q-1', needsFreshConnection: true};
+    expect(await sendAndRead(sent)).toMatchObject({status: 503});
+    expect(await sendAndRead(sent)).toEqual({status: 200, body: 'ok'});
+    expect(server.sockets).toHaveLength(2);
+  });
+
+  it('guards against a freed connection that is given to a waiting request of the id that it has carried', async () => {
+    await start((socket, run) => {
+      if (run === 1) return socket.write(REFUSAL);
+      if (socket === server.sockets[0]) socket.write(REFUSAL);
+      return socket.write(OK_Q1);
+    }, 1);
+    const sent = {requestId: 'q-1'};
+    const summaries = await Promise.all([sendAndRead(sent), sendAndRead(sent)]);
+    expect(summaries.map(({status}) => status)).toEqual([503, 200]);
+    expect(server.sockets).toHaveLength(2);
+  });
+
+  it('guards against keeping the ids of any number of requests per connection', async () => {
+    await start(socket => socket.write(OK_EMPTY));
+    for (let i = 0; i <= MAX_IDS_PER_CONNECTION; i++) await sendAndRead();
+    expect(server.sockets).toHaveLength(2);
+    expect(server.heads).toHaveLength(MAX_IDS_PER_CONNECTION + 1);
+  });
+
+  it('sends no id twice on a connection and leaves none waiting, in any order of requests', async () => {
+    const idsBySocket = new Map<net.Socket, string[]>();
+    await start((socket, run) => {
+      const id = /x-id: (.*)/.exec(server.heads[run - 1] ?? '')?.[1] ?? '';
+      idsBySocket.set(socket, [...(idsBySocket.get(socket) ?? []), id]);
+      setTimeout(() => socket.write(OK_EMPTY), run % 3);
+    }, 2);
+    const batches = fc.array(
+      fc.array(fc.constantFrom('a', 'b', 'c', 'd'), {
+        minLength: 1,
+        maxLength: 6,
+      }),
+      {minLength: 1, maxLength: 5},
+    );
+    await fc.assert(
+      fc.asyncProperty(batches, async drawn => {
+        idsBySocket.clear();
+        pool.closeIdle();
+        for (const ids of drawn) {
+          const summaries = await Promise.all(
+            ids.map(requestId =>
+              sendAndRead({requestId, headers: {'x-id': requestId}}),
+            ),
+          );
+          expect(summaries.every(({status}) => status === 200)).toBe(true);
+        }
+        for (const ids of idsBySocket.values()) {
+          expect(new Set(ids).size).toBe(ids.length);
+        }
+      }),
+      {seed: 38, numRuns: 60},
+    );
+    expect(pool.activeCount).toBe(0);
+  });
 });
--- a/packages/instance/test/request_path/failures.test.ts
+++ b/packages/instance/test/request_path/failures.test.ts
@@ -130,6 +130,29 @@
     expect([status, headers['primrose-outcome']]).toEqual([502, 'unknown']);
   });
 
+  // The endpoint writes its answer to the first sending again while it runs the second one.
+  it('guards against taking a copy of an answer for the answer to the same id sent again', async () => {
+    const url = await start((req, res, run) => {
+      const headers = {'primrose-request-id': 'q-1', 'content-length': '0'};
+      if (run === 1) return void res.writeHead(503, headers).end();
+      if (req.socket === system.backends[0]!.requests[0]!.socket) {
+        req.socket.write(
+          'HTTP/1.1 503 Busy\r\nprimrose-request-id: q-1\r\ncontent-length: 0\r\n\r\n',
+        );
+      }
+      return sendRunNumber(req, res, run);
+    });
+    const sendOrder = () =>
+      call(url, {
+        method: 'POST',
+        body: 'order',
+        headers: {'primrose-request-id': 'q-1'},
+      });
+    expect((await sendOrder()).status).toBe(503);
+    expect((await sendOrder()).status).toBe(200);
+    expect(getRuns()).toBe(2);
+  });
+
   it('guards against resending a body that was already streamed', async () => {
     const url = await start(
       (req, res) => {
