Count a connection given to a waiting request as used

Seen: a refusal without an id is believed on a connection that has carried another request, if the later request had waited for a connection.

Cause: `ClientRequest.reusedSocket` is set for pooled connections only. The agent gives a freed connection directly to a request that waits for one, which counted as a first use; on a first use a refusal without an id is proof that the request has not run.

Change: whether a connection was used before comes from the record of the requests that it has carried.

--- a/packages/instance/src/exchange/carried_requests.ts
+++ b/packages/instance/src/exchange/carried_requests.ts
@@ -32,6 +32,14 @@
     return true;
   }
 
+  /**
+   * Returns whether a connection has been given a request.
+   * @param connection - The connection.
+   */
+  isUsed(connection: Duplex): boolean {
+    return this.idsByConnection.has(connection);
+  }
+
   /**
    * Returns whether a connection may carry further requests.
    * @param connection - The connection.
--- a/packages/instance/src/exchange/exchange.ts
+++ b/packages/instance/src/exchange/exchange.ts
@@ -89,6 +89,8 @@
   /** Resolves when the exchange has ended and its connection is idle or closed. */
   readonly ended: Promise<void>;
   private isConnected = false;
+  /** Whether the connection had already been used for an earlier request. */
+  private isReused = false;
   /** Whether this side waits for the source of the request body. */
   private isAwaitingRequestBody = false;
   /** Whether the reader of the answer is not waiting for data. */
@@ -170,6 +172,7 @@
    */
   private handleConnection(socket: Socket): void {
     const {carried} = this.options;
+    this.isReused = carried.isUsed(socket);
     if (!carried.tryAdd(socket, this.request.requestId)) {
       this.fail(
         FailureKind.UnsuitableConnection,
@@ -199,7 +202,7 @@
     return {
       res,
       chunks: this.readAnswer(res),
-      isReused: this.req.reusedSocket,
+      isReused: this.isReused,
       cancel: () => this.fail(FailureKind.Cancelled, 'cancelled'),
     };
   }
@@ -306,7 +309,7 @@
       {step, peer, cause},
       kind,
       this.isConnected,
-      this.req.reusedSocket,
+      this.isReused,
       `${kind}: ${peer}: ${message}`,
     );
   }
--- a/packages/instance/test/exchange/peer_connection_pool.test.ts
+++ b/packages/instance/test/exchange/peer_connection_pool.test.ts
@@ -4,6 +4,7 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {
   FailureKind,
+  isProvenNotRun,
   PeerConnectionPool,
   type PeerRequest,
 } from '../../src/exchange/index.js';
@@ -284,6 +285,17 @@
     expect(server.sockets).toHaveLength(2);
   });
 
+  it('guards against believing a refusal without an id on a freed connection that is given to a waiting request', async () => {
+    await start((socket, run) => {
+      socket.write(run === 1 ? OK_EMPTY : REFUSAL_WITHOUT_ID);
+    }, 1);
+    const first = sendAndRead();
+    const second = await pool.send(createRequest());
+    await first;
+    expect(server.sockets).toHaveLength(1);
+    expect(second.err ?? isProvenNotRun(second)).toBe(false);
+  });
+
   it('guards against keeping the ids of any number of requests per connection', async () => {
     await start(socket => socket.write(OK_EMPTY));
     for (let i = 0; i <= MAX_IDS_PER_CONNECTION; i++) await sendAndRead();
