Hold an endpoint's error response until a retry has a better one

Cause: an endpoint's 5xx to a request that may be repeated was discarded before it was known whether another attempt could be started. With an empty retry budget or no candidate left, or when the retry failed, callers got 502 or 504 without a stamp although an endpoint had answered. In the request log: `decidedBy: connection-broken` with one `answered` attempt.

Change: RetryingSender keeps the response (ResponseHolder) until an attempt has a better one. It is passed on if no attempt is left, at the route's timeout and at the end of a planned stop. One that is still being received is discarded, and its connection closed, when the caller leaves, another response is passed on, or there is no time left to forward it whole.

Ruled out: passing on a long error response without a retry, which would give up retries that succeed today.

--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -5,11 +5,7 @@
   isIdempotent,
   type Route,
 } from '@primrosestage/steering';
-import {
-  AttemptOutcome,
-  discardResponse,
-  type EndpointResponse,
-} from './attempt.js';
+import {AttemptOutcome, discardResponse} from './attempt.js';
 import {
   BodyFault,
   getHeaderBytes,
@@ -23,6 +19,7 @@
 import type {RequestExchangeOptions} from './exchange_options.js';
 import {discardHeaders, writeFailure} from './failure_response.js';
 import {monitorStream} from './monitor_stream.js';
+import type {ReceivedResponse} from './response_holder.js';
 import {RetryingSender} from './retrying_sender.js';
 import {UnforwardableRequestError} from './unforwardable_request_error.js';
 import {RESPONSE_GRACE_MS, type OpenAttempt} from './start_attempt.js';
@@ -191,12 +188,12 @@
       return;
     }
     if (result.response) {
-      this.forwardResponse(result.response, result.from);
+      this.forwardResponse(result);
       sender.cancelOpenAttempts();
     } else this.finishFailed(result.decision);
   }
 
-  private forwardResponse(response: EndpointResponse, from: OpenAttempt): void {
+  private forwardResponse({response, from}: ReceivedResponse): void {
     this.sender?.stop();
     if (this.res.destroyed) discardResponse({response});
     else {
@@ -240,8 +237,22 @@
     this.sender?.cancelOpenAttempts();
   }
 
+  /** Ends the request with an endpoint's error response if there is one, or with a failure status. */
   private finishFailed(decision: Decision): void {
-    this.finish(getFailureStatus(decision, this.mayHaveRun), decision);
+    const canStream =
+      decision !== Decision.Stopping &&
+      this.options.timers.now() < this.deadlineAt;
+    const received = this.sender?.takeErrorResponse(canStream);
+    if (!received) {
+      this.finish(getFailureStatus(decision, this.mayHaveRun), decision);
+      return;
+    }
+    try {
+      this.forwardResponse(received);
+    } catch (err) {
+      this.options.log.writeError(this.requestId, err);
+      this.finishAfterError(err);
+    }
   }
 
   /** Ends the request after an error that may have occurred at any step, with a true status. */
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -8,13 +8,13 @@
   AttemptOutcome,
   type AttemptResult,
   discardResponse,
-  type EndpointResponse,
 } from './attempt.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
 import {Decision} from './decision.js';
 import type {RequestExchangeOptions} from './exchange_options.js';
 import {observeAttempt} from './observe_attempt.js';
 import type {AttemptRecord} from './request_log.js';
+import {type ReceivedResponse, ResponseHolder} from './response_holder.js';
 import {
   createAttemptRecord,
   type OpenAttempt,
@@ -39,7 +39,7 @@
 
 /** The final response of an endpoint, or why there is none. */
 export type SendResult =
-  | {readonly response: EndpointResponse; readonly from: OpenAttempt}
+  | ReceivedResponse
   | {readonly response?: undefined; readonly decision: Decision};
 
 /** Sends one request to endpoints, with retries and hedging if allowed. */
@@ -51,6 +51,7 @@
   private readonly finishedAttempts: AttemptRecord[] = [];
   private readonly tried = new Set<string>();
   private readonly openAttempts = new Set<OpenAttempt>();
+  private readonly holder = new ResponseHolder();
   private hasUncertainAttempt = false;
   private isStopped = false;
 
@@ -96,7 +97,7 @@
         sent++;
         race.add(open, this.awaitAttempt(open));
       }
-      if (race.size === 0) return {decision};
+      if (race.size === 0) return this.takeErrorResponse(true) ?? {decision};
       const isHedgeable =
         open !== undefined && isIdempotent(route.kind) && sent < route.attempts;
       const finished = await race.takeFirstFinished(
@@ -107,11 +108,15 @@
         continue;
       }
       const {response, outcome} = finished.result;
-      const isFinal =
-        !this.isStopped && this.isResponseFinal(finished, sent, race.size);
-      if (response && isFinal) return {response, from: finished.open};
-      discardResponse(finished.result);
-      if (this.isStopped) return {decision};
+      if (this.isStopped) {
+        discardResponse(finished.result);
+        return {decision};
+      }
+      if (response) {
+        const received = {response, from: finished.open};
+        if (this.isResponseFinal(finished, sent, race.size)) return received;
+        this.holder.hold(received);
+      }
       decision = getFailureDecision(outcome);
       if (this.hasUncertainAttempt && !isIdempotent(route.kind)) {
         return {decision};
@@ -119,9 +124,23 @@
     }
   }
 
-  /** Stops sending: no further attempt is started. Open ones go on unless they are cancelled too. */
+  /**
+   * Stops sending: no further attempt is started, and a held response is discarded. Open attempts go
+   * on unless they are cancelled too.
+   */
   stop(): void {
     this.isStopped = true;
+    this.holder.discard();
+  }
+
+  /**
+   * Removes the error response that was held in favour of a retry. It is the true result of the
+   * request if no retry has a better one.
+   * @param canStream - Whether there is time to forward one that is still being received.
+   * @returns The response, or undefined if there is none.
+   */
+  takeErrorResponse(canStream: boolean): ReceivedResponse | undefined {
+    return this.holder.take(canStream);
   }
 
   /** Cancels the open attempts and closes their connections. */
