Send no error status for a request that may run to its caller

Seen: a caller whose order runs gets 408, 400 or 431 where bytes behind it on the connection are no request: a second head that is malformed, too long or not whole in time, or a body of which a part has been sent on. 408 promises that the order has not run.

Cause: without a listener of `clientError`, Node.js writes such a status unless it has begun to write a response, also while a request is open.

Change: `rejectInvalidRequest` writes the same statuses where no request is open on the connection, and closes the connection without a status where one is. Bytes of a closed connection promise nothing.

Ruled out: a body that stalls after a part of it was sent on ends as 502 and `unknown` already (`FailureKind.Body`); a test shows it.

--- a/packages/instance/src/http/connection_tracker.ts
+++ b/packages/instance/src/http/connection_tracker.ts
@@ -1,5 +1,6 @@
 import type {Server} from 'node:http';
 import net, {type Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import type {TimerService} from '@primrosestage/common';
 
 /**
@@ -30,7 +31,7 @@
 
 /** Tracks the open connections of a server and closes them without interrupting requests. */
 export class ConnectionTracker {
-  private readonly open = new Map<Socket, ConnectionUse>();
+  private readonly open = new Map<Duplex, ConnectionUse>();
   private isDraining = false;
   private acceptedAt = -Infinity;
 
@@ -69,6 +70,14 @@
     return this.open.size;
   }
 
+  /**
+   * Returns whether a request on a connection awaits its response.
+   * @param connection - The connection.
+   */
+  isInUse(connection: Duplex): boolean {
+    return (this.open.get(connection)?.openRequests ?? 0) > 0;
+  }
+
   /** Adds `connection: close` to all further answers. */
   startDraining(): void {
     this.isDraining = true;
--- a/packages/instance/src/http/index.ts
+++ b/packages/instance/src/http/index.ts
@@ -11,6 +11,7 @@
   type RequestBody,
 } from './request_body.js';
 export {findMergedHeadFault} from './merged_head.js';
+export {rejectInvalidRequest} from './reject_invalid_request.js';
 export {sendJson} from './send_json.js';
 export {sendRefusal, type RefusalOptions} from './send_refusal.js';
 export {createAdminHandler} from './create_admin_handler.js';
--- a/packages/instance/src/http/listen.ts
+++ b/packages/instance/src/http/listen.ts
@@ -2,6 +2,7 @@
 import {RealTimerService, Step, StepError} from '@primrosestage/common';
 import {ConnectionTracker} from './connection_tracker.js';
 import {parseAddress} from './parse_address.js';
+import {rejectInvalidRequest} from './reject_invalid_request.js';
 
 /** Maximum size of the request headers that a listener accepts. */
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -68,6 +69,9 @@
     closeIdleMs: CLOSE_IDLE_MS,
     keepAliveSeconds: KEEP_ALIVE_SECONDS,
   });
+  server.on('clientError', (err, connection) =>
+    rejectInvalidRequest(err, connection, tracker.isInUse(connection)),
+  );
   return {
     server,
     [Symbol.asyncDispose]: () => closeListener(server, tracker),
--- /dev/null
+++ b/packages/instance/src/http/reject_invalid_request.ts
@@ -0,0 +1,36 @@
+import {STATUS_CODES} from 'node:http';
+import type {Duplex} from 'node:stream';
+
+/** Statuses by the codes of the errors that Node.js reports for the bytes of a caller. */
+const STATUS_BY_CODE: Readonly<Record<string, number>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  HPE_HEADER_OVERFLOW: 431,
+};
+const MALFORMED_STATUS = 400;
+
+/**
+ * Responds to bytes of a caller that are no request, and closes the connection. The caller would
+ * take the status for the response to a request that is open on the connection and that may run, so
+ * that none is sent where there is one.
+ * @param err - Why the bytes are no request.
+ * @param connection - The connection.
+ * @param hasOpenRequest - Whether a request on the connection awaits its response.
+ */
+export function rejectInvalidRequest(
+  {code = ''}: NodeJS.ErrnoException,
+  connection: Duplex,
+  hasOpenRequest: boolean,
+): void {
+  const status =
+    STATUS_BY_CODE[code] ??
+    (code.startsWith('HPE_') ? MALFORMED_STATUS : undefined);
+  if (status === undefined || hasOpenRequest || !connection.writable) {
+    connection.destroy();
+    return;
+  }
+  connection.end(
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+    () => connection.destroy(),
+  );
+}
--- a/packages/instance/test/request_path/failures.test.ts
+++ b/packages/instance/test/request_path/failures.test.ts
@@ -153,6 +153,36 @@
     expect(getRuns()).toBe(2);
   });
 
+  it.each([
+    ['stalls', ''],
+    ['is malformed', 'rubbish\r\n'],
+  ])(
+    'guards against an error status of the caller after its body has been sent on in part and %s',
+    async (_, rest) => {
+      await start(req => void req.resume());
+      const {hostname, port} = new URL(system.getUrl(0));
+      const part = `20000\r\n${'x'.repeat(0x20000)}\r\n`;
+      const received = await new Promise<string>(resolve => {
+        let text = '';
+        const socket = net.connect(Number(port), hostname, () => {
+          socket.write(
+            'POST /v1/requests/t/s/x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n',
+          );
+          socket.write(part);
+          setTimeout(() => socket.write(rest), 100);
+        });
+        socket.on('data', data => {
+          text += data.toString();
+          socket.end();
+        });
+        socket.on('error', () => {});
+        socket.on('close', () => resolve(text));
+      });
+      expect(getRuns()).toBe(1);
+      expect(received).toMatch(/^$|^HTTP\/1.1 502 /);
+    },
+  );
+
   it('guards against resending a body that was already streamed', async () => {
     const url = await start(
       (req, res) => {
