Test that no interim status of an endpoint is taken for a final one

Cause: reading suggested that a 101 with the right id and stamp is passed on as final. It is disproved: findResponseHeadFault judges each status below 200 as invalid before stamp and marker are looked at, and Node.js ends a request whose response changes the protocol, since nothing listens for it. Only one form of 101 was tested.

--- a/packages/instance/test/direct/judge_response.test.ts
+++ b/packages/instance/test/direct/judge_response.test.ts
@@ -94,6 +94,14 @@
     expect(judge(200, [id, stamp, via])).toBe(HeadKind.Answer);
   });
 
+  it.each([0, 100, 101, 102, 103, 199])(
+    'guards against status %i as an answer or a refusal',
+    status => {
+      expect(judge(status, [id, stamp])).toBe(HeadKind.Invalid);
+      expect(judge(status, [id, notRun])).toBe(HeadKind.Invalid);
+    },
+  );
+
   it('guards against an answer without the stamp', () => {
     expect(judge(200, [id])).toBe(HeadKind.Invalid);
   });
