Send no error status behind a caller's order on the direct path

Seen: a caller whose order runs gets 400 or 431 where the bytes behind it on the connection are malformed or too long a head, and takes it for the response to its order. Both say that the order was not accepted.

Cause: the listener of invalid requests wrote its status to the connection without regard to the request that was open on it.

Change: `rejectInvalidRequest`, which the path with owners uses, replaces the second form of the same logic. An instance sends a status where no whole request of the connection is open; a request whose body has not arrived whole was sent to no endpoint, and its caller still gets 400.

Ruled out: a status of Node.js itself, since a listener was set.

--- a/packages/instance/src/direct/http_servers.ts
+++ b/packages/instance/src/direct/http_servers.ts
@@ -1,5 +1,4 @@
 import http from 'node:http';
-import type {Duplex} from 'node:stream';
 import type {EventLogger, TimerService} from '@primrosestage/common';
 import type {MemberTable} from '@primrosestage/steering';
 import type {Registry} from 'prom-client';
@@ -94,26 +93,3 @@
     );
   });
 }
-
-/**
- * Responds to bytes of a caller that are no valid request, and closes the connection.
- * @param err - Why they cannot be parsed.
- * @param socket - The connection.
- * @param logger - Receives the reason.
- */
-export function rejectMalformed(
-  err: NodeJS.ErrnoException,
-  socket: Duplex,
-  logger: EventLogger,
-): void {
-  logger.info('caller connection failed', {reason: err.code});
-  if (socket.writable && err.code === 'HPE_HEADER_OVERFLOW') {
-    socket.end(createFinalResponse('431 Request Header Fields Too Large'));
-  } else if (socket.writable && err.code?.startsWith('HPE_')) {
-    socket.end(createFinalResponse('400 Bad Request'));
-  } else socket.destroy();
-}
-
-function createFinalResponse(status: string): string {
-  return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
-}
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
 import {HeaderName, Step} from '@primrosestage/common';
 import {
   getRetryAfterMs,
@@ -75,6 +76,15 @@
     }
   }
 
+  /**
+   * Returns whether the request came from a connection and may run; its body is forwarded only when
+   * it has arrived whole.
+   * @param connection - The connection of a caller.
+   */
+  mayRunOn(connection: Duplex): boolean {
+    return this.req.socket === connection && this.req.complete;
+  }
+
   /**
    * Ends the request at the end of a planned stop. A response that is still being streamed is
    * aborted: an orderly close would mark one without a length as complete.
--- a/packages/instance/src/direct/request_handler.ts
+++ b/packages/instance/src/direct/request_handler.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
 import type {RequestExchangeOptions} from './exchange_options.js';
 import {RequestExchange} from './request_exchange.js';
 
@@ -18,6 +19,15 @@
     return this.openCount;
   }
 
+  /**
+   * Returns whether a request from a connection may run: it has arrived whole and awaits its
+   * response.
+   * @param connection - The connection of a caller.
+   */
+  mayRunOn(connection: Duplex): boolean {
+    return [...this.unfinished].some(each => each.mayRunOn(connection));
+  }
+
   /** Ends the requests that a planned stop cannot wait for. */
   endUnfinished(): void {
     for (const exchange of this.unfinished) exchange.endForStop();
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -11,6 +11,7 @@
 import type {Registry} from 'prom-client';
 import {ConnectionTracker} from '../http/connection_tracker.js';
 import {parseAddress} from '../http/parse_address.js';
+import {rejectInvalidRequest} from '../http/reject_invalid_request.js';
 import {createRpcHandler} from '../rpc/index.js';
 import type {StartSpan} from '../telemetry/hop_span.js';
 import {Announcer} from './announcer.js';
@@ -31,7 +32,6 @@
   createDirectoryServer,
   createMetricsServer,
   createReadinessServer,
-  rejectMalformed,
 } from './http_servers.js';
 import {RetryBudgets} from './retry_budgets.js';
 import {RequestHandler} from './request_handler.js';
@@ -163,9 +163,10 @@
     (req, res) => handler.handle(req, res),
   );
   callerServer.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
-  callerServer.on('clientError', (err: NodeJS.ErrnoException, socket) =>
-    rejectMalformed(err, socket, logger),
-  );
+  callerServer.on('clientError', (err: NodeJS.ErrnoException, connection) => {
+    logger.info('caller connection failed', {reason: err.code});
+    rejectInvalidRequest(err, connection, handler.mayRunOn(connection));
+  });
 
   const apply = createChangeHandler({
     view,
