--- a/packages/instance/test/direct/invalid_requests.test.ts
+++ b/packages/instance/test/direct/invalid_requests.test.ts
@@ -7,6 +7,8 @@
 import {TestFleet} from './test_fleet.js';
 
 const MALFORMED_HEAD = 'rubbish\r\n\r\n';
+/** Length of a body that is streamed, in bytes. */
+const STREAMED_BYTES = 3_000_000;
 const LONG_HEAD = `GET / HTTP/1.1\r\nx: ${'y'.repeat(70_000)}\r\n\r\n`;
 
 describe('invalid requests of callers', () => {
@@ -25,7 +27,10 @@
     `POST /order HTTP/1.1\r\nhost: ${HOST}\r\n${NAMES.requestId}: order\r\n${headers}\r\n`;
 
   /** Sends texts over one connection, each when `isReady` allows it, and returns what arrives. */
-  const exchange = async (texts: string[], isReady: () => boolean) => {
+  const exchange = async (
+    texts: string[],
+    isReady: (received: string) => boolean,
+  ) => {
     const [host, port] = instance.settings.callerAddress.split(':');
     const socket = net.connect({host, port: Number(port)});
     let received = '';
@@ -34,7 +39,7 @@
     const closed = new Promise(resolve => socket.on('close', resolve));
     const [first = '', ...others] = texts;
     socket.write(first);
-    await waitFor('the first text has an effect', isReady);
+    await waitFor('the first text has an effect', () => isReady(received));
     for (const text of others) socket.write(text);
     await closed;
     return received;
@@ -74,4 +79,18 @@
     expect(received).toContain('HTTP/1.1 400 ');
     expect(stub.ran).toEqual([]);
   });
+
+  it('guards against a status within the body of a response that is streamed', async () => {
+    stub.handle = (req, res, self) => {
+      const headers = self.getDefaultHeaders(req);
+      res.writeHead(200, {...headers, 'content-length': STREAMED_BYTES});
+      res.write('x'.repeat(STREAMED_BYTES - 1));
+    };
+    const order = renderOrder('content-length: 0\r\n');
+    const received = await exchange(
+      [order, MALFORMED_HEAD],
+      text => text.length > STREAMED_BYTES / 2,
+    );
+    expect(received.lastIndexOf('HTTP/1.1')).toBe(0);
+  });
 });
