--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -10,6 +10,23 @@
   stub: EndpointStub,
 ) => void;
 
+/** A step of a request at the stub. */
+export enum RequestStep {
+  /** It arrived; also one that is meant for another endpoint. */
+  Arrived = 'arrived',
+  /** It began to run. A handler that refuses it at once withdraws this. */
+  Started = 'started',
+  /** It was refused as not run. */
+  Refused = 'refused',
+}
+
+/** Observes the steps of the requests to a stub. */
+export type StepObserver = (
+  step: RequestStep,
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+) => void;
+
 /**
  * Renders the begin of a response's head, for responses that Node.js would not write.
  * @param status - Status code and reason.
@@ -37,13 +54,13 @@
   readonly deadlines: number[] = [];
   readonly bodies: string[] = [];
   handle?: StubHandler;
+  /** Called at each step of each request, before its response is written. */
+  observe?: StepObserver;
   delayMs = 5;
   /** Returns the delay of each request in place of `delayMs`. */
   drawDelayMs?: () => number;
   /** Monotonic time in milliseconds at which each request arrived, refused ones included. */
   readonly arrivedAt: number[] = [];
-  /** Ids and times of the requests that arrived, refused ones included. */
-  readonly arrivals: Array<{id: string; at: number}> = [];
   /** Value of the rate limit header; undefined for no limit. */
   limit?: string;
   private readonly server: http.Server;
@@ -113,6 +130,8 @@
     );
     this.ran.splice(index, 1);
     this.ranAt.splice(index, 1);
+    res.statusCode = 503;
+    this.observe?.(RequestStep.Refused, req, res);
     res.writeHead(503, {
       [this.names.requestId]: String(req.headers[this.names.requestId]),
       [this.names.notRun]: '1',
@@ -129,7 +148,10 @@
 
   private receive(req: http.IncomingMessage, res: http.ServerResponse): void {
     const id = String(req.headers[this.names.requestId]);
+    this.observe?.(RequestStep.Arrived, req, res);
     if (req.headers[this.names.expectedEndpoint] !== this.id) {
+      res.statusCode = 421;
+      this.observe?.(RequestStep.Refused, req, res);
       res.writeHead(421, {
         [this.names.requestId]: id,
         [this.names.notRun]: '1',
@@ -139,7 +161,6 @@
     }
     const at = performance.now();
     this.arrivedAt.push(at);
-    this.arrivals.push({id, at});
     this.deadlines.push(Number(req.headers[this.names.deadlineMs]));
     const chunks: Buffer[] = [];
     req.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -147,6 +168,7 @@
       this.bodies.push(Buffer.concat(chunks).toString());
       this.ran.push(id);
       this.ranAt.push(performance.now());
+      this.observe?.(RequestStep.Started, req, res);
       res.on('close', () => {
         if (!res.writableFinished) this.aborted.push(id);
       });
