Open the circle of endpoint selection, limits, permits and attempts

Cause: endpoint_selector needs rate_permits, which needs limit_tracker, which took types of start_attempt and request_log, which need the selector.

Change: the tracker of limits and that of notices define what a response states, and the sender tells them; `LimitRecord` and `copyHeaders` have files of their own beside their kind. No behaviour changes.

--- a/packages/instance/src/direct/limit_tracker.ts
+++ b/packages/instance/src/direct/limit_tracker.ts
@@ -8,12 +8,10 @@
   parseRateLimit,
   type SharedLimit,
 } from '@primrosestage/steering';
-import {AttemptOutcome, type AttemptResult} from './attempt.js';
 import type {DirectMetrics} from './direct_metrics.js';
 import type {LimitCoordinator} from './limit_coordinator.js';
+import type {LimitRecord} from './limit_record.js';
 import type {PermitEvent} from './permit_event.js';
-import type {LimitRecord} from './request_log.js';
-import type {OpenAttempt} from './start_attempt.js';
 
 /** Minimum time between two log lines about invalid limits of endpoints, in milliseconds. */
 const INVALID_LOG_INTERVAL_MS = 1_000;
@@ -33,6 +31,18 @@
   announce: () => void;
 }
 
+/** What a response of an endpoint states of its rate limit. Times are monotonic, in milliseconds. */
+export interface LimitStatement {
+  /** Value of the rate limit header; undefined without one. */
+  limit: string | undefined;
+  /** Whether the endpoint ran the request without an error. */
+  isSuccess: boolean;
+  /** Time at which the request was sent. */
+  startedAt: number;
+  /** Time at which the head of the response arrived. */
+  respondedAt: number;
+}
+
 /**
  * Reads the rate limits that endpoints state in their responses, merges those that other instances
  * have read, and logs changes and use.
@@ -49,21 +59,18 @@
 
   /**
    * Records what a response stated of the endpoint's rate limit. An invalid value changes nothing.
-   * @param open - The attempt.
-   * @param result - Result of the attempt that the response ended.
+   * @param endpoint - The endpoint.
+   * @param response - The response.
    */
-  observeAttempt(
-    {endpoint: {entry}, startedAt}: Pick<OpenAttempt, 'endpoint' | 'startedAt'>,
-    {limit, outcome, response, respondedAt}: Partial<AttemptResult>,
+  observeResponse(
+    {entry}: KnownEndpoint,
+    {limit, isSuccess, startedAt, respondedAt}: LimitStatement,
   ): void {
-    if (respondedAt === undefined) return;
     const perSecond = limit === undefined ? undefined : parseRateLimit(limit);
     if (limit !== undefined && perSecond === undefined) {
       this.reportInvalid(entry.id, limit);
       return;
     }
-    const isSuccess =
-      outcome === AttemptOutcome.Answered && (response?.status ?? 200) < 500;
     // Refusals, errors and responses to requests that were sent before the endpoint stated its limit
     // may lack the header although the limit holds.
     const statedAt = this.options.limits.getLatest(entry.id)?.observedAt;
--- a/packages/instance/src/direct/notice_tracker.ts
+++ b/packages/instance/src/direct/notice_tracker.ts
@@ -5,7 +5,6 @@
   type EndpointTable,
   NoticeChange,
 } from '@primrosestage/steering';
-import type {AttemptResult} from './attempt.js';
 import type {DirectMetrics} from './direct_metrics.js';
 
 /** Seconds, whole or with a fraction, as endpoints state how long they wait. */
@@ -21,6 +20,14 @@
   metrics: DirectMetrics;
 }
 
+/** What a response of an endpoint states of its further use. */
+export interface NoticeStatement {
+  /** Whether the endpoint leaves. */
+  isLeaving?: boolean;
+  /** Value of the `retry-after` header; undefined without one. */
+  retryAfter?: string;
+}
+
 /** Reads what endpoints state of themselves in their responses, and logs changes. */
 export class NoticeTracker {
   constructor(private readonly options: NoticeTrackerOptions) {}
@@ -28,11 +35,11 @@
   /**
    * Records what a response stated. An invalid time changes nothing.
    * @param process - The process of the endpoint that the request was sent to.
-   * @param result - Result of the attempt that the response ended.
+   * @param statement - What the response stated.
    */
-  observeAttempt(
+  observeResponse(
     process: EndpointProcess,
-    {isLeaving, retryAfter}: Pick<AttemptResult, 'isLeaving' | 'retryAfter'>,
+    {isLeaving, retryAfter}: NoticeStatement,
   ): void {
     if (isLeaving !== true && retryAfter === undefined) return;
     const {notices, timers, logger} = this.options;
--- a/packages/instance/src/direct/request_log.ts
+++ b/packages/instance/src/direct/request_log.ts
@@ -1,21 +1,10 @@
 import {getErrorMessage, type EventLogger} from '@primrosestage/common';
 import type {ConnectionUse} from './endpoint_agent.js';
+import type {LimitRecord} from './limit_record.js';
 
 /** Most log lines per second about successful single-attempt requests; others are not limited. */
 const MAX_ROUTINE_LINES_PER_S = 100;
 
-/** Describes the rate limit of an endpoint in the log line of a request. */
-export interface LimitRecord {
-  /** Requests per second from all instances together. */
-  perSecond: number;
-  /** Time since the last response that stated the limit, in milliseconds. */
-  ageMs: number;
-  /** The instance that received this response. */
-  from: string;
-  /** The instance that issues the permits for requests to the endpoint. */
-  coordinator: string;
-}
-
 /** Describes one attempt in the log line of its request; one without a connection has no use of it. */
 export interface AttemptRecord extends Partial<ConnectionUse> {
   endpoint: string;
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -239,8 +239,15 @@
     const at = timers.now();
     const {objectKey} = this.request;
     observeAttempt(open, result, selector, {at, objectKey});
-    limitTracker.observeAttempt(open, result);
-    noticeTracker.observeAttempt(open.endpoint.entry, result);
+    const {respondedAt, limit, outcome, response} = result;
+    if (respondedAt !== undefined) {
+      const isSuccess =
+        outcome === AttemptOutcome.Answered && (response?.status ?? 200) < 500;
+      const {endpoint, startedAt} = open;
+      const statement = {limit, isSuccess, startedAt, respondedAt};
+      limitTracker.observeResponse(endpoint, statement);
+    }
+    noticeTracker.observeResponse(open.endpoint.entry, result);
     open.span?.end(result.outcome, result.response ? undefined : result.reason);
     const ms = at - open.startedAt;
     const {service} = open.endpoint.entry;
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -10,10 +10,10 @@
   EndpointChoice,
   KnownEndpoint,
 } from '@primrosestage/steering';
+import {copyHeaders} from '../http/copy_headers.js';
 import {parseAddress} from '../http/parse_address.js';
 import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
 import {AttemptOutcome, type AttemptResult} from './attempt.js';
-import {copyHeaders} from './caller_request.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import {
   BeginResult,
@@ -23,7 +23,8 @@
 import {findRequestHeadFault} from '../http/head_fault.js';
 import type {LimitTracker} from './limit_tracker.js';
 import type {RatePermits} from './rate_permits.js';
-import type {AttemptRecord, LimitRecord} from './request_log.js';
+import type {LimitRecord} from './limit_record.js';
+import type {AttemptRecord} from './request_log.js';
 import {
   type Attempt,
   type AttemptRequest,
--- a/packages/instance/src/direct/write_response.ts
+++ b/packages/instance/src/direct/write_response.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
+import {copyHeaders} from '../http/copy_headers.js';
 import type {EndpointResponse} from './attempt.js';
-import {copyHeaders} from './caller_request.js';
 import {isResponseComplete} from './endpoint_agent.js';
 
 /** Response headers that are not copied, because this instance sets its own. */
--- a/packages/instance/test/direct/limit_simulation.ts
+++ b/packages/instance/test/direct/limit_simulation.ts
@@ -11,7 +11,6 @@
 import {SimClock} from '../../../testing/src/bench/policy/sim_clock.js';
 import {createRandom} from '../../../testing/src/bench/create_random.js';
 import type {StatedLimit} from '../../../testing/src/limits/index.js';
-import {AttemptOutcome} from '../../src/direct/attempt.js';
 import {
   createLimitControl,
   type LimitControl,
@@ -364,14 +363,12 @@
           last?.to === Infinity ? String(last.perSecond) : undefined;
         this.clock.after(latencyMs, () => {
           if (!process.isAlive) return;
-          tracker.observeAttempt(
-            {endpoint, startedAt},
-            {
-              outcome: AttemptOutcome.Answered,
-              limit,
-              respondedAt: this.clock.now(),
-            },
-          );
+          tracker.observeResponse(endpoint, {
+            limit,
+            isSuccess: true,
+            startedAt,
+            respondedAt: this.clock.now(),
+          });
         });
       });
     });
--- a/packages/testing/src/bench/direct/primrosestage_policy.ts
+++ b/packages/testing/src/bench/direct/primrosestage_policy.ts
@@ -112,14 +112,12 @@
     const outcome = result.isRefused
       ? AttemptOutcome.Refused
       : AttemptOutcome.Answered;
-    limitControl.tracker.observeAttempt(
-      {endpoint: entry, startedAt: result.sentAt},
-      {
-        outcome,
-        limit: endpoint.limitPerSecond?.toFixed(3),
-        respondedAt: this.world.clock.now(),
-      },
-    );
+    limitControl.tracker.observeResponse(entry, {
+      limit: endpoint.limitPerSecond?.toFixed(3),
+      isSuccess: !result.isRefused,
+      startedAt: result.sentAt,
+      respondedAt: this.world.clock.now(),
+    });
     observeAttempt(
       {
         endpoint: entry,
