Take no promising status from another instance for an unknown outcome

Seen: an instance's response with `primrose-outcome: unknown` and status 503, 429, 421 or 408 reaches the caller with this status, which promises that the request has not run.

Cause: `readRefusal` took the status from the response wherever the outcome was `unknown`. Instances send 502 and 504 then, but the bytes of another response can have any status.

Change: 504 is kept, and 421 for a home, which asks the next successor for the records of a repeat; all other statuses become 502.

--- a/packages/instance/src/relay/read_refusal.ts
+++ b/packages/instance/src/relay/read_refusal.ts
@@ -5,18 +5,23 @@
   type Refusal,
 } from '../exchange/index.js';
 import {getHeader} from '../http/index.js';
+import {InstanceRole} from './instance_role.js';
 
 const MAX_REFUSAL_BYTES = 8 * 1024;
+/** Status of an instance that does not have the records of a key: Misdirected Request. */
+export const NO_RECORDS_STATUS = 421;
 const STEPS = new Set<string>(Object.values(Step));
 
 /**
  * Reads the refusal that another instance sent.
  * @param peer - Id of the instance.
+ * @param role - Role in which it handled the request.
  * @param result - Its response, which is not marked as answered.
  * @returns The refusal; its outcome is `unknown` unless the response states `not-run`.
  */
 export async function readRefusal(
   peer: string,
+  role: InstanceRole,
   result: ExchangeResult & {err?: undefined},
 ): Promise<Refusal> {
   const {headers, statusCode = 502} = result.res;
@@ -36,10 +41,19 @@
   return {
     ...common,
     outcome: Outcome.Unknown,
-    status: outcome === Outcome.Unknown ? statusCode : 502,
+    status:
+      outcome === Outcome.Unknown ? getUnknownStatus(role, statusCode) : 502,
   };
 }
 
+/** Most statuses of refusals promise that a request has not run, which is not known here. */
+function getUnknownStatus(role: InstanceRole, status: number): number {
+  const isKept =
+    status === 504 ||
+    (role === InstanceRole.Home && status === NO_RECORDS_STATUS);
+  return isKept ? status : 502;
+}
+
 async function readMessage(
   result: ExchangeResult & {err?: undefined},
 ): Promise<string | undefined> {
--- a/packages/instance/src/relay/relay_task.ts
+++ b/packages/instance/src/relay/relay_task.ts
@@ -79,7 +79,7 @@
       needsFreshConnection: ctx.requestClass === RequestClass.NonIdempotent,
       signal,
     });
-    const attempt = await this.toAttemptResult(peer, ctx, result);
+    const attempt = await this.toAttemptResult(peer, role, ctx, result);
     span.end(
       attempt.refusal?.outcome ?? Outcome.Answered,
       attempt.refusal?.message,
@@ -116,6 +116,7 @@
 
   private async toAttemptResult(
     peer: InstanceInfo,
+    role: InstanceRole,
     ctx: RequestContext,
     result: ExchangeResult,
   ): Promise<AttemptResult> {
@@ -129,7 +130,7 @@
     const isAnswered =
       getHeader(res.headers, HeaderName.Outcome) === Outcome.Answered &&
       getHeader(res.headers, HeaderName.RequestId) === ctx.requestId;
-    if (!isAnswered) return {refusal: await readRefusal(peer.id, result)};
+    if (!isAnswered) return {refusal: await readRefusal(peer.id, role, result)};
     return {
       answer: {
         status: res.statusCode ?? 502,
