State no "not run" after a successor's response of unknown outcome

Seen: a first attempt with a key, whose home cannot be reached, is answered 503 and `not-run` though a successor's response left its outcome unknown.

Cause: `HomeRouter` took any 421 as "no records here" and asked the next successor; after the last one it refused as if nothing had been sent. An instance without records says `not-run` to a first attempt, so that a 421 without it is a copy or another response, and the successor may run the request.

Change: for a first attempt only a 421 with `not-run` counts as "no records". A 421 of unknown outcome reaches the caller as 502.

--- a/packages/instance/src/idempotency/home_router.ts
+++ b/packages/instance/src/idempotency/home_router.ts
@@ -21,7 +21,12 @@
 } from '@primrosestage/steering';
 import type {AttemptResult} from '../exchange/index.js';
 import type {RequestBody} from '../http/index.js';
-import {type Dispatcher, InstanceRole, type RelayTask} from '../relay/index.js';
+import {
+  type Dispatcher,
+  InstanceRole,
+  NO_RECORDS_STATUS,
+  type RelayTask,
+} from '../relay/index.js';
 import type {RequestContext} from '../request_context.js';
 import {createPeerClient, procedure, router} from '../rpc/index.js';
 import {createHandoverMessages, decodeRecord} from './handover.js';
@@ -34,8 +39,6 @@
 /** Number of successors to try for a key's records; the second is used if the first has failed. */
 const MAX_SUCCESSORS = 2;
 const HANDOVER_TIMEOUT_MS = 5_000;
-/** Status that an instance without the key's records answers with: Misdirected Request. */
-const NO_RECORDS_STATUS = 421;
 
 /** Configures the routing of requests to the homes of their keys. */
 export interface HomeRouterOptions {
@@ -125,7 +128,7 @@
       refusal?.step === Step.Relay && refusal.outcome === Outcome.NotRun;
     return isUnreachable && !signal.aborted
       ? this.sendToSuccessors(home, ctx, body, signal, refusal.message)
-      : result;
+      : withoutPromise(result);
   }
 
   /**
@@ -281,12 +284,7 @@
         body,
         signal,
       );
-      const {refusal} = result;
-      const hasNoRecords =
-        refusal !== undefined &&
-        (refusal.status === NO_RECORDS_STATUS ||
-          (refusal.step === Step.Relay && refusal.outcome === Outcome.NotRun));
-      if (!hasNoRecords) return result;
+      if (!hasNoRecords(result, ctx)) return withoutPromise(result);
     }
     return this.refuseWithoutRecords(
       ctx,
@@ -347,6 +345,29 @@
   typeof router<{keys: ReturnType<HomeRouter['createRouter']>}>
 >;
 
+/** Returns whether a successor has no records of a key or could not be reached. */
+function hasNoRecords(
+  {refusal}: AttemptResult,
+  {isFirstAttempt}: RequestContext,
+): boolean {
+  if (!refusal) return false;
+  const {status, step, outcome} = refusal;
+  if (status !== NO_RECORDS_STATUS) {
+    return step === Step.Relay && outcome === Outcome.NotRun;
+  }
+  // An instance without records states of a first attempt that it has not run.
+  return outcome === Outcome.NotRun || !isFirstAttempt;
+}
+
+/** Replaces the status of an instance without records where the outcome is unknown. */
+function withoutPromise(result: AttemptResult): AttemptResult {
+  const {refusal} = result;
+  const isPromise =
+    refusal?.outcome === Outcome.Unknown &&
+    refusal.status === NO_RECORDS_STATUS;
+  return isPromise ? {refusal: {...refusal, status: 502}} : result;
+}
+
 function getTableId(table: Pick<IdempotencyKey, 'home' | 'incarnation'>) {
   return `${table.home}.${table.incarnation}`;
 }
