--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -56,6 +56,8 @@
   handle?: StubHandler;
   /** Called at each step of each request, before its response is written. */
   observe?: StepObserver;
+  /** Refuses a request for another endpoint in place of the default refusal. */
+  handleMisdirected?: StubHandler;
   delayMs = 5;
   /** Returns the delay of each request in place of `delayMs`. */
   drawDelayMs?: () => number;
@@ -124,15 +126,18 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
     headers: Record<string, string> = {},
+    status = 503,
   ): void {
     const index = this.ran.lastIndexOf(
       String(req.headers[this.names.requestId]),
     );
-    this.ran.splice(index, 1);
-    this.ranAt.splice(index, 1);
-    res.statusCode = 503;
+    if (index >= 0) {
+      this.ran.splice(index, 1);
+      this.ranAt.splice(index, 1);
+    }
+    res.statusCode = status;
     this.observe?.(RequestStep.Refused, req, res);
-    res.writeHead(503, {
+    res.writeHead(status, {
       [this.names.requestId]: String(req.headers[this.names.requestId]),
       [this.names.notRun]: '1',
       ...this.getLimitHeader(),
@@ -150,6 +155,10 @@
     const id = String(req.headers[this.names.requestId]);
     this.observe?.(RequestStep.Arrived, req, res);
     if (req.headers[this.names.expectedEndpoint] !== this.id) {
+      if (this.handleMisdirected) {
+        this.handleMisdirected(req, res, this);
+        return;
+      }
       res.statusCode = 421;
       this.observe?.(RequestStep.Refused, req, res);
       res.writeHead(421, {
