Accept request bodies up to the configured size within a bound on all of them

Cause: a body above 16 MiB was refused with 413 although the configuration allowed 64 MiB (a constant in request_exchange.ts), and the bodies of all open requests together had no bound. Callers saw 413, or with many bodies at a time the process grew beyond the machine's 350 MB. A request whose body did not arrive by its deadline also never ended its read, as a request whose response has ended emits no event.

Change: BodyBuffers counts the bytes of all bodies (128 MiB, of which 16 MiB only for bodies of up to 64 KiB). A stated length is reserved at the head, chunks as they come; what does not fit is refused at once with 503 and Retry-After (`decidedBy: no-body-memory`), is read and dropped, and has not run. Bodies are read into one buffer in place of a list that is joined. Memory is released when the response has been forwarded, the caller has left, or the deadline has passed.

Ruled out: buffers that grow by a factor; bodies in chunks took 351 MB, as replaced buffers stay until they are collected.

--- a/packages/instance/src/direct/decision.ts
+++ b/packages/instance/src/direct/decision.ts
@@ -5,6 +5,8 @@
   NoRoute = 'no-route',
   BadRequest = 'bad-request',
   TooLarge = 'too-large',
+  /** The request's body does not fit into the memory for bodies beside those of other requests. */
+  NoBodyMemory = 'no-body-memory',
   NoEndpoint = 'no-endpoint',
   NoCapacity = 'no-room',
   Refused = 'refused-by-endpoints',
--- a/packages/instance/src/direct/exchange_options.ts
+++ b/packages/instance/src/direct/exchange_options.ts
@@ -1,6 +1,7 @@
 import type {TimerService} from '@primrosestage/common';
 import type {ControlView, StopSchedule} from '@primrosestage/steering';
 import type {StartSpan} from '../telemetry/hop_span.js';
+import type {BodyBuffers} from './body_buffers.js';
 import type {DirectMetrics} from './direct_metrics.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import type {EndpointSelector} from './endpoint_selector.js';
@@ -21,6 +22,8 @@
   noticeTracker: NoticeTracker;
   retryBudgets: RetryBudgets;
   agent: EndpointAgent;
+  /** Memory for the bodies of all requests. */
+  bodyBuffers: BodyBuffers;
   /** Delays the start of requests until closed connections of callers have been detected. */
   startQueue: RequestStartQueue;
   timers: TimerService;
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/request_exchange.ts
@@ -7,10 +7,9 @@
   type Route,
 } from '@primrosestage/steering';
 import {AttemptOutcome, discardResponse} from './attempt.js';
+import type {BodyReservation} from './body_buffers.js';
 import {
-  BodyFault,
   getHeaderBytes,
-  readBody,
   readDeadlineMs,
   readObjectKey,
 } from './caller_request.js';
@@ -20,14 +19,13 @@
 import type {RequestExchangeOptions} from './exchange_options.js';
 import {discardHeaders, writeFailure} from './failure_response.js';
 import {monitorStream} from './monitor_stream.js';
+import {BodyFault, readBody} from './read_body.js';
 import type {ReceivedResponse} from './response_holder.js';
 import {RetryingSender} from './retrying_sender.js';
 import {UnforwardableRequestError} from './unforwardable_request_error.js';
 import {RESPONSE_GRACE_MS, type OpenAttempt} from './start_attempt.js';
 import {writeResponse} from './write_response.js';
 
-/** Largest request body that is buffered in memory, in bytes. */
-const MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024;
 /** Deadline of a request without a deadline header, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 10_000;
 /** Longest time of a streamed response to a request without a deadline header, in milliseconds. */
@@ -136,33 +134,47 @@
     this.objectKey =
       (route.isSticky ? readObjectKey(this.req, names) : undefined) ??
       this.requestId;
-    const maxBytes = Math.min(
-      MAX_BUFFERED_BODY_BYTES,
-      configuration.limits.maxBodyBytes,
-    );
+    const {maxBodyBytes} = configuration.limits;
+    const reservation = this.options.bodyBuffers.open();
     const timeout = timers.after(
       Math.max(0, timeoutAt - timers.now()) + RESPONSE_GRACE_MS,
       () => this.handleTimeout(),
     );
     try {
-      await this.receiveAndForward(route, maxBytes, timeoutAt);
+      const body = await readBody(this.req, this.res, {
+        maxBytes: maxBodyBytes,
+        reservation,
+      });
+      await this.forwardBody(route, body, timeoutAt);
     } finally {
       timeout[Symbol.dispose]();
+      this.releaseBody(reservation);
     }
   }
 
-  private async receiveAndForward(
+  /** The request's body stays in memory until its response has been forwarded. */
+  private releaseBody(reservation: BodyReservation): void {
+    const {bodyStream} = this;
+    const release = () => reservation[Symbol.dispose]();
+    if (!bodyStream || bodyStream.destroyed) release();
+    else bodyStream.once('close', release);
+  }
+
+  private async forwardBody(
     route: Route,
-    maxBytes: number,
+    body: Buffer | undefined | BodyFault,
     timeoutAt: number,
   ): Promise<void> {
     const {selector} = this.options;
-    const body = await readBody(this.req, maxBytes);
     if (this.isFinished) return;
     if (body === BodyFault.TooLarge) {
       this.finish(413, Decision.TooLarge);
       return;
     }
+    if (body === BodyFault.NoMemory) {
+      this.finish(503, Decision.NoBodyMemory);
+      return;
+    }
     await this.options.startQueue.waitForStart();
     if (this.isFinished) return;
     if (body === BodyFault.Aborted || this.hasCallerDisconnected()) {
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -15,6 +15,7 @@
 import {createRpcHandler} from '../rpc/index.js';
 import type {StartSpan} from '../telemetry/hop_span.js';
 import {Announcer} from './announcer.js';
+import {BodyBuffers} from './body_buffers.js';
 import type {ControlSource} from './control_source.js';
 import {createChangeHandler} from './create_change_handler.js';
 import {createLimitControl} from './create_limit_control.js';
@@ -149,6 +150,7 @@
     noticeTracker,
     retryBudgets: new RetryBudgets(settings.bounds, members, timers),
     agent,
+    bodyBuffers: new BodyBuffers(),
     startQueue: new RequestStartQueue(timers),
     timers,
     names,
--- a/packages/instance/test/direct/fleet.ts
+++ b/packages/instance/test/direct/fleet.ts
@@ -96,6 +96,7 @@
   version: number,
   routes: Route[],
   service: Partial<DirectService> = {},
+  limits: {maxBodyBytes?: number} = {},
 ): void {
   registry.set('configuration', {
     version,
@@ -115,6 +116,7 @@
       maxBodyBytes: 100_000,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
+      ...limits,
     },
   });
 }
