Open a connection for each call to the store but watches

Seen: where the store writes an earlier response again on a connection, an operator's change that took effect is reported as rejected (409) or refused (400), and a document, a fence or the list of instances is that of an earlier call.

Cause: all calls but watches shared kept connections, and the store's responses carry no identity. A client error there means that a write had no effect.

Change: these calls open a connection each, as those of the platform's store that must not be mistaken do. Watches keep theirs: a copy repeats documents whose revision is known, and an older version only starts the watch again.

--- a/packages/control/src/store/http_store.ts
+++ b/packages/control/src/store/http_store.ts
@@ -60,7 +60,12 @@
   body?: unknown;
   timeoutMs: number;
   signal?: AbortSignal;
-  pool: 'calls' | 'watches';
+  /**
+   * Pool of kept connections; without one, the call opens a connection of its own. Responses carry
+   * no identity, so that a late one on a kept connection could stand for the response to the next
+   * call. A late response to a watch only repeats what the watch has delivered.
+   */
+  agent?: http.Agent;
 }
 
 interface StoreResponse {
@@ -71,14 +76,10 @@
 /** Calls the platform's store over HTTP. */
 export class HttpStore implements Store, AsyncDisposable {
   private readonly queue = new PQueue({concurrency: MAX_CONCURRENT_CALLS});
-  private readonly agents: Record<CallOptions['pool'], http.Agent>;
+  private watchAgent: http.Agent;
 
   constructor(private readonly options: HttpStoreOptions) {
-    const {connect} = options;
-    this.agents = {
-      calls: createAgent({connect}),
-      watches: createAgent({connect}),
-    };
+    this.watchAgent = createAgent(options);
   }
 
   async get(key: string): Promise<StoreEntry | undefined> {
@@ -115,7 +116,7 @@
       path: `/watch?${query.toString()}`,
       timeoutMs: timeoutMs + WATCH_GRACE_MS,
       signal,
-      pool: 'watches',
+      agent: this.watchAgent,
     });
     const {entries, version} = this.parseResponse(response, WATCH_SCHEMA);
     return {
@@ -141,8 +142,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.agents.calls.destroy();
-    this.agents.watches.destroy();
+    this.watchAgent.destroy();
   }
 
   private callQueued(
@@ -151,24 +151,27 @@
     body?: unknown,
   ): Promise<StoreResponse> {
     const {timeoutMs} = this.options;
-    return this.queue.add(() =>
-      this.call({method, path, body, timeoutMs, pool: 'calls'}),
-    );
+    return this.queue.add(() => this.call({method, path, body, timeoutMs}));
   }
 
   private call(options: CallOptions): Promise<StoreResponse> {
-    const {address, timers} = this.options;
+    const {address, timers, connect} = this.options;
     const colon = address.lastIndexOf(':');
+    const host = address.slice(0, colon);
+    const port = Number(address.slice(colon + 1));
     const text =
       options.body === undefined ? undefined : JSON.stringify(options.body);
     return new Promise((resolve, reject) => {
       let isConnected = false;
       const req = http.request({
-        host: address.slice(0, colon),
-        port: Number(address.slice(colon + 1)),
+        host,
+        port,
         method: options.method,
         path: options.path,
-        agent: this.agents[options.pool],
+        agent: options.agent,
+        createConnection: options.agent
+          ? undefined
+          : () => connect({host, port}),
         signal: options.signal,
         headers:
           text === undefined
@@ -188,7 +191,7 @@
       );
       const fail = (err: unknown) => {
         deadline[Symbol.dispose]();
-        this.replaceAgent(options.pool);
+        if (options.agent === this.watchAgent) this.replaceWatchAgent();
         const failure = isConnected
           ? StoreFailure.ReplyLost
           : StoreFailure.NotSent;
@@ -226,9 +229,9 @@
    * Replaces the connection pool after a failure, because its idle connections may be unresponsive
    * too. Calls in progress on the old pool end by their own timeouts.
    */
-  private replaceAgent(pool: CallOptions['pool']): void {
-    const oldAgent = this.agents[pool];
-    this.agents[pool] = createAgent({connect: this.options.connect});
+  private replaceWatchAgent(): void {
+    const oldAgent = this.watchAgent;
+    this.watchAgent = createAgent(this.options);
     for (const sockets of Object.values(oldAgent.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
