--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -24,6 +24,7 @@
 import type {DirectSettings} from './direct_settings.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {EndpointSelector} from './endpoint_selector.js';
+import {logLateExchanges} from './exchange_log.js';
 import {Gossip} from './gossip.js';
 import {GossipSocket} from './gossip_socket.js';
 import {NoticeTracker} from './notice_tracker.js';
@@ -243,8 +244,11 @@
     metrics,
   });
   const controlServer = http.createServer(
-    createRpcHandler(
-      createPeerRouter(message => peerExchange.receive(message)),
+    logLateExchanges(
+      createRpcHandler(
+        createPeerRouter(message => peerExchange.receive(message)),
+      ),
+      {timers, logger},
     ),
   );
   const metricsServer = createMetricsServer(options.registry, logger);
--- a/packages/instance/src/rpc/create_peer_client.ts
+++ b/packages/instance/src/rpc/create_peer_client.ts
@@ -34,14 +34,19 @@
   signal?: AbortSignal | null;
 }
 
-/** Tells a peer that cannot be reached from one that does not answer, and a stale connection. */
+/**
+ * Tells a peer that cannot be reached from one that does not answer, a stale connection, and a
+ * response that is still being received.
+ */
 function describeConnection({
   socket,
   reusedSocket,
 }: http.ClientRequest): string {
   if (!socket) return 'no connection yet';
   if (socket.connecting) return 'a connection that is not open yet';
-  return reusedSocket ? 'a reused connection' : 'a new connection';
+  const kind = reusedSocket ? 'a reused connection' : 'a new connection';
+  const {bytesWritten, writableLength, bytesRead} = socket;
+  return `${kind} (${bytesWritten} bytes written, ${writableLength} queued, ${bytesRead} read)`;
 }
 
 function fetchOverAgent(
@@ -66,7 +71,7 @@
         req.destroy(
           new StepError(
             {step: Step.Membership, peer: options.address},
-            `no response within ${options.timeoutMs} ms on ${describeConnection(req)}`,
+            `no complete response within ${options.timeoutMs} ms on ${describeConnection(req)}`,
           ),
         ),
       options.timeoutMs,
--- a/packages/instance/test/rpc/create_peer_client.test.ts
+++ b/packages/instance/test/rpc/create_peer_client.test.ts
@@ -30,4 +30,20 @@
     await peer[Symbol.asyncDispose]();
     expect(results).toMatchObject([1, 2, 3].map(() => ({status: 'rejected'})));
   });
+
+  it('tells how far a call without a response has come', async () => {
+    const agent = createAgent({connect: connectTcp});
+    const peer = await startSilentListener(HOST, PORT);
+    type Client = Record<string, {query(): Promise<unknown>}>;
+    const client = createPeerClient<AnyRouter>({
+      address: `${HOST}:${PORT}`,
+      agent,
+      timeoutMs: 100,
+    }) as unknown as Client;
+    await expect(client.x!.query()).rejects.toThrow(
+      /no complete response within 100 ms on a new connection \(\d+ bytes written, 0 queued, 0 read\)/,
+    );
+    agent.destroy();
+    await peer[Symbol.asyncDispose]();
+  });
 });
