Give the sender its own options and the records of attempts a file

Cause: the sender took the options of the exchange with the caller, which needs the sender, and the record of an attempt lay with the log.

No behaviour changes.

--- a/packages/instance/src/direct/request_log.ts
+++ b/packages/instance/src/direct/request_log.ts
@@ -1,25 +1,9 @@
 import {getErrorMessage, type EventLogger} from '@primrosestage/common';
-import type {ConnectionUse} from './endpoint_agent.js';
-import type {LimitRecord} from './limit_record.js';
+import type {AttemptRecord} from './attempt_record.js';
 
 /** Most log lines per second about successful single-attempt requests; others are not limited. */
 const MAX_ROUTINE_LINES_PER_S = 100;
 
-/** Describes one attempt in the log line of its request; one without a connection has no use of it. */
-export interface AttemptRecord extends Partial<ConnectionUse> {
-  endpoint: string;
-  /** Revision of the endpoint's entry and its age in milliseconds. */
-  revision: number;
-  entryAgeMs: number;
-  /** Estimated queue depth of the endpoint when the request was sent. */
-  depth: number;
-  /** What was known of the endpoint's rate limit when the request was sent. */
-  limit?: LimitRecord;
-  outcome: string;
-  reason: string;
-  ms: number;
-}
-
 /** Fields of the log line of a finished request. */
 export interface RequestRecord {
   id: string;
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/retrying_sender.ts
@@ -10,13 +10,12 @@
   discardResponse,
 } from './attempt.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
+import {type AttemptRecord, createAttemptRecord} from './attempt_record.js';
 import {Decision} from './decision.js';
-import type {RequestExchangeOptions} from './exchange_options.js';
 import {observeAttempt} from './observe_attempt.js';
-import type {AttemptRecord} from './request_log.js';
 import {type ReceivedResponse, ResponseHolder} from './response_holder.js';
+import type {SenderOptions} from './sender_options.js';
 import {
-  createAttemptRecord,
   type OpenAttempt,
   RESPONSE_GRACE_MS,
   startAttempt,
@@ -58,11 +57,11 @@
   /**
    * Creates the sender of one request.
    * @param request - The request.
-   * @param options - Dependencies of handling a request.
+   * @param options - Dependencies of sending it.
    */
   constructor(
     private readonly request: SendableRequest,
-    private readonly options: RequestExchangeOptions,
+    private readonly options: SenderOptions,
   ) {}
 
   /** Whether an endpoint may have run the request, or may still do so. */
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/start_attempt.ts
@@ -13,7 +13,7 @@
 import {copyHeaders} from '../http/copy_headers.js';
 import {parseAddress} from '../http/parse_address.js';
 import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
-import {AttemptOutcome, type AttemptResult} from './attempt.js';
+import {AttemptOutcome} from './attempt.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import {
   BeginResult,
@@ -24,7 +24,6 @@
 import type {LimitTracker} from './limit_tracker.js';
 import type {RatePermits} from './rate_permits.js';
 import type {LimitRecord} from './limit_record.js';
-import type {AttemptRecord} from './request_log.js';
 import {
   type Attempt,
   type AttemptRequest,
@@ -240,32 +239,3 @@
     };
   }
 }
-
-/** How an attempt ended, or `open` if it has not ended. */
-export interface AttemptEnd extends Pick<AttemptResult, 'reason'> {
-  outcome: string;
-}
-
-/**
- * Describes an attempt for the log.
- * @param open - The attempt.
- * @param end - How it ended.
- * @param ms - Its duration in milliseconds.
- */
-export function createAttemptRecord(
-  {endpoint, attempt, startedAt, depth, limit}: OpenAttempt,
-  {outcome, reason}: AttemptEnd,
-  ms: number,
-): AttemptRecord {
-  return {
-    endpoint: endpoint.entry.id,
-    revision: endpoint.revision,
-    entryAgeMs: Math.round(startedAt - endpoint.learnedAt),
-    depth: Math.round(depth * 10) / 10,
-    limit,
-    outcome,
-    reason,
-    ...attempt.getConnectionUse(),
-    ms: Math.round(ms),
-  };
-}
--- a/packages/instance/test/direct/retrying_sender.test.ts
+++ b/packages/instance/test/direct/retrying_sender.test.ts
@@ -4,8 +4,8 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {EndpointAgent} from '../../src/direct/endpoint_agent.js';
 import {BeginResult} from '../../src/direct/endpoint_selector.js';
-import type {RequestExchangeOptions} from '../../src/direct/exchange_options.js';
 import {RetryingSender} from '../../src/direct/retrying_sender.js';
+import type {SenderOptions} from '../../src/direct/sender_options.js';
 import {EndpointStub} from './endpoint_stub.js';
 import {createRoute} from './fleet.js';
 import {NAMES} from './names.js';
@@ -50,7 +50,7 @@
         timeoutAt: timers.now() + 1_000,
         traceParent: undefined,
       },
-      options as unknown as RequestExchangeOptions,
+      options as unknown as SenderOptions,
     );
   };
 
