Send a request id on a connection to an endpoint once

What callers saw: 503, "not run", for an order that ran. An endpoint that writes the copy of a refusal repeats the id of the refused request; where this id was under way again on the same connection, status, id and marker of the copy were all right, and it was believed.

Cause: a promise rested on bytes that anyone on the connection may repeat. The pool goes by address and didn't know what its connections had carried, so that an id came back to the connection that had refused it: when a caller sent the order again, and when a retry went to a second entry with the same address.

It sends an id on a connection that has not carried it. An idle one that would be chosen and has carried it is closed; one whose memory is full is closed after its response. Should Node.js hand out another connection all the same, the attempt fails before anything is sent. A refusal is therefore believed for an id only that its connection has carried once, and no earlier response to this id can exist on it. Node.js chooses the connection in the call that creates the request, so no other request comes between the check and the choice.

Ruled out: judging the head better. Every byte of a copy is right.

--- a/packages/instance/src/direct/endpoint_agent.ts
+++ b/packages/instance/src/direct/endpoint_agent.ts
@@ -1,4 +1,4 @@
-import type http from 'node:http';
+import http from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {GuardedAgent} from '@primrosestage/common';
@@ -28,7 +28,17 @@
   uses: number;
 }
 
-/** Pools connections to endpoints, which may advertise how long a connection may be idle. */
+/** Describes a request for the pool. */
+export interface PooledRequest extends http.RequestOptions {
+  host: string;
+  port: number;
+}
+
+/**
+ * Pools connections to endpoints, which may advertise how long a connection may be idle. A request
+ * id goes out on a connection once: an endpoint may write its response to the id a second time, and
+ * this copy would be taken for the response to the request that is under way.
+ */
 export class EndpointAgent extends GuardedAgent {
   private readonly records = new WeakMap<Socket, ConnectionRecord>();
   private connectionCount = 0;
@@ -37,6 +47,16 @@
     super({keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64});
   }
 
+  /**
+   * Starts a request on a connection that has not carried its id, a new one if there is no other.
+   * @param request - Describes the request.
+   * @param requestId - Its id.
+   */
+  request(request: PooledRequest, requestId: string): http.ClientRequest {
+    this.closeCarriers(this.getName(request), requestId);
+    return http.request({...request, agent: this});
+  }
+
   /**
    * Records a request that is sent on a connection.
    * @param socket - The connection.
@@ -74,12 +94,25 @@
 
   protected override configureIdle(socket: Socket): boolean {
     const idleMs = getIdleTimeoutMs(socket);
-    if (idleMs <= 0) return false;
+    if (idleMs <= 0 || this.getRecord(socket).ids.isFull) return false;
     socket.setTimeout(idleMs, destroySocket);
     socket.unref();
     return true;
   }
 
+  /**
+   * Closes idle connections that have carried an id until the last one has not, which Node.js takes
+   * for the next request.
+   */
+  private closeCarriers(name: string, requestId: string): void {
+    const idle = this.freeSockets[name] ?? [];
+    for (let socket = idle.at(-1); socket; socket = idle.at(-1)) {
+      if (!this.getRecord(socket).ids.has(requestId)) return;
+      idle.pop();
+      socket.destroy();
+    }
+  }
+
   private getRecord(socket: Socket): ConnectionRecord {
     const known = this.records.get(socket);
     if (known) return known;
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send_attempt.ts
@@ -1,4 +1,5 @@
-import http, {type IncomingMessage} from 'node:http';
+import type http from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {getErrorMessage, type TimerService} from '@primrosestage/common';
 import {
@@ -113,15 +114,17 @@
     this.result = new Promise(resolve => {
       this.resolve = resolve;
     });
-    this.req = http.request({
-      agent,
-      host: request.host,
-      port: request.port,
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      setHost: false,
-    });
+    this.req = agent.request(
+      {
+        host: request.host,
+        port: request.port,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        setHost: false,
+      },
+      request.requestId,
+    );
     this.timeout = timers.after(request.timeoutMs, () =>
       this.end(AttemptOutcome.TimedOut, 'response timeout'),
     );
@@ -143,22 +146,23 @@
 
   private watchConnection(socket: Socket): void {
     socket.on('data', this.countBytes);
-    this.connectionUse = this.context.agent.recordUse(
-      socket,
-      this.request.requestId,
-    );
+    const {timers, agent} = this.context;
+    this.connectionUse = agent.recordUse(socket, this.request.requestId);
+    if (this.connectionUse.idUses > 1) {
+      this.end(AttemptOutcome.NotSent, 'connection has carried the request id');
+      return;
+    }
     if (!socket.connecting) {
       this.isConnected = true;
       return;
     }
     socket.once('connect', () => {
       this.isConnected = true;
-      this.connectMs = this.context.timers.now() - this.startedAt;
+      this.connectMs = timers.now() - this.startedAt;
       this.connectTimeout?.[Symbol.dispose]();
     });
-    this.connectTimeout = this.context.timers.after(
-      this.request.connectTimeoutMs,
-      () => this.end(AttemptOutcome.NotSent, 'connect timeout'),
+    this.connectTimeout = timers.after(this.request.connectTimeoutMs, () =>
+      this.end(AttemptOutcome.NotSent, 'connect timeout'),
     );
   }
 
--- a/packages/steering/src/direct/carried_ids.ts
+++ b/packages/steering/src/direct/carried_ids.ts
@@ -14,11 +14,19 @@
   private hashes = new Uint32Array(INITIAL_CAPACITY);
   private count = 0;
 
-  /** Whether no further id can be remembered. */
+  /** Whether no further id can be remembered, so that the connection must not carry one. */
   get isFull(): boolean {
     return this.count >= MAX_CARRIED_IDS;
   }
 
+  /**
+   * Returns whether the connection has carried an id, or another one with the same hash.
+   * @param id - Id of a request.
+   */
+  has(id: string): boolean {
+    return this.countUses(hash32(id)) > 0;
+  }
+
   /**
    * Adds an id that the connection carries now; it is not remembered if the memory is full.
    * @param id - Id of a request.
--- a/packages/steering/test/direct/carried_ids.test.ts
+++ b/packages/steering/test/direct/carried_ids.test.ts
@@ -8,6 +8,12 @@
     expect(uses).toEqual([1, 1, 2, 1, 3]);
   });
 
+  it('knows which ids a connection has carried', () => {
+    const ids = new CarriedIds();
+    ids.add('a');
+    expect(['a', 'b', ''].map(id => ids.has(id))).toEqual([true, false, false]);
+  });
+
   it('remembers each id until it is full, and stays bounded then', () => {
     const ids = new CarriedIds();
     for (let i = 0; i < MAX_CARRIED_IDS; i++) {
