Keep one form of the record of the ids that a connection has carried

Cause: the path with owners kept the ids themselves, 256 strings a connection whose length callers choose; the direct path kept hashes.

--- a/packages/instance/src/exchange/carried_requests.ts
+++ b/packages/instance/src/exchange/carried_requests.ts
@@ -1,7 +1,5 @@
 import type {Duplex} from 'node:stream';
-
-/** Maximum number of ids that are kept per connection, which bounds the memory for them. */
-export const MAX_IDS_PER_CONNECTION = 256;
+import {CarriedIds} from '@primrosestage/steering';
 
 /**
  * Records which requests each connection has carried. A peer may repeat the refusal of a request on
@@ -9,7 +7,7 @@
  * refusal of a later sending under the same id. An id therefore goes out on a connection once.
  */
 export class CarriedRequests {
-  private readonly idsByConnection = new WeakMap<Duplex, Set<string>>();
+  private readonly idsByConnection = new WeakMap<Duplex, CarriedIds>();
 
   /**
    * Records that a connection is to carry a request, unless it must not.
@@ -19,15 +17,12 @@
    *   always true for a new connection.
    */
   tryAdd(connection: Duplex, requestId: string | undefined): boolean {
-    const ids = this.idsByConnection.get(connection);
-    if (ids === undefined) {
-      const firstIds = requestId === undefined ? [] : [requestId];
-      this.idsByConnection.set(connection, new Set(firstIds));
-      return true;
-    }
-    if (connection.readableLength > 0) return false;
+    const known = this.idsByConnection.get(connection);
+    if (known && connection.readableLength > 0) return false;
+    const ids = known ?? new CarriedIds();
+    this.idsByConnection.set(connection, ids);
     if (requestId === undefined) return true;
-    if (ids.has(requestId) || !this.hasRoom(connection)) return false;
+    if (ids.isFull || ids.has(requestId)) return false;
     ids.add(requestId);
     return true;
   }
@@ -45,7 +40,6 @@
    * @param connection - The connection.
    */
   hasRoom(connection: Duplex): boolean {
-    const ids = this.idsByConnection.get(connection);
-    return ids === undefined || ids.size < MAX_IDS_PER_CONNECTION;
+    return this.idsByConnection.get(connection)?.isFull !== true;
   }
 }
--- a/packages/instance/test/exchange/peer_connection_pool.test.ts
+++ b/packages/instance/test/exchange/peer_connection_pool.test.ts
@@ -1,5 +1,6 @@
 import type net from 'node:net';
 import {connectTcp, RealTimerService, Step} from '@primrosestage/common';
+import {MAX_CARRIED_IDS} from '@primrosestage/steering';
 import fc from 'fast-check';
 import {afterEach, describe, expect, it} from 'vitest';
 import {
@@ -8,7 +9,6 @@
   PeerConnectionPool,
   type PeerRequest,
 } from '../../src/exchange/index.js';
-import {MAX_IDS_PER_CONNECTION} from '../../src/exchange/carried_requests.js';
 import {createBufferedBody} from '../../src/http/index.js';
 import {getTestPort} from '../support/get_test_port.js';
 import {type RawServer, startRawServer} from '../support/start_raw_server.js';
@@ -298,9 +298,9 @@
 
   it('guards against keeping the ids of any number of requests per connection', async () => {
     await start(socket => socket.write(OK_EMPTY));
-    for (let i = 0; i <= MAX_IDS_PER_CONNECTION; i++) await sendAndRead();
+    for (let i = 0; i <= MAX_CARRIED_IDS; i++) await sendAndRead();
     expect(server.sockets).toHaveLength(2);
-    expect(server.heads).toHaveLength(MAX_IDS_PER_CONNECTION + 1);
+    expect(server.heads).toHaveLength(MAX_CARRIED_IDS + 1);
   });
 
   it('sends no id twice on a connection and leaves none waiting, in any order of requests', async () => {
