Take a closed idle connection out of its pool at once

What callers saw: 502 (connection-broken, ECONNRESET) for a request of which no byte had been sent.

Cause: pools close an idle connection on which data arrives, whose time is over or that its peer ends. Node.js takes it out of its list some event loop iterations later, and passes over closed ones only at the front of the list, while it reuses from the end. A request that started in between got the closed connection where another one was idle.

Change: closing an idle connection also takes it out of the list, for all pools, by `agentRemove`, as Node.js itself does after an error of an idle connection. The idle timeout of connections to endpoints uses the same way.

--- a/packages/common/src/net/guarded_agent.ts
+++ b/packages/common/src/net/guarded_agent.ts
@@ -1,9 +1,14 @@
 import http from 'node:http';
 import type {Duplex} from 'node:stream';
 
+/** Events after which an idle connection is not reused. */
+const IDLE_END_EVENTS = ['data', 'end', 'timeout'] as const;
+
 /**
  * Pools connections and closes an idle one on which data arrives. Such data belongs to no request;
- * it would be parsed as the response to the next request on the connection.
+ * it would be parsed as the response to the next request on the connection. Node.js takes a closed
+ * connection out of its pool some event loop iterations later, and could reuse it until then, so
+ * that each idle one is taken out when it is closed.
  */
 export class GuardedAgent extends http.Agent {
   /**
@@ -14,7 +19,7 @@
   override keepSocketAlive(socket: Duplex): boolean {
     if (socket.destroyed || socket.readableEnded) return false;
     if (socket.readableLength > 0 || !this.configureIdle(socket)) return false;
-    socket.on('data', destroySocket);
+    for (const event of IDLE_END_EVENTS) socket.on(event, discardSocket);
     socket.resume();
     return true;
   }
@@ -25,7 +30,7 @@
    * @param req - The request that reuses it.
    */
   override reuseSocket(socket: Duplex, req: http.ClientRequest): void {
-    socket.off('data', destroySocket);
+    for (const event of IDLE_END_EVENTS) socket.off(event, discardSocket);
     super.reuseSocket(socket, req);
   }
 
@@ -38,8 +43,17 @@
     // Declared as void in the types, but Node.js returns whether the connection may be kept.
     return super.keepSocketAlive(socket) as unknown as boolean;
   }
+
+  /**
+   * Closes an idle connection and takes it out of the pool.
+   * @param socket - The connection.
+   */
+  protected discard(socket: Duplex): void {
+    discardSocket.call(socket);
+  }
 }
 
-function destroySocket(this: Duplex): void {
+function discardSocket(this: Duplex): void {
   this.destroy();
+  this.emit('agentRemove');
 }
--- a/packages/instance/src/direct/endpoint_agent.ts
+++ b/packages/instance/src/direct/endpoint_agent.ts
@@ -88,14 +88,13 @@
    */
   override reuseSocket(socket: Socket, req: http.ClientRequest): void {
     socket.setTimeout(0);
-    socket.removeListener('timeout', destroySocket);
     super.reuseSocket(socket, req);
   }
 
   protected override configureIdle(socket: Socket): boolean {
     const idleMs = getIdleTimeoutMs(socket);
     if (idleMs <= 0 || this.getRecord(socket).ids.isFull) return false;
-    socket.setTimeout(idleMs, destroySocket);
+    socket.setTimeout(idleMs);
     socket.unref();
     return true;
   }
@@ -108,8 +107,7 @@
     const idle = this.freeSockets[name] ?? [];
     for (let socket = idle.at(-1); socket; socket = idle.at(-1)) {
       if (!this.getRecord(socket).ids.has(requestId)) return;
-      idle.pop();
-      socket.destroy();
+      this.discard(socket);
     }
   }
 
@@ -159,10 +157,6 @@
   else if (this.writable) this.write(EMPTY_BUFFER);
 }
 
-function destroySocket(this: Socket): void {
-  this.destroy();
-}
-
 /** Reads the idle timeout from the last response; endpoints may close earlier than advertised. */
 function getIdleTimeoutMs(socket: Socket): number {
   const {_httpMessage: req} = socket as Socket & {
--- a/packages/instance/test/direct/endpoint_agent.test.ts
+++ b/packages/instance/test/direct/endpoint_agent.test.ts
@@ -74,6 +74,36 @@
     expect(stub.ran).toEqual(['a', 'b']);
   });
 
+  /** Sends two requests, which leaves two idle connections, and returns the next to be reused. */
+  const getNextIdle = async () => {
+    agent = new EndpointAgent();
+    await Promise.all(['a', 'b'].map(sendId));
+    const idle = Object.values(agent.freeSockets).flatMap(each => each ?? []);
+    expect(idle.length).toBe(2);
+    const next = idle.at(-1);
+    if (!next) throw new TypeError('no idle connection');
+    return next;
+  };
+
+  it('guards against sending on a connection that was closed in the same step since data arrived', async () => {
+    const idle = await getNextIdle();
+    const sent = new Promise(resolve => {
+      idle.once('data', () => resolve(sendId('c')));
+    });
+    stub.write('HTTP/1.1 503 Busy\r\n', idle.localPort);
+    await expect(sent).resolves.toMatchObject({
+      outcome: AttemptOutcome.Answered,
+    });
+  });
+
+  it('guards against sending on a connection that was closed in the same step since it was idle', async () => {
+    const idle = await getNextIdle();
+    idle.emit('timeout');
+    await expect(sendId('c')).resolves.toMatchObject({
+      outcome: AttemptOutcome.Answered,
+    });
+  });
+
   it('reuses a connection for other ids, and opens one for an id that it has carried', async () => {
     agent = new EndpointAgent();
     const uses = [];
--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -146,6 +146,13 @@
     res.end();
   }
 
+  /** Writes text on the connection from a port. */
+  write(text: string, port: number | undefined): void {
+    for (const socket of this.sockets) {
+      if (socket.remotePort === port) socket.write(text);
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     for (const socket of this.sockets) socket.destroy();
     await new Promise(resolve => this.server.close(resolve));
