Handle an attempt that fails unexpectedly while a hedged request runs

Seen: where the first attempt ends with an error after its hedged request was sent, the process reports an unhandled rejection, which ends it; where both fail, the caller waits until its deadline; and a refusal of the other attempt is passed on as `not-run` though the first one may have run.

Cause: `raceAttempts` looked at the results of attempts only, and an attempt that failed was not counted among those that may have run.

Change: the attempt that ends last gives the result or the error, an error counts as an unknown outcome, and each is logged. The race has a module of its own.

--- a/packages/instance/src/relay/dispatcher.ts
+++ b/packages/instance/src/relay/dispatcher.ts
@@ -1,4 +1,5 @@
 import {
+  getErrorMessage,
   Invariant,
   type InvariantMonitor,
   createLinkedAbortController,
@@ -22,6 +23,11 @@
 import {InstanceRole} from './instance_role.js';
 import type {LinkPacer} from './link_pacer.js';
 import {paceBody, paceChunks} from './pace_transfer.js';
+import {
+  raceAttempts,
+  raceWithDelay,
+  type RunningAttempt,
+} from './race_attempts.js';
 import type {RelayTask} from './relay_task.js';
 import type {RetryLimiter} from './retry_limiter.js';
 
@@ -140,10 +146,30 @@
     };
   }
 
+  /** Runs an attempt; one that fails unexpectedly may have run. */
   private async runAttempt(
     attempts: AttemptHistory,
     target: Target,
     signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    try {
+      return await this.sendAttempt(attempts, target, signal);
+    } catch (err) {
+      attempts.countUnknown();
+      this.options.logger.error('attempt failed', {
+        requestId: attempts.ctx.requestId,
+        step: Step.Relay,
+        peer: target.owner.id,
+        message: getErrorMessage(err),
+      });
+      throw err;
+    }
+  }
+
+  private async sendAttempt(
+    attempts: AttemptHistory,
+    target: Target,
+    signal: AbortSignal,
   ): Promise<AttemptResult> {
     const {self, owner, relay, timers, selector, times, pace} = this.options;
     const {ctx} = attempts;
@@ -171,8 +197,7 @@
         latencyMs: timers.now() - startedAt,
       });
     if (!result.answer) {
-      if (result.refusal.outcome === Outcome.Unknown) attempts.unknownCount++;
-      attempts.mayHaveRun = attempts.unknownCount > 0;
+      if (result.refusal.outcome === Outcome.Unknown) attempts.countUnknown();
       record(result.refusal.outcome);
       return result;
     }
@@ -208,7 +233,6 @@
   count = 0;
   /** Number of attempts after which the request may have run. */
   unknownCount = 0;
-  mayHaveRun = false;
 
   constructor(
     readonly ctx: RequestContext,
@@ -216,6 +240,15 @@
     readonly signal: AbortSignal,
   ) {}
 
+  get mayHaveRun(): boolean {
+    return this.unknownCount > 0;
+  }
+
+  /** Counts an attempt after which the request may have run. */
+  countUnknown(): void {
+    this.unknownCount++;
+  }
+
   /** Adds an attempt. */
   add(target: Target): void {
     this.triedOwnerIds.add(target.owner.id);
@@ -229,50 +262,6 @@
   }
 }
 
-interface RunningAttempt {
-  readonly result: Promise<AttemptResult>;
-  cancel(): void;
-}
-
-async function raceWithDelay<T>(
-  promise: Promise<T>,
-  delayMs: number,
-  timers: TimerService,
-): Promise<T | undefined> {
-  const abort = new AbortController();
-  try {
-    return await Promise.race([
-      promise,
-      timers.sleep(delayMs, abort.signal).then(() => undefined),
-    ]);
-  } finally {
-    // An explicit reason avoids the cost of the default reason's stack trace.
-    abort.abort('done');
-  }
-}
-
-/** Returns the first answer and cancels the other attempts; the last refusal if there is none. */
-async function raceAttempts(
-  attempts: readonly RunningAttempt[],
-): Promise<AttemptResult> {
-  return new Promise(resolve => {
-    let openCount = attempts.length;
-    let isResolved = false;
-    for (const attempt of attempts) {
-      void attempt.result.then(result => {
-        openCount--;
-        if (isResolved) {
-          result.answer?.cancel();
-        } else if (result.answer || openCount === 0) {
-          isResolved = true;
-          for (const other of attempts) if (other !== attempt) other.cancel();
-          resolve(result);
-        }
-      });
-    }
-  });
-}
-
 function recordOnEnd(
   answer: Answer,
   record: (isComplete: boolean) => void,
