Use the answers of exchanges that are late on a full link

The new log shows that the answering side takes 7 ms at most for at most 10 kB: the request waits on the full link of the asking machine (15 to 18 Mbit/s), 550 ms in one case, and the answer came after the timeout and was thrown away.

Change: an exchange makes room for another after 600 ms as before, but goes on up to 3 s, so that its answer counts. With three that are not late at a time, at most 15 are open.

--- a/packages/instance/src/direct/peer_exchange.ts
+++ b/packages/instance/src/direct/peer_exchange.ts
@@ -27,9 +27,17 @@
 } from './peer_message.js';
 import {isSharedLimit} from './permit_message.js';
 
-/** Timeout of an exchange, in milliseconds. */
-const CALL_TIMEOUT_MS = 600;
-/** Limit on pending exchanges; a pull beyond it is skipped until a later message triggers it. */
+/**
+ * Timeout of an exchange, in milliseconds. On the full link of a small machine, a request alone can
+ * wait for more than half a second, and the answer to it is still of use.
+ */
+const CALL_TIMEOUT_MS = 3_000;
+/** Time after which an exchange makes room for another one while it goes on, in milliseconds. */
+const LATE_CALL_MS = 600;
+/**
+ * Limit on pending exchanges that are not late; a pull beyond it is skipped until a later message
+ * triggers it. With the times above, it also limits the late ones.
+ */
 const MAX_PENDING_CALLS = 3;
 /** Limit on rate limits of endpoints per message. */
 const MAX_LIMITS = 200;
@@ -64,7 +72,7 @@
  * make up for lost datagrams, carry what is too large for one, and work without the registry.
  */
 export class PeerExchange implements AsyncDisposable {
-  private readonly agent = createAgent({connect: connectTcp, maxSockets: 4});
+  private readonly agent = createAgent({connect: connectTcp, maxSockets: 6});
   private readonly clients = new Map<
     string,
     ReturnType<typeof createPeerClient<PeerRouter>>
@@ -77,7 +85,7 @@
     this.dissemination = new MemberDissemination(options.members);
   }
 
-  /** Whether an exchange that this instance started is pending. */
+  /** Whether an exchange that this instance started is pending and not late. */
   get isBusy(): boolean {
     return this.pendingCalls.size > 0;
   }
@@ -94,7 +102,8 @@
 
   /**
    * Pulls the state that this instance lacks from another one, and sends it the state that it is
-   * known to lack. Failures are logged and not thrown.
+   * known to lack. Failures are logged and not thrown. Returns when the exchange has ended or is
+   * late; a late answer is applied all the same.
    * @param address - Its control address.
    * @param options - Its last reported state, and what to request.
    */
@@ -102,7 +111,7 @@
     const pending = this.pendingCalls.get(address);
     if (pending) return pending;
     if (this.pendingCalls.size >= MAX_PENDING_CALLS) return;
-    const call = this.call(address, options);
+    const call = this.awaitUntilLate(this.call(address, options));
     this.pendingCalls.set(address, call);
     await call;
     this.pendingCalls.delete(address);
@@ -137,6 +146,18 @@
     this.agent.destroy();
   }
 
+  private async awaitUntilLate(call: Promise<void>): Promise<void> {
+    let timer: Disposable | undefined;
+    const late = new Promise<void>(resolve => {
+      timer = this.options.timers.after(LATE_CALL_MS, resolve);
+    });
+    try {
+      await Promise.race([call, late]);
+    } finally {
+      timer?.[Symbol.dispose]();
+    }
+  }
+
   private async call(
     address: string,
     {peerState, includesMembers}: PullOptions,
