Confirm a message of a handover only if no part before it is missing

Seen: an instance that gets a part of a handover without the first one confirms it and drops its records; one that misses a part in the middle takes the table over without its records. The sender deletes them then: a repeat is answered `unknown`, or runs a second time where the table is held without the record.

Cause: `receiveHandover` staged a table at part 0 and took every further message for its successor; a message without a staged table was ignored but answered `isAdopted`.

Change: `HandoverReceiver` knows which part is due and fails the call for any other one; the sender then tries the next successor from the first part on. Part 0 starts again, as before.

--- a/packages/instance/src/idempotency/home_router.ts
+++ b/packages/instance/src/idempotency/home_router.ts
@@ -29,7 +29,8 @@
 } from '../relay/index.js';
 import type {RequestContext} from '../request_context.js';
 import {createPeerClient, procedure, router} from '../rpc/index.js';
-import {createHandoverMessages, decodeRecord} from './handover.js';
+import {createHandoverMessages} from './handover.js';
+import {type HandedOverOptions, HandoverReceiver} from './handover_receiver.js';
 import {HANDOVER_SCHEMA, type HandoverMessage} from './handover_schema.js';
 import {HomeTask} from './home_task.js';
 
@@ -60,7 +61,9 @@
 /** Sends requests to the homes of their keys, and runs those whose records this instance holds. */
 export class HomeRouter implements AsyncDisposable {
   private readonly tables = new Map<string, KeyTable>();
-  private readonly incomingTables = new Map<string, KeyTable>();
+  private readonly receiver = new HandoverReceiver(options =>
+    this.createTable(options),
+  );
   private readonly task: HomeTask;
   private readonly agent: http.Agent;
   private readonly ownTable: KeyTable;
@@ -244,23 +247,8 @@
   }
 
   private receiveHandover(message: HandoverMessage): {isAdopted: true} {
-    const id = getTableId(message);
-    if (message.part === 0) {
-      const {home, incarnation, lastEpoch} = message;
-      const startedAt = this.options.timers.now() - message.ageMs;
-      this.incomingTables.set(
-        id,
-        this.createTable({home, incarnation, lastEpoch, startedAt}),
-      );
-    }
-    const table = this.incomingTables.get(id);
-    for (const record of message.records) {
-      table?.adopt(record.id, decodeRecord(record));
-    }
-    if (message.isLast && table) {
-      this.incomingTables.delete(id);
-      this.tables.set(id, table);
-    }
+    const table = this.receiver.receive(message, this.options.timers.now());
+    if (table) this.tables.set(getTableId(message), table);
     return {isAdopted: true};
   }
 
@@ -292,12 +280,7 @@
     );
   }
 
-  private createTable(
-    options: Pick<
-      KeyTable['options'],
-      'home' | 'incarnation' | 'startedAt' | 'lastEpoch'
-    >,
-  ): KeyTable {
+  private createTable(options: HandedOverOptions): KeyTable {
     return new KeyTable({
       ...options,
       maxRecords: MAX_RECORDS,
--- a/packages/instance/test/idempotency/no_records.test.ts
+++ b/packages/instance/test/idempotency/key_records.test.ts
@@ -11,11 +11,14 @@
   createHash64,
   formatKeyPrefix,
   type InstanceInfo,
+  type KeyRequest,
+  KeyTable,
   Topology,
 } from '@primrosestage/steering';
 import {describe, expect, it} from 'vitest';
 import type {AttemptResult, Refusal} from '../../src/exchange/index.js';
 import {createBufferedBody} from '../../src/http/index.js';
+import {createHandoverMessages} from '../../src/idempotency/handover.js';
 import {
   HomeRouter,
   type HomeRouterOptions,
@@ -124,4 +127,59 @@
       });
     },
   );
+
+  /** Creates the messages with the record of one order, which has a response of 64 KB, and more. */
+  function createMessages() {
+    const table = new KeyTable({
+      home: 'n2',
+      incarnation: INCARNATION,
+      startedAt: 0,
+      maxRecords: 100,
+      maxBytes: 1e9,
+    });
+    for (let i = 0; i < 20; i++) {
+      const unique = i === 0 ? 'order' : `other-${i}`;
+      const request: KeyRequest = {
+        key: {home: 'n2', incarnation: INCARNATION, epoch: 0, unique},
+        scope: 't/s',
+        fingerprint: 'POST /x',
+        isFirstAttempt: true,
+      };
+      table.begin(request, 0);
+      const body = Buffer.alloc(64 * 1024);
+      table.recordResponse(request, {status: 201, headers: {}, body});
+    }
+    const messages = [...createHandoverMessages(table, 0)];
+    expect(messages.length).toBeGreaterThan(2);
+    return messages;
+  }
+
+  it.each([
+    ['the first', [1, 2]],
+    ['the second', [0, 2]],
+    ['all but the last', [2]],
+  ])(
+    'guards against confirming a handover of which %s is missing, so that its sender deletes the records',
+    async (_, parts) => {
+      const router = createRouter([unreachable, refuse({})]);
+      const caller = router.createRouter().createCaller({});
+      const messages = createMessages();
+      const results = await Promise.allSettled(
+        parts.map(part => caller.adoptKeys(messages[part]!)),
+      );
+      expect(results.at(-1)?.status).toBe('rejected');
+      const {refusal} = await route(router, false);
+      expect(refusal?.outcome).toBe(Outcome.Unknown);
+    },
+  );
+
+  it('answers from records that were handed over whole, also in a second try', async () => {
+    const router = createRouter([]);
+    const caller = router.createRouter().createCaller({});
+    const messages = createMessages();
+    await caller.adoptKeys(messages[0]!);
+    for (const message of messages) await caller.adoptKeys(message);
+    const {answer} = await route(router, false);
+    expect(answer?.status).toBe(201);
+  });
 });
