Keep the record of started requests for as long as their keys are accepted

Seen: a second run under a key is not reported by the invariant `at_most_once` if the first run was started before the last full epoch of the process, even 1 ms before.

Cause: `HomeTask` cleared the record of started requests whole once an epoch of 5 minutes, while keys are accepted for up to three epochs. Runs themselves are decided by the table and were not affected.

Change: a request is forgotten when its key can no longer be accepted.

--- a/packages/instance/src/idempotency/home_task.ts
+++ b/packages/instance/src/idempotency/home_task.ts
@@ -9,6 +9,7 @@
 import {
   type IdempotencyKey,
   KEY_EPOCH_MS,
+  KEY_LIFETIME_MS,
   KeyAction,
   type KeyRequest,
   type KeyTable,
@@ -33,13 +34,16 @@
 /** Runs requests that carry a key at most once and answers their repeats from the record. */
 export class HomeTask implements AsyncDisposable {
   private readonly runningRequests = new Map<string, Promise<void>>();
-  /** Epochs of started requests by run id, to check the table's decisions independently of it. */
+  /**
+   * Times at which requests were started by run id, in monotonic milliseconds, to check the table's
+   * decisions independently of it.
+   */
   private readonly startedRequests = new Map<string, number>();
   private readonly cleanupSchedule: AsyncDisposable;
 
   constructor(private readonly options: HomeTaskOptions) {
     this.cleanupSchedule = options.timers.every(KEY_EPOCH_MS, () =>
-      this.startedRequests.clear(),
+      this.forgetStartedRequests(),
     );
   }
 
@@ -103,6 +107,14 @@
     await this.cleanupSchedule[Symbol.asyncDispose]();
   }
 
+  /** Forgets the requests whose keys are no longer accepted. */
+  private forgetStartedRequests(): void {
+    const oldest = this.options.timers.now() - KEY_LIFETIME_MS;
+    for (const [id, startedAt] of this.startedRequests) {
+      if (startedAt < oldest) this.startedRequests.delete(id);
+    }
+  }
+
   /**
    * Runs a request. If the whole body is buffered, the run is not cancelled when the caller
    * disconnects, so that a repeat after a lost connection gets the answer.
@@ -123,7 +135,7 @@
         key: ctx.idempotencyKey,
       },
     );
-    this.startedRequests.set(id, request.key.epoch);
+    this.startedRequests.set(id, this.options.timers.now());
     const runSignal =
       body.bytes === undefined ? signal : new AbortController().signal;
     let resolveEnded = () => {};
--- a/packages/steering/src/idempotency/index.ts
+++ b/packages/steering/src/idempotency/index.ts
@@ -11,6 +11,7 @@
 } from './key_record.js';
 export {
   KEY_EPOCH_MS,
+  KEY_LIFETIME_MS,
   KeyAction,
   type KeyDecision,
   type KeyRequest,
--- a/packages/steering/src/idempotency/key_table.ts
+++ b/packages/steering/src/idempotency/key_table.ts
@@ -5,6 +5,8 @@
 export const KEY_EPOCH_MS = 300_000;
 /** Number of epochs before the current one whose keys are still accepted. */
 const ACCEPTED_OLD_EPOCHS = 2;
+/** Time for which a key is accepted at most after its epoch has begun, in milliseconds. */
+export const KEY_LIFETIME_MS = (ACCEPTED_OLD_EPOCHS + 1) * KEY_EPOCH_MS;
 /** Maximum length of a recorded response body in bytes. */
 export const MAX_RECORDED_BODY_BYTES = 64 * 1024;
 
