Open the folder of the direct path along a request's way

Cause: 58 files lay in one flat folder, control, placement, sending and answers side by side.

Files are moved and imports follow; no behaviour changes.

--- a/packages/instance/src/cli/run_direct_command.ts
+++ b/packages/instance/src/cli/run_direct_command.ts
@@ -7,7 +7,7 @@
 } from '@primrosestage/common';
 import {loadDirectSettings, loadDirectState} from '@primrosestage/control';
 import {Registry} from 'prom-client';
-import {createFileSource} from '../direct/file_registry.js';
+import {createFileSource} from '../direct/control/file_registry.js';
 import {runDirect, type WireNames} from '../direct/index.js';
 import {startHopSpan, type StartSpan} from '../telemetry/index.js';
 
--- a/packages/instance/src/direct/monitor_stream.ts
+++ b/packages/instance/src/direct/answer/monitor_stream.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {TimerService} from '@primrosestage/common';
-import {isResponseComplete} from './endpoint_agent.js';
+import {isResponseComplete} from '../send/endpoint_agent.js';
 
 /** Configures the monitoring of a streamed response. */
 export interface StreamMonitorOptions {
--- a/packages/instance/src/direct/write_response.ts
+++ b/packages/instance/src/direct/answer/write_response.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
-import {copyHeaders} from '../http/copy_headers.js';
-import type {EndpointResponse} from './attempt.js';
-import {isResponseComplete} from './endpoint_agent.js';
+import {copyHeaders} from '../../http/copy_headers.js';
+import type {EndpointResponse} from '../send/attempt.js';
+import {isResponseComplete} from '../send/endpoint_agent.js';
 
 /** Response headers that are not copied, because this instance sets its own. */
 const OMITTED_HEADERS: ReadonlySet<string> = new Set([
--- a/packages/instance/src/direct/announcer.ts
+++ b/packages/instance/src/direct/control/announcer.ts
@@ -1,6 +1,6 @@
 import type {TimerService} from '@primrosestage/common';
 import type {MemberInfo} from '@primrosestage/steering';
-import type {DirectSettings} from './direct_settings.js';
+import type {DirectSettings} from '../direct_settings.js';
 
 /** State of an instance that changes while it runs. */
 export interface AnnouncedState {
--- a/packages/instance/src/direct/control_sync.ts
+++ b/packages/instance/src/direct/control/control_sync.ts
@@ -17,7 +17,7 @@
   type MemberTable,
 } from '@primrosestage/steering';
 import type {ControlSource, DecodedItem} from './control_source.js';
-import type {DirectMetrics} from './direct_metrics.js';
+import type {DirectMetrics} from '../direct_metrics.js';
 import {StalledWatchDetector} from './stalled_watch_detector.js';
 
 /** First and longest backoff after a failed call, in milliseconds. */
--- a/packages/instance/src/direct/create_change_handler.ts
+++ b/packages/instance/src/direct/control/create_change_handler.ts
@@ -6,7 +6,7 @@
   RouteConfiguration,
   ViewEffects,
 } from '@primrosestage/steering';
-import type {DirectMetrics} from './direct_metrics.js';
+import type {DirectMetrics} from '../direct_metrics.js';
 import {logEffects} from './log_effects.js';
 
 /**
--- a/packages/instance/src/direct/gossip.ts
+++ b/packages/instance/src/direct/control/gossip.ts
@@ -11,7 +11,7 @@
   type SharedLimit,
   splitBroadcast,
 } from '@primrosestage/steering';
-import type {DirectMetrics} from './direct_metrics.js';
+import type {DirectMetrics} from '../direct_metrics.js';
 import {
   type Datagram,
   decodeDatagram,
@@ -21,7 +21,7 @@
 } from './gossip_message.js';
 import type {GossipSocket} from './gossip_socket.js';
 import type {PeerExchange} from './peer_exchange.js';
-import type {PermitMessage} from './permit_message.js';
+import type {PermitMessage} from '../limits/permit_message.js';
 import {splitChanges} from './split_changes.js';
 
 /** Time between two rounds, in milliseconds. */
--- a/packages/instance/src/direct/gossip_message.ts
+++ b/packages/instance/src/direct/control/gossip_message.ts
@@ -2,7 +2,7 @@
   type PermitMessage,
   isPermitMessage,
   isSharedLimit,
-} from './permit_message.js';
+} from '../limits/permit_message.js';
 import type {
   ControlChanges,
   Heartbeats,
--- a/packages/instance/src/direct/gossip_socket.ts
+++ b/packages/instance/src/direct/control/gossip_socket.ts
@@ -1,6 +1,6 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {getErrorMessage, Step, StepError} from '@primrosestage/common';
-import {parseAddress} from '../http/parse_address.js';
+import {parseAddress} from '../../http/parse_address.js';
 
 /** Handles a datagram. */
 export type ReceiveDatagram = (bytes: Buffer) => void;
--- a/packages/instance/src/direct/peer_exchange.ts
+++ b/packages/instance/src/direct/control/peer_exchange.ts
@@ -17,15 +17,15 @@
   type MemberTable,
   type SharedLimit,
 } from '@primrosestage/steering';
-import {createPeerClient, procedure, router} from '../rpc/index.js';
-import type {DirectMetrics} from './direct_metrics.js';
+import {createPeerClient, procedure, router} from '../../rpc/index.js';
+import type {DirectMetrics} from '../direct_metrics.js';
 import type {PeerState} from './gossip_message.js';
 import {
   fromWireConfiguration,
   toWireConfiguration,
   type PeerMessage,
 } from './peer_message.js';
-import {isSharedLimit} from './permit_message.js';
+import {isSharedLimit} from '../limits/permit_message.js';
 
 /**
  * Timeout of an exchange, in milliseconds. On the full link of a small machine, a request alone can
--- a/packages/instance/src/direct/index.ts
+++ b/packages/instance/src/direct/index.ts
@@ -4,5 +4,5 @@
   type DirectOptions,
 } from './run_direct.js';
 export type {DirectBounds, DirectSettings} from './direct_settings.js';
-export type {ControlSource, DecodedItem} from './control_source.js';
+export type {ControlSource, DecodedItem} from './control/control_source.js';
 export type {ServicePaths, WireNames} from './wire_names.js';
--- a/packages/instance/src/direct/create_limit_control.ts
+++ b/packages/instance/src/direct/limits/create_limit_control.ts
@@ -4,8 +4,8 @@
   EndpointLimits,
   type MemberTable,
 } from '@primrosestage/steering';
-import type {DirectMetrics} from './direct_metrics.js';
-import type {DirectSettings} from './direct_settings.js';
+import type {DirectMetrics} from '../direct_metrics.js';
+import type {DirectSettings} from '../direct_settings.js';
 import {LimitCoordinator} from './limit_coordinator.js';
 import {LimitTracker} from './limit_tracker.js';
 import {PermitIssuer} from './permit_issuer.js';
--- a/packages/instance/src/direct/limit_coordinator.ts
+++ b/packages/instance/src/direct/limits/limit_coordinator.ts
@@ -7,7 +7,7 @@
   type MemberTable,
   RateBucket,
 } from '@primrosestage/steering';
-import type {DirectSettings} from './direct_settings.js';
+import type {DirectSettings} from '../direct_settings.js';
 
 /** Time for which the choice of a coordinator is cached, in milliseconds. */
 const CHOICE_VALIDITY_MS = 200;
--- a/packages/instance/src/direct/limit_tracker.ts
+++ b/packages/instance/src/direct/limits/limit_tracker.ts
@@ -8,7 +8,7 @@
   parseRateLimit,
   type SharedLimit,
 } from '@primrosestage/steering';
-import type {DirectMetrics} from './direct_metrics.js';
+import type {DirectMetrics} from '../direct_metrics.js';
 import type {LimitCoordinator} from './limit_coordinator.js';
 import type {LimitRecord} from './limit_record.js';
 import type {PermitEvent} from './permit_event.js';
--- a/packages/instance/src/direct/rate_permits.ts
+++ b/packages/instance/src/direct/limits/rate_permits.ts
@@ -5,7 +5,7 @@
   KnownEndpoint,
   LimitObservation,
 } from '@primrosestage/steering';
-import type {DirectSettings} from './direct_settings.js';
+import type {DirectSettings} from '../direct_settings.js';
 import type {LimitCoordinator} from './limit_coordinator.js';
 import type {LimitTracker} from './limit_tracker.js';
 import {PermitEvent} from './permit_event.js';
--- a/packages/instance/src/direct/caller_request.ts
+++ b/packages/instance/src/direct/listen/caller_request.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage} from 'node:http';
-import type {WireNames} from './wire_names.js';
+import type {WireNames} from '../wire_names.js';
 
 /**
  * Returns the approximate size of a request's header.
--- a/packages/instance/src/direct/exchange_options.ts
+++ b/packages/instance/src/direct/listen/exchange_options.ts
@@ -2,7 +2,7 @@
 import type {BodyBuffers} from './body_buffers.js';
 import type {RequestLog} from './request_log.js';
 import type {RequestStartQueue} from './request_start_queue.js';
-import type {SenderOptions} from './sender_options.js';
+import type {SenderOptions} from '../send/sender_options.js';
 
 /** Dependencies of handling a request. */
 export interface RequestExchangeOptions extends SenderOptions {
--- a/packages/instance/src/direct/http_servers.ts
+++ b/packages/instance/src/direct/listen/http_servers.ts
@@ -3,9 +3,9 @@
 import type {MemberTable} from '@primrosestage/steering';
 import type {Registry} from 'prom-client';
 import {chooseInstances} from './choose_instances.js';
-import type {DirectMetrics} from './direct_metrics.js';
-import type {DirectSettings} from './direct_settings.js';
-import type {ServicePaths} from './wire_names.js';
+import type {DirectMetrics} from '../direct_metrics.js';
+import type {DirectSettings} from '../direct_settings.js';
+import type {ServicePaths} from '../wire_names.js';
 
 /** Time for which callers may cache a directory response, in milliseconds. */
 const DIRECTORY_TTL_MS = 1_500;
--- a/packages/instance/src/direct/planned_stop.ts
+++ b/packages/instance/src/direct/listen/planned_stop.ts
@@ -1,6 +1,6 @@
 import type {EventLogger, TimerService} from '@primrosestage/common';
 import type {StopSchedule} from '@primrosestage/steering';
-import type {ConnectionTracker} from '../http/connection_tracker.js';
+import type {ConnectionTracker} from '../../http/connection_tracker.js';
 
 /** Fraction of the time for new connections for which to wait further while callers connect. */
 const ACCEPT_WAIT_FRACTION = 0.3;
--- a/packages/instance/src/direct/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -6,25 +6,25 @@
   isIdempotent,
   type Route,
 } from '@primrosestage/steering';
-import {AttemptOutcome, discardResponse} from './attempt.js';
+import {AttemptOutcome, discardResponse} from '../send/attempt.js';
 import type {BodyReservation} from './body_buffers.js';
 import {
   getHeaderBytes,
   readDeadlineMs,
   readObjectKey,
 } from './caller_request.js';
-import {getHeader} from '../http/headers.js';
-import type {HopSpan} from '../telemetry/hop_span.js';
-import {Decision, getFailureStatus} from './decision.js';
+import {getHeader} from '../../http/headers.js';
+import type {HopSpan} from '../../telemetry/hop_span.js';
+import {Decision, getFailureStatus} from '../decision.js';
 import type {RequestExchangeOptions} from './exchange_options.js';
-import {discardHeaders, writeFailure} from './failure_response.js';
-import {monitorStream} from './monitor_stream.js';
+import {discardHeaders, writeFailure} from '../answer/failure_response.js';
+import {monitorStream} from '../answer/monitor_stream.js';
 import {BodyFault, readBody} from './read_body.js';
-import type {ReceivedResponse} from './response_holder.js';
-import {RetryingSender} from './retrying_sender.js';
-import {UnforwardableRequestError} from './unforwardable_request_error.js';
-import {RESPONSE_GRACE_MS, type OpenAttempt} from './start_attempt.js';
-import {writeResponse} from './write_response.js';
+import type {ReceivedResponse} from '../send/response_holder.js';
+import {RetryingSender} from '../send/retrying_sender.js';
+import {UnforwardableRequestError} from '../send/unforwardable_request_error.js';
+import {RESPONSE_GRACE_MS, type OpenAttempt} from '../send/start_attempt.js';
+import {writeResponse} from '../answer/write_response.js';
 
 /** Deadline of a request without a deadline header, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 10_000;
--- a/packages/instance/src/direct/request_log.ts
+++ b/packages/instance/src/direct/listen/request_log.ts
@@ -1,5 +1,5 @@
 import {getErrorMessage, type EventLogger} from '@primrosestage/common';
-import type {AttemptRecord} from './attempt_record.js';
+import type {AttemptRecord} from '../send/attempt_record.js';
 
 /** Most log lines per second about successful single-attempt requests; others are not limited. */
 const MAX_ROUTINE_LINES_PER_S = 100;
--- a/packages/instance/src/direct/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -14,10 +14,10 @@
   type Route,
   WeightedSplitter,
 } from '@primrosestage/steering';
-import type {DirectSettings} from './direct_settings.js';
+import type {DirectSettings} from '../direct_settings.js';
 import {type EndpointState, EndpointStates} from './endpoint_states.js';
 import {ObjectPlacement} from './object_placement.js';
-import {PermitResult, type RatePermits} from './rate_permits.js';
+import {PermitResult, type RatePermits} from '../limits/rate_permits.js';
 
 /**
  * Most endpoints among which the requests for one object are spread. If all of them are limited, the
--- a/packages/instance/src/direct/endpoint_states.ts
+++ b/packages/instance/src/direct/place/endpoint_states.ts
@@ -5,7 +5,7 @@
   type KnownEndpoint,
   WarmObjects,
 } from '@primrosestage/steering';
-import type {DirectSettings} from './direct_settings.js';
+import type {DirectSettings} from '../direct_settings.js';
 
 /** Round-trip times that are assumed before any measurement, in milliseconds. */
 const DEFAULT_ROUND_TRIP_MS = {zone: 1, region: 4, otherRegions: 60};
--- a/packages/instance/src/direct/notice_tracker.ts
+++ b/packages/instance/src/direct/place/notice_tracker.ts
@@ -5,7 +5,7 @@
   type EndpointTable,
   NoticeChange,
 } from '@primrosestage/steering';
-import type {DirectMetrics} from './direct_metrics.js';
+import type {DirectMetrics} from '../direct_metrics.js';
 
 /** Seconds, whole or with a fraction, as endpoints state how long they wait. */
 const DECIMAL_SECONDS = /^\d{1,9}(?:\.\d{1,9})?$/;
--- a/packages/instance/src/direct/object_placement.ts
+++ b/packages/instance/src/direct/place/object_placement.ts
@@ -11,7 +11,7 @@
   type Route,
   ServiceRanking,
 } from '@primrosestage/steering';
-import type {DirectSettings} from './direct_settings.js';
+import type {DirectSettings} from '../direct_settings.js';
 
 /** Number of ranked endpoints; later ones replace those that cannot be used. */
 const RANKING_DEPTH = 8;
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -14,31 +14,31 @@
 import {rejectInvalidRequest} from '../http/reject_invalid_request.js';
 import {createRpcHandler} from '../rpc/index.js';
 import type {StartSpan} from '../telemetry/hop_span.js';
-import {Announcer} from './announcer.js';
-import {BodyBuffers} from './body_buffers.js';
-import type {ControlSource} from './control_source.js';
-import {createChangeHandler} from './create_change_handler.js';
-import {createLimitControl} from './create_limit_control.js';
-import {ControlSync} from './control_sync.js';
+import {Announcer} from './control/announcer.js';
+import {BodyBuffers} from './listen/body_buffers.js';
+import type {ControlSource} from './control/control_source.js';
+import {createChangeHandler} from './control/create_change_handler.js';
+import {createLimitControl} from './limits/create_limit_control.js';
+import {ControlSync} from './control/control_sync.js';
 import {createDirectMetrics} from './direct_metrics.js';
 import type {DirectSettings} from './direct_settings.js';
-import {EndpointAgent} from './endpoint_agent.js';
-import {EndpointSelector} from './endpoint_selector.js';
-import {logLateExchanges} from './exchange_log.js';
-import {Gossip} from './gossip.js';
-import {GossipSocket} from './gossip_socket.js';
-import {NoticeTracker} from './notice_tracker.js';
-import {createPeerRouter, PeerExchange} from './peer_exchange.js';
-import {QUIET_PERIOD_MS, runPlannedStop} from './planned_stop.js';
+import {EndpointAgent} from './send/endpoint_agent.js';
+import {EndpointSelector} from './place/endpoint_selector.js';
+import {logLateExchanges} from './control/exchange_log.js';
+import {Gossip} from './control/gossip.js';
+import {GossipSocket} from './control/gossip_socket.js';
+import {NoticeTracker} from './place/notice_tracker.js';
+import {createPeerRouter, PeerExchange} from './control/peer_exchange.js';
+import {QUIET_PERIOD_MS, runPlannedStop} from './listen/planned_stop.js';
 import {
   createDirectoryServer,
   createMetricsServer,
   createReadinessServer,
-} from './http_servers.js';
-import {RetryBudgets} from './retry_budgets.js';
-import {RequestHandler} from './request_handler.js';
-import {RequestLog} from './request_log.js';
-import {RequestStartQueue} from './request_start_queue.js';
+} from './listen/http_servers.js';
+import {RetryBudgets} from './send/retry_budgets.js';
+import {RequestHandler} from './listen/request_handler.js';
+import {RequestLog} from './listen/request_log.js';
+import {RequestStartQueue} from './listen/request_start_queue.js';
 import type {ServicePaths, WireNames} from './wire_names.js';
 
 /** Largest header that the server accepts, in bytes; the configuration may set a lower limit. */
--- a/packages/instance/src/direct/attempt_record.ts
+++ b/packages/instance/src/direct/send/attempt_record.ts
@@ -1,6 +1,6 @@
 import type {AttemptResult} from './attempt.js';
 import type {ConnectionUse} from './endpoint_agent.js';
-import type {LimitRecord} from './limit_record.js';
+import type {LimitRecord} from '../limits/limit_record.js';
 import type {OpenAttempt} from './start_attempt.js';
 
 /** Describes one attempt in the log line of its request; one without a connection has no use of it. */
--- a/packages/instance/src/direct/judge_response.ts
+++ b/packages/instance/src/direct/send/judge_response.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage} from 'node:http';
-import {findResponseHeadFault} from '../http/head_fault.js';
-import {findMergedHeadFault} from '../http/merged_head.js';
-import type {WireNames} from './wire_names.js';
+import {findResponseHeadFault} from '../../http/head_fault.js';
+import {findMergedHeadFault} from '../../http/merged_head.js';
+import type {WireNames} from '../wire_names.js';
 
 /** What the head of a response is to the request that was sent last on its connection. */
 export enum HeadKind {
--- a/packages/instance/src/direct/observe_attempt.ts
+++ b/packages/instance/src/direct/send/observe_attempt.ts
@@ -1,6 +1,6 @@
 import type {LoadReport} from '@primrosestage/steering';
 import {AttemptOutcome, type AttemptResult} from './attempt.js';
-import type {EndpointSelector} from './endpoint_selector.js';
+import type {EndpointSelector} from '../place/endpoint_selector.js';
 import type {OpenAttempt} from './start_attempt.js';
 
 /**
--- a/packages/instance/src/direct/retry_budgets.ts
+++ b/packages/instance/src/direct/send/retry_budgets.ts
@@ -1,6 +1,6 @@
 import type {TimerService} from '@primrosestage/common';
 import {type MemberTable, SharedRetryBudget} from '@primrosestage/steering';
-import type {DirectBounds} from './direct_settings.js';
+import type {DirectBounds} from '../direct_settings.js';
 
 /** Retry budgets of services; this instance may use its share of each. */
 export class RetryBudgets {
--- a/packages/instance/src/direct/retrying_sender.ts
+++ b/packages/instance/src/direct/send/retrying_sender.ts
@@ -11,7 +11,7 @@
 } from './attempt.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
 import {type AttemptRecord, createAttemptRecord} from './attempt_record.js';
-import {Decision} from './decision.js';
+import {Decision} from '../decision.js';
 import {observeAttempt} from './observe_attempt.js';
 import {type ReceivedResponse, ResponseHolder} from './response_holder.js';
 import type {SenderOptions} from './sender_options.js';
--- a/packages/instance/src/direct/send_attempt.ts
+++ b/packages/instance/src/direct/send/send_attempt.ts
@@ -18,7 +18,7 @@
   judgeResponseHead,
   MISDIRECTED_STATUS,
 } from './judge_response.js';
-import type {WireNames} from './wire_names.js';
+import type {WireNames} from '../wire_names.js';
 
 /** Largest response body that is buffered until complete, in bytes; longer ones are streamed. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
--- a/packages/instance/src/direct/sender_options.ts
+++ b/packages/instance/src/direct/send/sender_options.ts
@@ -1,6 +1,6 @@
 import type {StopSchedule} from '@primrosestage/steering';
-import type {DirectMetrics} from './direct_metrics.js';
-import type {NoticeTracker} from './notice_tracker.js';
+import type {DirectMetrics} from '../direct_metrics.js';
+import type {NoticeTracker} from '../place/notice_tracker.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {AttemptStartOptions} from './start_attempt.js';
 
--- a/packages/instance/src/direct/start_attempt.ts
+++ b/packages/instance/src/direct/send/start_attempt.ts
@@ -10,27 +10,27 @@
   EndpointChoice,
   KnownEndpoint,
 } from '@primrosestage/steering';
-import {copyHeaders} from '../http/copy_headers.js';
-import {parseAddress} from '../http/parse_address.js';
-import type {HopSpan, StartSpan} from '../telemetry/hop_span.js';
+import {copyHeaders} from '../../http/copy_headers.js';
+import {parseAddress} from '../../http/parse_address.js';
+import type {HopSpan, StartSpan} from '../../telemetry/hop_span.js';
 import {AttemptOutcome} from './attempt.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import {
   BeginResult,
   type EndpointSelector,
   type SelectionRequest,
-} from './endpoint_selector.js';
-import {findRequestHeadFault} from '../http/head_fault.js';
-import type {LimitTracker} from './limit_tracker.js';
-import type {RatePermits} from './rate_permits.js';
-import type {LimitRecord} from './limit_record.js';
+} from '../place/endpoint_selector.js';
+import {findRequestHeadFault} from '../../http/head_fault.js';
+import type {LimitTracker} from '../limits/limit_tracker.js';
+import type {RatePermits} from '../limits/rate_permits.js';
+import type {LimitRecord} from '../limits/limit_record.js';
 import {
   type Attempt,
   type AttemptRequest,
   sendAttempt,
 } from './send_attempt.js';
 import {UnforwardableRequestError} from './unforwardable_request_error.js';
-import type {WireNames} from './wire_names.js';
+import type {WireNames} from '../wire_names.js';
 
 /**
  * Connect timeout of an endpoint in milliseconds. A lost SYN packet is retransmitted only after a
--- a/packages/instance/test/direct/body_buffers.test.ts
+++ b/packages/instance/test/direct/body_buffers.test.ts
@@ -3,7 +3,7 @@
 import {
   BodyBuffers,
   type BodyReservation,
-} from '../../src/direct/body_buffers.js';
+} from '../../src/direct/listen/body_buffers.js';
 
 const LIMITS = {maxBytes: 1_000_000, reservedBytes: 200_000};
 const SMALL_BYTES = 60_000;
--- a/packages/instance/test/direct/endpoint_agent.test.ts
+++ b/packages/instance/test/direct/endpoint_agent.test.ts
@@ -2,12 +2,12 @@
 import {setImmediate} from 'node:timers/promises';
 import {RealTimerService} from '@primrosestage/common';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {AttemptOutcome} from '../../src/direct/attempt.js';
+import {AttemptOutcome} from '../../src/direct/send/attempt.js';
 import {
   EndpointAgent,
   type PooledRequest,
-} from '../../src/direct/endpoint_agent.js';
-import {sendAttempt} from '../../src/direct/send_attempt.js';
+} from '../../src/direct/send/endpoint_agent.js';
+import {sendAttempt} from '../../src/direct/send/send_attempt.js';
 import {EndpointStub} from './endpoint_stub.js';
 import {HOST} from './fleet.js';
 import {NAMES} from './names.js';
--- a/packages/instance/test/direct/exchange_log.test.ts
+++ b/packages/instance/test/direct/exchange_log.test.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {type EventLogger, RealTimerService} from '@primrosestage/common';
 import {afterEach, describe, expect, it} from 'vitest';
-import {logLateExchanges} from '../../src/direct/exchange_log.js';
+import {logLateExchanges} from '../../src/direct/control/exchange_log.js';
 import {sleep, waitFor} from './fleet.js';
 
 /** Time after which the server answers late, in milliseconds. */
--- a/packages/instance/test/direct/file_registry.test.ts
+++ b/packages/instance/test/direct/file_registry.test.ts
@@ -4,7 +4,7 @@
 import {RealTimerService} from '@primrosestage/common';
 import {loadDirectSettings} from '@primrosestage/control';
 import {afterEach, describe, expect, it} from 'vitest';
-import {createFileSource} from '../../src/direct/file_registry.js';
+import {createFileSource} from '../../src/direct/control/file_registry.js';
 import {send, waitFor, waitUntilServing, type TestInstance} from './fleet.js';
 import {MemoryRegistry} from './memory_registry.js';
 import {TestFleet} from './test_fleet.js';
--- a/packages/instance/test/direct/judge_response.test.ts
+++ b/packages/instance/test/direct/judge_response.test.ts
@@ -1,5 +1,8 @@
 import {describe, expect, it} from 'vitest';
-import {HeadKind, judgeResponseHead} from '../../src/direct/judge_response.js';
+import {
+  HeadKind,
+  judgeResponseHead,
+} from '../../src/direct/send/judge_response.js';
 import {NAMES} from './names.js';
 
 const ID = 'own';
--- a/packages/instance/test/direct/late_exchanges.test.ts
+++ b/packages/instance/test/direct/late_exchanges.test.ts
@@ -13,7 +13,7 @@
 import {
   createPeerRouter,
   PeerExchange,
-} from '../../src/direct/peer_exchange.js';
+} from '../../src/direct/control/peer_exchange.js';
 import {createRpcHandler} from '../../src/rpc/index.js';
 import {waitFor} from './fleet.js';
 
--- a/packages/instance/test/direct/limit_simulation.ts
+++ b/packages/instance/test/direct/limit_simulation.ts
@@ -14,9 +14,9 @@
 import {
   createLimitControl,
   type LimitControl,
-} from '../../src/direct/create_limit_control.js';
+} from '../../src/direct/limits/create_limit_control.js';
 import {createDirectMetrics} from '../../src/direct/direct_metrics.js';
-import {PermitResult} from '../../src/direct/rate_permits.js';
+import {PermitResult} from '../../src/direct/limits/rate_permits.js';
 
 const ROUND_MS = 400;
 const SWEEP_MS = 250;
--- a/packages/instance/test/direct/log_effects.test.ts
+++ b/packages/instance/test/direct/log_effects.test.ts
@@ -1,7 +1,7 @@
 import type {EventLogger} from '@primrosestage/common';
 import {EndpointEffect, ControlView} from '@primrosestage/steering';
 import {describe, expect, it} from 'vitest';
-import {logEffects} from '../../src/direct/log_effects.js';
+import {logEffects} from '../../src/direct/control/log_effects.js';
 
 describe('logEffects', () => {
   const getLines = (effects: EndpointEffect[]) => {
--- a/packages/instance/test/direct/peer_exchange.test.ts
+++ b/packages/instance/test/direct/peer_exchange.test.ts
@@ -10,8 +10,8 @@
 import {Registry} from 'prom-client';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {createDirectMetrics} from '../../src/direct/direct_metrics.js';
-import type {PeerMessage} from '../../src/direct/peer_message.js';
-import {PeerExchange} from '../../src/direct/peer_exchange.js';
+import type {PeerMessage} from '../../src/direct/control/peer_message.js';
+import {PeerExchange} from '../../src/direct/control/peer_exchange.js';
 
 const PEER_COUNT = 300;
 const LOGGER: EventLogger = {info: () => {}, warn: () => {}, error: () => {}};
--- a/packages/instance/test/direct/request_errors.test.ts
+++ b/packages/instance/test/direct/request_errors.test.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import {RequestKind} from '@primrosestage/steering';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {EndpointSelector} from '../../src/direct/endpoint_selector.js';
+import {EndpointSelector} from '../../src/direct/place/endpoint_selector.js';
 import type {EndpointStub} from './endpoint_stub.js';
 import {createRoute, send, sleep, type TestInstance, waitFor} from './fleet.js';
 import {HalfRequest} from './half_request.js';
--- a/packages/instance/test/direct/request_start_queue.test.ts
+++ b/packages/instance/test/direct/request_start_queue.test.ts
@@ -1,6 +1,6 @@
 import {RealTimerService} from '@primrosestage/common';
 import {describe, expect, it} from 'vitest';
-import {RequestStartQueue} from '../../src/direct/request_start_queue.js';
+import {RequestStartQueue} from '../../src/direct/listen/request_start_queue.js';
 
 describe('RequestStartQueue', () => {
   const blockEventLoop = (ms: number) => {
--- a/packages/instance/test/direct/reset_responses.test.ts
+++ b/packages/instance/test/direct/reset_responses.test.ts
@@ -1,9 +1,9 @@
 import net from 'node:net';
 import {RealTimerService} from '@primrosestage/common';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {AttemptOutcome} from '../../src/direct/attempt.js';
-import {EndpointAgent} from '../../src/direct/endpoint_agent.js';
-import {sendAttempt} from '../../src/direct/send_attempt.js';
+import {AttemptOutcome} from '../../src/direct/send/attempt.js';
+import {EndpointAgent} from '../../src/direct/send/endpoint_agent.js';
+import {sendAttempt} from '../../src/direct/send/send_attempt.js';
 import {getTestPort} from '../support/get_test_port.js';
 import {type RawServer, startRawServer} from '../support/start_raw_server.js';
 import {
--- a/packages/instance/test/direct/response_holder.test.ts
+++ b/packages/instance/test/direct/response_holder.test.ts
@@ -3,7 +3,7 @@
 import {
   type ReceivedResponse,
   ResponseHolder,
-} from '../../src/direct/response_holder.js';
+} from '../../src/direct/send/response_holder.js';
 
 describe('ResponseHolder', () => {
   const createReceived = (bodyStream?: PassThrough) =>
--- a/packages/instance/test/direct/split_changes.test.ts
+++ b/packages/instance/test/direct/split_changes.test.ts
@@ -6,7 +6,7 @@
   type EndpointChange,
   EndpointState,
 } from '@primrosestage/steering';
-import {splitChanges} from '../../src/direct/split_changes.js';
+import {splitChanges} from '../../src/direct/control/split_changes.js';
 
 const SINCE = 10;
 
