Test that a backend server's refusal closes its connection

A copy of the refusal could only follow on the connection that carried it. `Backend` cancels the exchange of a refusal, which closes the connection, so that no later request meets the copy. The test holds on the code as it is; nothing checked it.

--- a/packages/instance/test/request_path/failures.test.ts
+++ b/packages/instance/test/request_path/failures.test.ts
@@ -153,6 +153,18 @@
     expect(getRuns()).toBe(2);
   });
 
+  it('guards against a connection kept after a refusal, on which a copy of it could follow', async () => {
+    const url = await start((req, res, run) => {
+      if (run === 1) refuse(req, res);
+      else sendRunNumber(req, res, run);
+    });
+    const sendOrder = () => call(url, {method: 'POST', body: 'order'});
+    expect((await sendOrder()).status).toBe(503);
+    expect((await sendOrder()).status).toBe(200);
+    const [first, second] = system.backends[0]!.requests;
+    expect(first!.socket).not.toBe(second!.socket);
+  });
+
   it.each([
     ['stalls', ''],
     ['is malformed', 'rubbish\r\n'],
