Count no load or limit of a 421 for the endpoint that was meant

Seen: an endpoint whose address another one has now gets the load and the rate limit that the successor states in its 421, and all instances are told this limit.

Cause: only the notices were passed over for a misdirected request.

Change: a 421 states nothing of the endpoint that was meant.

Measured: misdirected_requests.test.ts, 1 of 2 tests failed before, 2 of 2 hold; with endpoint_limits and endpoint_notices 19 of 19.

--- a/packages/instance/src/direct/send/send_attempt.ts
+++ b/packages/instance/src/direct/send/send_attempt.ts
@@ -271,14 +271,14 @@
 
   /** Reads what the endpoint states of itself in a response to the request. */
   private readStatements(res: IncomingMessage): void {
+    // A misdirected request was refused by another endpoint than the one that was meant.
+    if (res.statusCode === MISDIRECTED_STATUS) return;
     const {names, timers} = this.context;
     this.respondedAt = timers.now();
     const limitName = names.limit.find(each => res.headers[each] !== undefined);
     if (limitName !== undefined) this.limit = String(res.headers[limitName]);
     const load = res.headers[names.load];
     if (typeof load === 'string') this.load = load;
-    // A misdirected request was refused by another endpoint than the one that was meant.
-    if (res.statusCode === MISDIRECTED_STATUS) return;
     this.isLeaving = names.leaving.some(each => res.headers[each] === '1');
     if (res.statusCode === 503) this.retryAfter = getRetryAfter(res);
   }
