--- a/packages/instance/src/direct/send/endpoint_agent.ts
+++ b/packages/instance/src/direct/send/endpoint_agent.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {GuardedAgent} from '@primrosestage/common';
-import {CarriedIds} from '@primrosestage/steering';
+import {CarriedIds, MAX_CARRIED_IDS} from '@primrosestage/steering';
 
 /** Longest time for which an idle connection to an endpoint stays open, in milliseconds. */
 const MAX_IDLE_MS = 4_000;
@@ -43,7 +43,11 @@
   private readonly records = new WeakMap<Socket, ConnectionRecord>();
   private connectionCount = 0;
 
-  constructor() {
+  /**
+   * Creates an empty pool.
+   * @param maxCarriedIds - Most request ids that a connection carries before it is closed.
+   */
+  constructor(private readonly maxCarriedIds = MAX_CARRIED_IDS) {
     super({keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64});
   }
 
@@ -115,7 +119,8 @@
     const known = this.records.get(socket);
     if (known) return known;
     const connection = ++this.connectionCount;
-    const record = {connection, ids: new CarriedIds(), uses: 0};
+    const ids = new CarriedIds(this.maxCarriedIds);
+    const record = {connection, ids, uses: 0};
     this.records.set(socket, record);
     return record;
   }
--- a/packages/steering/src/direct/carried_ids.ts
+++ b/packages/steering/src/direct/carried_ids.ts
@@ -14,9 +14,15 @@
   private hashes = new Uint32Array(INITIAL_CAPACITY);
   private count = 0;
 
+  /**
+   * Creates the memory of one connection.
+   * @param maxIds - Most ids that are remembered.
+   */
+  constructor(private readonly maxIds = MAX_CARRIED_IDS) {}
+
   /** Whether no further id can be remembered, so that the connection must not carry one. */
   get isFull(): boolean {
-    return this.count >= MAX_CARRIED_IDS;
+    return this.count >= this.maxIds;
   }
 
   /**
