Close the connection of a request whose endpoint answers and reads no further

Seen: an endpoint answers early and does not read the rest of the body; the connection and the body stay in memory until the endpoint closes it, 32 MiB after 6 s in the test, while the bound on all bodies counts none of it.

Cause: only a refusal asked whether the request had been written.

Change: a connection is kept after a whole response only if its request has been written, as after a refusal.

--- a/packages/instance/src/direct/send/send_attempt.ts
+++ b/packages/instance/src/direct/send/send_attempt.ts
@@ -252,10 +252,7 @@
     this.timeout[Symbol.dispose]();
     this.connectTimeout?.[Symbol.dispose]();
     this.req.socket?.off('data', this.countBytes);
-    const isConnectionUsable =
-      response !== undefined ||
-      (outcome === AttemptOutcome.Refused && this.req.writableFinished);
-    if (!isConnectionUsable) this.req.destroy();
+    if (!this.isConnectionUsable(outcome, response)) this.req.destroy();
     this.resolve({
       outcome,
       response,
@@ -269,6 +266,20 @@
     });
   }
 
+  /**
+   * Returns whether the connection is kept after the end of the attempt. The body of a request that
+   * an endpoint has answered early, and does not read, would stay in memory with its connection.
+   */
+  private isConnectionUsable(
+    outcome: AttemptOutcome,
+    response: EndpointResponse | undefined,
+  ): boolean {
+    if (response?.bodyStream) return true;
+    const isEnded =
+      response !== undefined || outcome === AttemptOutcome.Refused;
+    return isEnded && this.req.writableFinished;
+  }
+
   /** Reads what the endpoint states of itself in a response to the request. */
   private readStatements(res: IncomingMessage): void {
     // A misdirected request was refused by another endpoint than the one that was meant.
--- a/packages/instance/test/direct/endpoint_agent.test.ts
+++ b/packages/instance/test/direct/endpoint_agent.test.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import net, {type AddressInfo, type Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import {RealTimerService} from '@primrosestage/common';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
@@ -8,10 +9,13 @@
   type PooledRequest,
 } from '../../src/direct/send/endpoint_agent.js';
 import {sendAttempt} from '../../src/direct/send/send_attempt.js';
-import {EndpointStub} from './endpoint_stub.js';
-import {HOST} from './fleet.js';
+import {EndpointStub, renderHead} from './endpoint_stub.js';
+import {HOST, waitFor} from './fleet.js';
 import {NAMES} from './names.js';
 
+/** Length of a body that does not fit into the buffers of the kernel, in bytes. */
+const LARGE_BYTES = 32 * 1024 * 1024;
+
 /** A pool that takes any idle connection. */
 class CarelessAgent extends EndpointAgent {
   override request(request: PooledRequest): http.ClientRequest {
@@ -33,10 +37,13 @@
     await stub[Symbol.asyncDispose]();
   });
 
-  /** Sends a request; its connection is idle or closed afterwards. */
-  const sendId = async (requestId: string) => {
-    const [host = '', port] = stub.address.split(':');
-    const attempt = sendAttempt(
+  const startAttempt = (
+    requestId: string,
+    address = stub.address,
+    body?: Buffer,
+  ) => {
+    const [host = '', port] = address.split(':');
+    return sendAttempt(
       {
         host,
         port: Number(port),
@@ -47,14 +54,20 @@
           [NAMES.requestId]: requestId,
           [NAMES.expectedEndpoint]: stub.id,
           [NAMES.deadlineMs]: '1000',
-          'content-length': 0,
+          'content-length': body?.length ?? 0,
         },
+        body,
         requestId,
         timeoutMs: 1_000,
         connectTimeoutMs: 1_000,
       },
       {agent, timers, names: NAMES},
     );
+  };
+
+  /** Sends a request; its connection is idle or closed afterwards. */
+  const sendId = async (requestId: string) => {
+    const attempt = startAttempt(requestId);
     const {outcome, reason} = await attempt.result;
     await setImmediate();
     return {outcome, reason, ...attempt.getConnectionUse()};
@@ -112,4 +125,73 @@
     expect(connections).toEqual([1, 1, 2, 2]);
     expect(uses.map(({idUses}) => idUses)).toEqual([1, 1, 1, 1]);
   });
+
+  it('closes each idle connection that has carried an id', async () => {
+    agent = new EndpointAgent();
+    const first = startAttempt('a');
+    const second = startAttempt('a');
+    await Promise.all([first.result, second.result]);
+    await setImmediate();
+    expect(stub.connections).toBe(2);
+    await expect(sendId('a')).resolves.toMatchObject({
+      outcome: AttemptOutcome.Answered,
+      idUses: 1,
+    });
+    await waitFor('one connection is left', () => stub.connections === 1);
+  });
+
+  it.each([
+    ['writes more bytes on it', 'data', (peer: Socket) => peer.write('x')],
+    ['closes it', 'end', (peer: Socket) => peer.end()],
+  ])(
+    'guards against choosing the connection used last if its endpoint %s',
+    async (_, event, act) => {
+      agent = new EndpointAgent();
+      const peers = new Set<Socket>();
+      stub.observe = (_step, {socket}) => peers.add(socket);
+      await Promise.all([sendId('a'), sendId('b')]);
+      const idle = Object.values(agent.freeSockets).flat().at(-1);
+      const isPeer = (peer: Socket) => peer.remotePort === idle?.localPort;
+      const peer = [...peers].find(isPeer);
+      // Requests of callers start in the same iteration of the event loop, after its reads.
+      const observed = new Promise<void>(resolve =>
+        idle?.prependOnceListener(
+          event,
+          () => void setImmediate().then(resolve),
+        ),
+      );
+      if (peer) act(peer);
+      await observed;
+      await expect(sendId('c')).resolves.toMatchObject({
+        outcome: AttemptOutcome.Answered,
+      });
+    },
+  );
+
+  it('guards against keeping a request body that an endpoint does not read', async () => {
+    agent = new EndpointAgent();
+    const server = net.createServer(socket => {
+      socket.on('error', () => {});
+      socket.once('data', () => {
+        socket.pause();
+        const headers = {
+          [NAMES.requestId]: 'a',
+          [NAMES.stamp]: 'stamp',
+          'content-length': '0',
+        };
+        socket.write(`${renderHead('500 Error', headers)}\r\n`);
+      });
+    });
+    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const attempt = startAttempt('a', address, Buffer.alloc(LARGE_BYTES));
+    expect((await attempt.result).outcome).toBe(AttemptOutcome.Answered);
+    const getOpen = () => Object.values(agent.sockets).flat();
+    try {
+      await waitFor('the connection is closed', () => getOpen().length === 0);
+    } finally {
+      for (const socket of getOpen()) socket?.destroy();
+      server.close();
+    }
+  });
 });
--- a/packages/instance/test/exchange/peer_connection_pool.test.ts
+++ b/packages/instance/test/exchange/peer_connection_pool.test.ts
@@ -22,6 +22,8 @@
 let pool: PeerConnectionPool;
 /** Number of requests sent by the test. */
 let sentCount: number;
+/** Connections of the pool, in the order in which they were opened. */
+let opened: net.Socket[];
 
 afterEach(async () => {
   await pool[Symbol.asyncDispose]();
@@ -33,12 +35,17 @@
   maxSockets = 4,
 ): Promise<void> {
   sentCount = 0;
+  opened = [];
   server = await startRawServer(ADDRESS, handle);
   pool = new PeerConnectionPool({
     step: Step.Backend,
     peer: 'e-1',
     address: ADDRESS,
-    connect: connectTcp,
+    connect: target => {
+      const socket = connectTcp(target);
+      opened.push(socket);
+      return socket;
+    },
     timers,
     maxSockets,
     progressTimeoutMs: PROGRESS_TIMEOUT_MS,
@@ -187,6 +194,34 @@
     expect(server.sockets).toHaveLength(2);
   });
 
+  it.each([
+    [
+      'writes more bytes on it',
+      'data',
+      (socket?: net.Socket) => socket?.write('x'),
+    ],
+    ['closes it', 'end', (socket?: net.Socket) => socket?.end()],
+  ])(
+    'guards against choosing the connection used last if the peer %s',
+    async (_, event, act) => {
+      await start((socket, run) =>
+        setTimeout(() => socket.write(OK_EMPTY), run * 20),
+      );
+      await Promise.all([sendAndRead(), sendAndRead()]);
+      await sleep(20);
+      const last = opened.find(
+        ({localPort}) => localPort === server.sockets[1]?.remotePort,
+      );
+      // Requests may start in the same iteration of the event loop, after its reads.
+      const observed = new Promise(resolve =>
+        last?.prependOnceListener(event, () => setImmediate(resolve)),
+      );
+      act(server.sockets[1]);
+      await observed;
+      expect(await sendAndRead()).toEqual({status: 200, body: ''});
+    },
+  );
+
   it('guards against opening a new connection for every request', async () => {
     await start(socket => socket.write(`${OK}content-length: 2\r\n\r\nok`));
     for (let i = 0; i < 3; i++) await sendAndRead({needsFreshConnection: true});
