Pass a held error response on before the deadline of its caller

Seen: where a retry is not answered and the caller's deadline is earlier than the route's timeout, the error response that an endpoint had given reached its caller 60 ms after the deadline: it got nothing.

Cause: a held response waited for the timeout of the request, which has 60 ms of grace for responses in transit.

Change: a whole one waits until 60 ms before that time. One that is still being received waits as before, since it could not be passed on whole.

--- a/packages/instance/src/direct/send/response_holder.ts
+++ b/packages/instance/src/direct/send/response_holder.ts
@@ -11,6 +11,11 @@
 export class ResponseHolder {
   private held?: ReceivedResponse;
 
+  /** Whether a response is held that has been received whole. */
+  get hasWhole(): boolean {
+    return this.held !== undefined && !this.held.response.bodyStream;
+  }
+
   /**
    * Holds a response. One that is complete is kept; one that is still being received may yet break.
    * @param received - The response.
--- a/packages/instance/src/direct/send/retrying_sender.ts
+++ b/packages/instance/src/direct/send/retrying_sender.ts
@@ -99,11 +99,16 @@
       if (race.size === 0) return this.takeErrorResponse(true) ?? {decision};
       const isHedgeable =
         open !== undefined && isIdempotent(route.kind) && sent < route.attempts;
+      const hedgeDelayMs = isHedgeable ? open.hedgeDelayMs : Infinity;
+      const maxHoldMs = this.getMaxHoldMs();
       const finished = await race.takeFirstFinished(
-        isHedgeable ? open.hedgeDelayMs : Infinity,
+        Math.min(hedgeDelayMs, maxHoldMs),
       );
       if (!finished) {
         if (this.isStopped) return {decision};
+        const held =
+          maxHoldMs <= hedgeDelayMs ? this.takeErrorResponse(true) : undefined;
+        if (held) return held;
         continue;
       }
       const {response, outcome} = finished.result;
@@ -171,6 +176,13 @@
     return false;
   }
 
+  /** Returns how long a whole held response may wait for a better one, in milliseconds. */
+  private getMaxHoldMs(): number {
+    if (!this.holder.hasWhole) return Infinity;
+    const remainingMs = this.request.timeoutAt - this.options.timers.now();
+    return Math.max(0, remainingMs - RESPONSE_GRACE_MS);
+  }
+
   private canFinishBeforeStop(): boolean {
     const {selector, timers, getStopSchedule} = this.options;
     const schedule = getStopSchedule();
--- a/packages/instance/test/direct/replaced_errors.test.ts
+++ b/packages/instance/test/direct/replaced_errors.test.ts
@@ -164,6 +164,15 @@
     await waitFor('no connection is left', () => countConnections() === 0);
   });
 
+  it('guards against holding an error response beyond the deadline of the caller', async () => {
+    await startServing(72, 2);
+    handleInOrder(fail, stayOpen);
+    const deadlineMs = 800;
+    const signal = AbortSignal.timeout(deadlineMs);
+    const response = await send(instance, {deadlineMs, signal});
+    expect(response.status).toBe(500);
+  });
+
   it('guards against a replaced error response at the end of a planned stop', async () => {
     await startServing(71, 2, {stopTimeoutMs: 500});
     handleInOrder(fail, stayOpen);
