--- a/packages/instance/src/direct/send/endpoint_agent.ts
+++ b/packages/instance/src/direct/send/endpoint_agent.ts
@@ -109,8 +109,9 @@
    */
   private closeCarriers(name: string, requestId: string): void {
     const idle = this.freeSockets[name] ?? [];
-    for (let socket = idle.at(-1); socket; socket = idle.at(-1)) {
-      if (!this.getRecord(socket).ids.has(requestId)) return;
+    for (let i = idle.length - 1; i >= 0; i--) {
+      const socket = idle[i];
+      if (!socket || !this.getRecord(socket).ids.has(requestId)) return;
       this.discard(socket);
     }
   }
--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -148,9 +148,12 @@
 
   /** Writes text on the connection from a port. */
   write(text: string, port: number | undefined): void {
-    for (const socket of this.sockets) {
-      if (socket.remotePort === port) socket.write(text);
-    }
+    this.findSocket(port)?.write(text);
+  }
+
+  /** Ends the connection from a port. */
+  end(port: number | undefined): void {
+    this.findSocket(port)?.end();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -158,6 +161,10 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
+  private findSocket(port: number | undefined): Socket | undefined {
+    return [...this.sockets].find(({remotePort}) => remotePort === port);
+  }
+
   private receive(req: http.IncomingMessage, res: http.ServerResponse): void {
     const id = String(req.headers[this.names.requestId]);
     this.observe?.(RequestStep.Arrived, req, res);
