Use ports of its own in the test of membership

Seen: 18 runs of the file in three processes at a time on one machine failed 28 times: 26 with EADDRINUSE, and 2 because an instance of another process was a member.

Cause: its addresses were fixed, so that runs of several checkouts met.

Change: ports by process, as in the other tests.

--- a/packages/instance/test/membership/membership_task.test.ts
+++ b/packages/instance/test/membership/membership_task.test.ts
@@ -20,6 +20,7 @@
   type MembershipTaskOptions,
 } from '../../src/membership/index.js';
 import {createRpcHandler, router} from '../../src/rpc/index.js';
+import {getTestPort} from '../support/get_test_port.js';
 
 const TIMING = {
   heartbeatMs: 100,
@@ -54,9 +55,9 @@
     id: `n${i}`,
     zone,
     region: zone === 'c' ? 'r2' : 'r1',
-    publicAddress: `127.30.1.${i + 1}:7000`,
-    internalAddress: `127.30.1.${i + 1}:7001`,
-    adminAddress: `127.30.1.${i + 1}:7002`,
+    publicAddress: `127.30.1.${i + 1}:${getTestPort(0)}`,
+    internalAddress: `127.30.1.${i + 1}:${getTestPort(1)}`,
+    adminAddress: `127.30.1.${i + 1}:${getTestPort(2)}`,
   }));
   const endpoints: Endpoint[] = [
     ['e1', 'a', 'r1'],
@@ -212,7 +213,9 @@
     const n0 = await startInstance(topology, 'n0');
     await startInstance(topology, 'n1');
     await vi.waitFor(() => expect(getTotalLimit('e1')).toBe(4), within(10_000));
-    unreachable.add('127.30.1.1:7001').add('127.30.1.2:7001');
+    for (const {internalAddress} of topology.instances) {
+      unreachable.add(internalAddress);
+    }
     const {listener} = running.get('n1')!;
     listener.server.closeAllConnections();
     running.get('n0')!.listener.server.closeAllConnections();
