Judge each generated response by the request that it belongs to

Seen: under load the test of malformed responses fails in two ways that are none of the instance's: "503 although sent", where the head that had arrived was that of an earlier request, and 502 for a request behind a body longer than its length.

Bytes behind a short length were not counted as bytes behind a response.

Change: the head with the id of the request counts, and surplus bytes of either kind may break the next request.

--- a/packages/instance/test/direct/malformed_responses.test.ts
+++ b/packages/instance/test/direct/malformed_responses.test.ts
@@ -17,6 +17,7 @@
 import {MemoryRegistry} from './memory_registry.js';
 import {NAMES} from './names.js';
 import {
+  hasSurplusBytes,
   isExpectedSuccess,
   type RawResponse,
   rawResponses,
@@ -125,7 +126,11 @@
       agent,
       deadlineMs: DEADLINE_MS,
     });
-    const wasSent = endpoint.server.heads.length > requestsBefore;
+    // The head of an earlier request that timed out may arrive late.
+    const requestId = String(received.headers[NAMES.requestId]);
+    const wasSent = endpoint.server.heads
+      .slice(requestsBefore)
+      .some(head => head.includes(`${NAMES.requestId}: ${requestId}\r\n`));
     expect(JSON.stringify(received.headers)).not.toContain(STRAY);
     expect([200, 500, 502, 503, 504]).toContain(received.status);
     if (received.status === 200) {
@@ -142,7 +147,7 @@
     const nextReceived = await sendUntilAccepted(path, agent);
     // Bytes after a response may break the next one on the connection, but must not be part of it.
     // A request may also be sent on a pooled connection while the endpoint is closing it.
-    const mayBreak = generated.tail !== '' || endpoint.hadClosedConnection;
+    const mayBreak = hasSurplusBytes(generated) || endpoint.hadClosedConnection;
     const isBroken = mayBreak && nextReceived.status === 502;
     if (!isBroken) {
       expect(nextReceived.body, JSON.stringify(nextReceived)).toBe(
--- a/packages/instance/test/direct/raw_response.ts
+++ b/packages/instance/test/direct/raw_response.ts
@@ -146,6 +146,14 @@
   return response.interim + head + getFramedBody(response) + response.tail;
 }
 
+/**
+ * Returns whether bytes follow behind what the headers declare.
+ * @param response - The response that the endpoint sent.
+ */
+export function hasSurplusBytes({framing, body, tail}: RawResponse): boolean {
+  return tail !== '' || (framing === Framing.ShortLength && body !== '');
+}
+
 /**
  * Returns whether the caller may receive a success with the given body.
  * @param response - The response that the endpoint sent.
