Show that the test of malformed responses sees each head that arrives

Cause: the test finds a request's head by its id; a form of the head that it does not know would make the check of 503 hold always.

Change: an answered request must have been seen.

--- a/packages/instance/test/direct/malformed_responses.test.ts
+++ b/packages/instance/test/direct/malformed_responses.test.ts
@@ -134,6 +134,7 @@
     expect(JSON.stringify(received.headers)).not.toContain(STRAY);
     expect([200, 500, 502, 503, 504]).toContain(received.status);
     if (received.status === 200) {
+      expect(wasSent).toBe(true);
       expect(isExpectedSuccess(generated, received.body), received.body).toBe(
         true,
       );
