Resolve client accounts by key and read their terms

Cause: requests of deployments with client accounts were forwarded with the caller's key and without the name of its account, and requests with unknown or missing keys ran. The home regions of accounts were not known. The kind upload was not read, so that its route was dropped and answered with 404.

Change: the configuration holds accounts with keys, priority, quota and home regions. The instance that takes a request looks its key up in a map built once per version, refuses an unknown one with 401, names the account to the endpoint and keeps the key. Home regions of route and account both apply. Uploads run at most once. The settings give the machine's memory and descriptors and the tolerance of quotas, which nothing uses yet.

--- a/packages/control/src/settings/direct_settings_schema.ts
+++ b/packages/control/src/settings/direct_settings_schema.ts
@@ -34,8 +34,23 @@
       drainMs: MILLISECONDS.default(3_000),
       stopTimeoutMs: MILLISECONDS.default(10_000),
       maxDirectoryTtlMs: MILLISECONDS.default(5_000),
+      /** Tolerance of the quotas of accounts; quotas are not enforced without it. */
+      quota: z
+        .strictObject({
+          windowMs: z.number().int().min(1).default(5_000),
+          overshoot: z.number().min(0).default(0.1),
+          slack: z.number().min(0).default(20),
+        })
+        .optional(),
     })
     .prefault({}),
+  /** Resources of the machine, from which limits on memory and connections follow. */
+  machine: z
+    .strictObject({
+      memoryBytes: z.number().int().min(1),
+      maxDescriptors: z.number().int().min(1),
+    })
+    .optional(),
 });
 
 /** Checks an operator's routes, services, endpoints and evacuations. */
@@ -57,7 +72,7 @@
       name: z.string().min(1),
       host: z.string().min(1),
       prefix: z.string().regex(/^\/(.*\/)?$/, 'begins and ends with a slash'),
-      kind: z.enum(['safe', 'unsafe', 'download']),
+      kind: z.enum(['safe', 'unsafe', 'download', 'upload']),
       targets: z
         .array(
           z.strictObject({
@@ -72,8 +87,23 @@
       attempts: z.number().int().min(1).default(2),
       isSticky: z.boolean().default(false),
       homeRegions: z.array(z.string()).default([]),
+      /** Whether requests need no account. */
+      isPublic: z.boolean().default(false),
     }),
   ),
+  /** Client accounts; without them, requests carry no keys. */
+  accounts: z
+    .array(
+      z.strictObject({
+        name: z.string().min(1),
+        keys: z.array(z.string().min(1)),
+        priority: z.number().int().min(0).optional(),
+        ratePerSecond: z.number().min(0).default(0),
+        burst: z.number().min(0).default(0),
+        homeRegions: z.array(z.string()).default([]),
+      }),
+    )
+    .optional(),
   services: z.array(
     z.strictObject({
       name: z.string().min(1),
--- a/packages/instance/src/cli/run_direct_command.ts
+++ b/packages/instance/src/cli/run_direct_command.ts
@@ -22,6 +22,8 @@
   limit: ['primrose-limit'],
   leaving: ['primrose-leaving'],
   notRun: 'primrose-not-run',
+  accountKey: 'primrose-account-key',
+  accountName: 'primrose-account',
 };
 
 /**
--- a/packages/instance/src/direct/control/file_registry.ts
+++ b/packages/instance/src/direct/control/file_registry.ts
@@ -87,9 +87,15 @@
   }
 
   private applyState(state: DirectFileState): void {
-    const {version, routes, services, limits} = state;
+    const {version, routes, services, limits, accounts} = state;
     const values = new Map<string, unknown>();
-    values.set(CONFIGURATION_KEY, {version, routes, services, limits});
+    values.set(CONFIGURATION_KEY, {
+      version,
+      routes,
+      services,
+      limits,
+      accounts,
+    });
     for (const endpoint of state.endpoints) {
       values.set(`${ENDPOINT_PREFIX}${endpoint.id}`, endpoint);
     }
--- a/packages/instance/src/direct/decision.ts
+++ b/packages/instance/src/direct/decision.ts
@@ -4,6 +4,8 @@
   NoConfiguration = 'no-configuration',
   NoRoute = 'no-route',
   BadRequest = 'bad-request',
+  /** The request has no key of an account, or one that the configuration does not hold. */
+  UnknownAccount = 'unknown-account',
   TooLarge = 'too-large',
   /** The request's body does not fit into the memory for bodies beside those of other requests. */
   NoBodyMemory = 'no-body-memory',
--- a/packages/instance/src/direct/direct_settings.ts
+++ b/packages/instance/src/direct/direct_settings.ts
@@ -1,3 +1,5 @@
+import type {MachineResources} from '@primrosestage/steering';
+
 /** Configures an instance that sends requests directly to endpoints. */
 export interface DirectSettings {
   id: string;
@@ -18,6 +20,18 @@
   /** Whether the whole system starts for the first time, with all instances together. */
   isSystemStart: boolean;
   bounds: DirectBounds;
+  /** Resources from which limits follow; undefined if they are not known. */
+  machine?: MachineResources;
+}
+
+/** Tolerance of the request quotas of client accounts over all instances. */
+export interface QuotaBounds {
+  /** Length of the sliding window in which requests are counted, in milliseconds. */
+  windowMs: number;
+  /** Fraction by which the requests in a window may exceed the quota. */
+  overshoot: number;
+  /** Requests in a window beyond that. */
+  slack: number;
 }
 
 /** Limits that hold across all instances. */
@@ -39,4 +53,6 @@
   stopTimeoutMs: number;
   /** Longest time for which callers may cache a directory response, in milliseconds. */
   maxDirectoryTtlMs: number;
+  /** Tolerance of quotas; undefined if the quotas of accounts are not enforced. */
+  quota?: QuotaBounds;
 }
--- a/packages/instance/src/direct/listen/caller_request.ts
+++ b/packages/instance/src/direct/listen/caller_request.ts
@@ -44,3 +44,17 @@
   }
   return undefined;
 }
+
+/**
+ * Reads the key of a caller's account.
+ * @param req - The request.
+ * @param names - Header names.
+ * @returns The key, or undefined if there is none. A repeated header gives no valid key.
+ */
+export function readAccountKey(
+  req: IncomingMessage,
+  names: WireNames,
+): string | undefined {
+  const value = req.headers[names.accountKey];
+  return Array.isArray(value) ? value.join() : value;
+}
--- a/packages/instance/src/direct/listen/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -2,14 +2,19 @@
 import type {Duplex} from 'node:stream';
 import {HeaderName, Step} from '@primrosestage/common';
 import {
+  type AccountLookup,
+  AccountStatus,
+  getRequestTerms,
   getRetryAfterMs,
   isIdempotent,
+  type RequestTerms,
   type Route,
 } from '@primrosestage/steering';
 import {AttemptOutcome, discardResponse} from '../send/attempt.js';
 import type {BodyReservation} from './body_buffers.js';
 import {
   getHeaderBytes,
+  readAccountKey,
   readDeadlineMs,
   readObjectKey,
 } from './caller_request.js';
@@ -45,6 +50,7 @@
   /** Remaining body of a response that is being streamed. */
   private bodyStream?: IncomingMessage;
   private route?: Route;
+  private account?: AccountLookup;
   private service?: string;
   private objectKey = '';
   private deadlineAt = 0;
@@ -127,6 +133,7 @@
       this.finish(400, Decision.BadRequest);
       return;
     }
+    if (!this.findAccount(route)) return;
     const deadlineMs = readDeadlineMs(this.req, names) ?? DEFAULT_DEADLINE_MS;
     this.deadlineAt = this.arrivedAt + deadlineMs;
     const timeoutMs = route.timeoutMs > 0 ? route.timeoutMs : Infinity;
@@ -152,6 +159,15 @@
     }
   }
 
+  /** Determines the account; refuses the request and returns false if it needs one and has none. */
+  private findAccount(route: Route): boolean {
+    const {view, names} = this.options;
+    this.account = view.accounts.find(readAccountKey(this.req, names), route);
+    if (this.account.status !== AccountStatus.Unknown) return true;
+    this.finish(401, Decision.UnknownAccount);
+    return false;
+  }
+
   /** The request's body stays in memory until its response has been forwarded. */
   private releaseBody(reservation: BodyReservation): void {
     const {bodyStream} = this;
@@ -181,8 +197,11 @@
       this.finishWithoutCaller();
       return;
     }
+    // The key may have been removed while the body arrived.
+    if (!this.findAccount(route)) return;
+    const terms = getRequestTerms(route, this.account?.account);
     this.service = selector.chooseService(route, this.objectKey);
-    if (this.service === undefined) {
+    if (this.service === undefined || !hasHome(terms)) {
       this.finish(503, Decision.NoEndpoint);
       return;
     }
@@ -193,6 +212,8 @@
         requestId: this.requestId,
         body,
         route,
+        terms,
+        account: this.account,
         service: this.service,
         objectKey: this.objectKey,
         timeoutAt,
@@ -386,6 +407,7 @@
         route: this.route?.name,
         service: this.service,
         configuration: view.configuration?.version,
+        account: this.account?.account?.name,
         object: this.objectKey === this.requestId ? undefined : this.objectKey,
         status,
         decidedBy: decision,
@@ -399,3 +421,9 @@
     );
   }
 }
+
+function hasHome(
+  terms: RequestTerms,
+): terms is RequestTerms & {homeRegions: readonly string[]} {
+  return terms.homeRegions !== undefined;
+}
--- a/packages/instance/src/direct/listen/request_log.ts
+++ b/packages/instance/src/direct/listen/request_log.ts
@@ -10,6 +10,8 @@
   route?: string;
   service?: string;
   configuration?: number;
+  /** Name of the account to which the request belongs. */
+  account?: string;
   object?: string;
   status: number;
   /** `endpoint` if the status is the endpoint's, or the reason for which this instance set it. */
--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -11,6 +11,7 @@
   hash32,
   type KnownEndpoint,
   type MemberTable,
+  type RequestTerms,
   type Route,
   WeightedSplitter,
 } from '@primrosestage/steering';
@@ -29,9 +30,15 @@
 /** Service time that is assumed before any measurement, in milliseconds. */
 const DEFAULT_SERVICE_MS = 150;
 
+/** Conditions of a request that runs in at least one region. */
+export interface SelectionTerms extends RequestTerms {
+  homeRegions: readonly string[];
+}
+
 /** Describes a request for which an endpoint is selected. */
 export interface SelectionRequest {
   route: Route;
+  terms: SelectionTerms;
   service: string;
   /** Key of the object, or the request id if the request names no object. */
   objectKey: string;
@@ -123,7 +130,11 @@
   select(request: SelectionRequest): Selection {
     const now = this.timers.now();
     const {permits, notices} = this.constraints;
-    const ids = this.placement.rank(request);
+    const ids = this.placement.rank({
+      service: request.service,
+      objectKey: request.objectKey,
+      homeRegions: request.terms.homeRegions,
+    });
     let shortestWaitMs = Infinity;
     const candidates: Candidate[] = [];
     const limited: string[] = [];
--- a/packages/instance/src/direct/place/object_placement.ts
+++ b/packages/instance/src/direct/place/object_placement.ts
@@ -8,7 +8,6 @@
   type PlacedEndpoint,
   PreferenceLimiter,
   type RegionSlots,
-  type Route,
   ServiceRanking,
 } from '@primrosestage/steering';
 import type {DirectSettings} from '../direct_settings.js';
@@ -28,7 +27,8 @@
 
 /** Describes the object for which endpoints are ranked. */
 export interface PlacementRequest {
-  route: Route;
+  /** Regions in which the request may run; empty for all regions. */
+  homeRegions: readonly string[];
   service: string;
   /** Key of the object, or the request id if the request names no object. */
   objectKey: string;
@@ -98,11 +98,11 @@
 
   /**
    * Ranks the endpoints for an object.
-   * @param request - The object, its service and the route with the allowed regions.
+   * @param request - The object, its service and the allowed regions.
    * @returns Endpoint ids, best first.
    */
-  rank({route, service, objectKey}: PlacementRequest): string[] {
-    const placement = this.getPlacement(service, route.homeRegions);
+  rank({homeRegions, service, objectKey}: PlacementRequest): string[] {
+    const placement = this.getPlacement(service, homeRegions);
     if (placement.version !== this.view.version)
       this.updateEndpoints(placement);
     return placement.ranking.rank(
--- a/packages/instance/src/direct/send/retrying_sender.ts
+++ b/packages/instance/src/direct/send/retrying_sender.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {
+  type AccountLookup,
   canFinishBeforeStop,
   isIdempotent,
   type Route,
@@ -14,6 +15,7 @@
 import {Decision} from '../decision.js';
 import {observeAttempt} from './observe_attempt.js';
 import {type ReceivedResponse, ResponseHolder} from './response_holder.js';
+import type {SelectionTerms} from '../place/endpoint_selector.js';
 import type {SenderOptions} from './sender_options.js';
 import {
   type OpenAttempt,
@@ -27,6 +29,9 @@
   requestId: string;
   body: Buffer | undefined;
   route: Route;
+  terms: SelectionTerms;
+  /** Account to which the request belongs. */
+  account: AccountLookup | undefined;
   service: string;
   /** Key of the object, or the request id if the request names no object. */
   objectKey: string;
@@ -211,11 +216,11 @@
   }
 
   private async startNextAttempt(): Promise<OpenAttempt | undefined> {
-    const {route, service, objectKey, ...request} = this.request;
+    const {route, terms, service, objectKey, ...request} = this.request;
     const {open, limited, ...refusal} = await startAttempt(
       {
         ...request,
-        selection: {route, service, objectKey, tried: this.tried},
+        selection: {route, terms, service, objectKey, tried: this.tried},
         isFinished: () => this.isStopped,
         handleStart: started => this.registerAttempt(started),
       },
--- a/packages/instance/src/direct/send/start_attempt.ts
+++ b/packages/instance/src/direct/send/start_attempt.ts
@@ -5,10 +5,12 @@
   Step,
   type TimerService,
 } from '@primrosestage/common';
-import type {
-  Candidate,
-  EndpointChoice,
-  KnownEndpoint,
+import {
+  type AccountLookup,
+  AccountStatus,
+  type Candidate,
+  type EndpointChoice,
+  type KnownEndpoint,
 } from '@primrosestage/steering';
 import {copyHeaders} from '../../http/copy_headers.js';
 import {parseAddress} from '../../http/parse_address.js';
@@ -69,6 +71,8 @@
   /** The `traceparent` header of the request's span. */
   traceParent: string | undefined;
   body: Buffer | undefined;
+  /** Account to which the request belongs. */
+  account: AccountLookup | undefined;
   selection: Omit<SelectionRequest, 'remainingMs'>;
   /** Monotonic time at which the request is given up, in milliseconds. */
   timeoutAt: number;
@@ -173,8 +177,10 @@
   const limit = options.limitTracker.describe(endpoint);
   const headers: Record<string, string | string[] | number> = copyHeaders(
     req.rawHeaders,
-    new Set([names.deadlineMs, names.expectedEndpoint, 'content-length']),
+    getOmittedHeaders(names, source.account),
   );
+  const accountName = source.account?.account?.name;
+  if (accountName !== undefined) headers[names.accountName] = accountName;
   headers[names.deadlineMs] = String(Math.max(1, Math.floor(remainingMs)));
   headers[names.expectedEndpoint] = entry.id;
   if (body !== undefined) headers['content-length'] = body.length;
@@ -208,6 +214,22 @@
   };
 }
 
+/** Where accounts are used, their headers are set by this instance alone. */
+function getOmittedHeaders(
+  names: WireNames,
+  account: AccountLookup | undefined,
+): ReadonlySet<string> {
+  const omitted = new Set([
+    names.deadlineMs,
+    names.expectedEndpoint,
+    'content-length',
+  ]);
+  if (account && account.status !== AccountStatus.NotUsed) {
+    omitted.add(names.accountKey).add(names.accountName);
+  }
+  return omitted;
+}
+
 /**
  * Sends the request; an error that only concerns the endpoint, such as an invalid address, fails
  * just this attempt.
--- a/packages/instance/src/direct/wire_names.ts
+++ b/packages/instance/src/direct/wire_names.ts
@@ -24,6 +24,10 @@
   leaving: readonly string[];
   /** Header that an endpoint sets if it has not run the request. */
   notRun: string;
+  /** Header with the key of a caller's account; it is not sent to endpoints. */
+  accountKey: string;
+  /** Header with the name of the account, which instances set in requests to endpoints. */
+  accountName: string;
 }
 
 /** Paths that an instance serves besides requests of callers. */
--- a/packages/instance/test/direct/fleet.ts
+++ b/packages/instance/test/direct/fleet.ts
@@ -3,6 +3,7 @@
 import type {RegistryItem} from '@primrosestage/control';
 import {Registry} from 'prom-client';
 import {
+  type ClientAccount,
   EndpointState,
   RequestKind,
   type DirectService,
@@ -97,6 +98,7 @@
   routes: Route[],
   service: Partial<DirectService> = {},
   limits: {maxBodyBytes?: number} = {},
+  accounts?: readonly ClientAccount[],
 ): void {
   registry.set('configuration', {
     version,
@@ -118,6 +120,7 @@
       idleTimeoutMs: 15_000,
       ...limits,
     },
+    accounts,
   });
 }
 
--- a/packages/instance/test/direct/names.ts
+++ b/packages/instance/test/direct/names.ts
@@ -11,4 +11,6 @@
   limit: ['x-limit'],
   leaving: ['x-leaving'],
   notRun: 'x-not-run',
+  accountKey: 'x-account-key',
+  accountName: 'x-account',
 };
--- a/packages/instance/test/direct/retrying_sender.test.ts
+++ b/packages/instance/test/direct/retrying_sender.test.ts
@@ -45,6 +45,8 @@
         requestId: 'id',
         body: undefined,
         route: createRoute({kind: RequestKind.Unsafe}),
+        terms: {priority: 0, homeRegions: []},
+        account: undefined,
         service: 'pages',
         objectKey: 'id',
         timeoutAt: timers.now() + 1_000,
--- a/packages/steering/src/direct/control_view.ts
+++ b/packages/steering/src/direct/control_view.ts
@@ -1,3 +1,4 @@
+import {AccountTable} from './account_table.js';
 import {EndpointEffect, EndpointTable} from './endpoint_table.js';
 import type {EndpointChange} from './endpoint_entry.js';
 import type {RouteConfiguration} from './route.js';
@@ -40,6 +41,7 @@
   readonly endpointTable: EndpointTable;
   private config?: RouteConfiguration;
   private routeTable = new RouteTable([]);
+  private accountTable = new AccountTable();
   private readonly evacuations = new Map<string, EvacuationChange>();
   private syncedRevision = 0;
   private listedRevision = Infinity;
@@ -74,6 +76,11 @@
     return this.routeTable;
   }
 
+  /** Client accounts of the configuration in force. */
+  get accounts(): AccountTable {
+    return this.accountTable;
+  }
+
   /** Counter that increases whenever the set of usable endpoints may have changed. */
   get version(): number {
     return this.endpointTable.version + this.evacuationVersion;
@@ -161,6 +168,7 @@
     }
     this.config = configuration;
     this.routeTable = new RouteTable(configuration.routes);
+    this.accountTable = new AccountTable(configuration.accounts);
     return true;
   }
 
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -1,4 +1,13 @@
 export {CarriedIds, MAX_CARRIED_IDS} from './carried_ids.js';
+export {
+  AccountStatus,
+  AccountTable,
+  getRequestTerms,
+  type AccountLookup,
+  type RequestTerms,
+} from './account_table.js';
+export type {ClientAccount} from './client_account.js';
+export type {MachineResources} from './machine_resources.js';
 export {RequestKind, isIdempotent} from './request_kind.js';
 export type {
   CallerLimits,
--- /dev/null
+++ b/packages/steering/src/direct/machine_resources.ts
@@ -0,0 +1,7 @@
+/** Resources of the machine that one process may use. */
+export interface MachineResources {
+  /** Memory at which the process is killed, in bytes. */
+  memoryBytes: number;
+  /** Most descriptors of files and sockets. */
+  maxDescriptors: number;
+}
--- a/packages/steering/src/direct/request_kind.ts
+++ b/packages/steering/src/direct/request_kind.ts
@@ -6,6 +6,8 @@
   Unsafe = 'unsafe',
   /** A large answer; may run more than once. */
   Download = 'download',
+  /** A large request body; runs at most once. */
+  Upload = 'upload',
 }
 
 /**
@@ -13,5 +15,5 @@
  * @param kind - Kind of the requests.
  */
 export function isIdempotent(kind: RequestKind): boolean {
-  return kind !== RequestKind.Unsafe;
+  return kind === RequestKind.Safe || kind === RequestKind.Download;
 }
--- a/packages/steering/src/direct/route.ts
+++ b/packages/steering/src/direct/route.ts
@@ -1,3 +1,4 @@
+import type {ClientAccount} from './client_account.js';
 import type {RequestKind} from './request_kind.js';
 
 /** Service that receives a share of a route's requests. */
@@ -27,6 +28,8 @@
   isSticky: boolean;
   /** Regions in which requests may run; empty for all regions. */
   homeRegions: readonly string[];
+  /** Whether requests need no account; has no effect in a deployment without accounts. */
+  isPublic?: boolean;
 }
 
 /** Service that is run by backend servers. */
@@ -56,4 +59,6 @@
   routes: readonly Route[];
   services: ReadonlyMap<string, DirectService>;
   limits: CallerLimits;
+  /** Client accounts; undefined in a deployment that has none, where requests carry no keys. */
+  accounts?: readonly ClientAccount[];
 }
--- a/packages/testing/src/bench/direct/primrosestage_policy.ts
+++ b/packages/testing/src/bench/direct/primrosestage_policy.ts
@@ -139,6 +139,7 @@
     const {kind, object, remainingMs, tried} = request;
     return {
       route: this.routes.get(kind.name) as Route,
+      terms: {priority: 0, homeRegions: []},
       service: kind.name,
       objectKey: object,
       tried,
