Reserve room in queues for more urgent requests

Cause: the priority of routes and accounts decided nothing. Requests with a longer latency objective were admitted to longer queues, so that under overload they displaced more urgent ones, whose objectives are short.

Change: each instance tracks the priorities in use of a service. Services with one priority are not affected.

--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -11,6 +11,7 @@
   hash32,
   type KnownEndpoint,
   type MemberTable,
+  PriorityDemand,
   type RequestTerms,
   type Route,
   WeightedSplitter,
@@ -83,6 +84,7 @@
   private readonly splitters = new WeakMap<Route, WeightedSplitter>();
   private readonly serviceMs = new Map<string, number>();
   private readonly placement: ObjectPlacement;
+  private readonly priorityDemands = new Map<string, PriorityDemand>();
 
   /**
    * Creates the selector.
@@ -166,6 +168,9 @@
       remainingMs: request.remainingMs,
       objectiveMs: request.route.objectiveMs,
       queueLimit: QUEUE_LIMIT,
+      reservedObjectiveMs: this.getPriorityDemand(
+        request.service,
+      ).getReservedObjectiveMs(request.terms.priority, now),
       shortestWaitMs,
     });
     const endpoint =
@@ -181,6 +186,36 @@
     };
   }
 
+  /**
+   * Counts a request for a service, for which an endpoint has not been selected yet.
+   * @param request - The service, the route and the terms of the request.
+   */
+  countOffered({
+    service,
+    route,
+    terms,
+  }: Pick<SelectionRequest, 'service' | 'route' | 'terms'>): void {
+    this.getPriorityDemand(service).countOffered(
+      terms.priority,
+      route.objectiveMs,
+      this.timers.now(),
+    );
+  }
+
+  /**
+   * Counts a request whose first attempt has been started.
+   * @param request - The service and the terms of the request.
+   */
+  countAdmitted({
+    service,
+    terms,
+  }: Pick<SelectionRequest, 'service' | 'terms'>): void {
+    this.getPriorityDemand(service).countAdmitted(
+      terms.priority,
+      this.timers.now(),
+    );
+  }
+
   /**
    * Counts a request that is about to be sent, if the rate limits of the endpoint permit it.
    * @param endpoint - The endpoint to which it is sent.
@@ -370,6 +405,15 @@
     );
   }
 
+  private getPriorityDemand(service: string): PriorityDemand {
+    let demand = this.priorityDemands.get(service);
+    if (!demand) {
+      demand = new PriorityDemand();
+      this.priorityDemands.set(service, demand);
+    }
+    return demand;
+  }
+
   private getService(name: string) {
     return this.view.configuration?.services.get(name);
   }
--- a/packages/instance/src/direct/send/retrying_sender.ts
+++ b/packages/instance/src/direct/send/retrying_sender.ts
@@ -90,6 +90,7 @@
   private async sendUntilFinal(race: AttemptRace): Promise<SendResult> {
     const {route} = this.request;
     let decision = Decision.NoCapacity;
+    this.options.selector.countOffered(this.request);
     for (let sent = 0; ;) {
       const canFinish = this.canFinishBeforeStop();
       if (!canFinish) decision = Decision.Stopping;
@@ -98,6 +99,7 @@
           ? await this.startNextAttempt()
           : undefined;
       if (open) {
+        if (sent === 0) this.options.selector.countAdmitted(this.request);
         sent++;
         race.add(open, this.awaitAttempt(open));
       }
--- a/packages/instance/test/direct/retrying_sender.test.ts
+++ b/packages/instance/test/direct/retrying_sender.test.ts
@@ -28,6 +28,8 @@
       select: () => ({choice, endpoint, candidate: {depth: 0}}),
       begin: () => BeginResult.Begun,
       getServiceMs: () => 10,
+      countOffered: () => {},
+      countAdmitted: () => {},
     };
     const options = {
       selector,
--- a/packages/steering/src/direct/choose_endpoint.ts
+++ b/packages/steering/src/direct/choose_endpoint.ts
@@ -32,6 +32,11 @@
   objectiveMs: number;
   /** Maximum number of requests queued at an endpoint beyond its slots. */
   queueLimit: number;
+  /**
+   * Shortest latency objective of more urgent requests for which capacity is reserved, in
+   * milliseconds; Infinity if there are none.
+   */
+  reservedObjectiveMs?: number;
   /**
    * Shortest time after which an endpoint that is no candidate takes requests again, in
    * milliseconds; Infinity if there is none.
@@ -51,6 +56,11 @@
  * new callers, whose retries would lengthen the queues until no answer is in time.
  */
 const MAX_WAIT_FRACTION = 0.45;
+/**
+ * Requests for which a less urgent one leaves room in a queue. With one, the queue would often be
+ * full of less urgent requests when a burst of urgent ones begins.
+ */
+const RESERVED_REQUESTS = 2;
 /** Bounds of the retry delay that is given to a refused caller, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 2_000;
@@ -80,7 +90,13 @@
     const waitMs = getWaitMs(candidate);
     const isWaitTooLong =
       waitMs > 0 && waitMs + candidate.roundTripMs > waitLimitMs;
-    if (excess > 0 || isWaitTooLong || finishMs > options.remainingMs) {
+    const isReserved = isCapacityReserved(candidate, options);
+    if (
+      excess > 0 ||
+      isWaitTooLong ||
+      isReserved ||
+      finishMs > options.remainingMs
+    ) {
       const queueDrainMs =
         (Math.max(1, excess) * serviceMs) / Math.max(1, slots);
       earliestCapacityMs = Math.min(earliestCapacityMs, queueDrainMs);
@@ -119,6 +135,22 @@
   return objectiveMs > 0 ? objectiveMs * MAX_WAIT_FRACTION : Infinity;
 }
 
+/**
+ * Returns whether a request would take the room in a queue that is reserved for more urgent ones:
+ * behind it, those could not be queued or would wait too long.
+ */
+function isCapacityReserved(
+  candidate: Candidate,
+  {reservedObjectiveMs = Infinity, queueLimit}: ChoiceOptions,
+): boolean {
+  if (reservedObjectiveMs === Infinity) return false;
+  const {depth, slots, roundTripMs} = candidate;
+  const depthBehind = depth + RESERVED_REQUESTS;
+  if (depthBehind - slots + 1 > queueLimit) return true;
+  const waitMs = getWaitMs({...candidate, depth: depthBehind});
+  return waitMs > 0 && waitMs + roundTripMs > getWaitLimit(reservedObjectiveMs);
+}
+
 /** An object is expected to be cached at the endpoint that ranks first for it. */
 function isCached(candidate: Candidate): boolean {
   return candidate.isWarm || candidate.rank === 0;
