Direct callers to few large instances of their region

Cause: the directory named all instances of a region. Callers spread evenly over machines of 0.19 and of 1.35 cores, whose links have 7 and 140 Mbit/s. Each instance saw few requests for each endpoint, so that most requests opened a new connection and little was known of the endpoints' load.

Change: instances announce the capacity of their machine and the fraction in use. The directory names the largest ones of the region: at least four, at least a third of the region's capacity, and as many as carry the present load at 35 %. Instances with the largest capacity rank first for endpoints that only some of them may use. Without a known capacity all are named, as before. Requests of accounts with the same priority are ordered by the priority of their routes.

Ruled out: all instances weighted by capacity, which callers that draw an address at random cannot follow.

--- a/packages/control/src/settings/direct_settings_schema.ts
+++ b/packages/control/src/settings/direct_settings_schema.ts
@@ -49,6 +49,8 @@
     .strictObject({
       memoryBytes: z.number().int().min(1),
       maxDescriptors: z.number().int().min(1),
+      /** Processing capacity in cores. */
+      cores: z.number().positive().optional(),
     })
     .optional(),
 });
--- a/packages/instance/src/direct/control/announcer.ts
+++ b/packages/instance/src/direct/control/announcer.ts
@@ -9,6 +9,8 @@
   isServing: boolean;
   isFollowing: boolean;
   openRequests: Readonly<Record<string, number>>;
+  /** Fraction of the machine's processing capacity that was in use recently. */
+  utilization: number;
 }
 
 /** Creates the announcements of one instance and counts their heartbeats and versions. */
@@ -42,6 +44,7 @@
    */
   create(state: AnnouncedState): MemberInfo {
     const {minBornAt, isServing, isFollowing, openRequests} = state;
+    const {utilization} = state;
     const {settings} = this;
     this.bornAt = Math.max(this.bornAt, minBornAt);
     const currentState = `${this.bornAt} ${isServing} ${isFollowing}`;
@@ -62,7 +65,16 @@
       isServing,
       isFollowing,
       openRequests,
+      ...this.describeCapacity(utilization),
       heartbeat: this.bornAt + this.heartbeatCount,
     };
   }
+
+  /** An instance that does not know its capacity states neither that nor its utilization. */
+  private describeCapacity(
+    utilization: number,
+  ): Pick<MemberInfo, 'capacity' | 'utilization'> {
+    const capacity = this.settings.machine?.cores;
+    return capacity === undefined ? {} : {capacity, utilization};
+  }
 }
--- a/packages/instance/src/direct/listen/choose_instances.ts
+++ b/packages/instance/src/direct/listen/choose_instances.ts
@@ -1,4 +1,4 @@
-import type {MemberInfo} from '@primrosestage/steering';
+import {chooseListedInstances, type MemberInfo} from '@primrosestage/steering';
 
 /** Most addresses in a directory response. */
 const MAX_ADDRESSES = 64;
@@ -10,8 +10,8 @@
 }
 
 /**
- * Chooses the instances that a caller should use: all of its region, so that the caller can fail
- * over to another one, or those of all regions if its own has none.
+ * Chooses the instances that a caller should use: several of its region, so that the caller can
+ * fail over to another one, or those of all regions if its own has none.
  * @param serving - Instances that accept requests.
  * @param location - Zone and region of the caller.
  * @returns Caller addresses of the instances.
@@ -21,7 +21,7 @@
   location: CallerLocation,
 ): string[] {
   const inRegion = serving.filter(({region}) => region === location.region);
-  return (inRegion.length > 0 ? inRegion : serving)
+  return chooseListedInstances(inRegion.length > 0 ? inRegion : serving)
     .slice(0, MAX_ADDRESSES)
     .map(({callerAddress}) => callerAddress);
 }
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -35,6 +35,7 @@
   createMetricsServer,
   createReadinessServer,
 } from './listen/http_servers.js';
+import {UtilizationMeter} from './control/utilization_meter.js';
 import {RetryBudgets} from './send/retry_budgets.js';
 import {RequestHandler} from './listen/request_handler.js';
 import {RequestLog} from './listen/request_log.js';
@@ -109,6 +110,7 @@
   let stopSchedule: StopSchedule | undefined;
   let servingSince: number | undefined;
   const isReady = () => !stopSchedule && servingSince !== undefined;
+  const utilizationMeter = new UtilizationMeter();
   const announcer = new Announcer(settings, timers);
   const self = (): MemberInfo =>
     announcer.create({
@@ -116,6 +118,7 @@
       isServing: isReady(),
       isFollowing: sync.isFollowing,
       openRequests: selector.averageOpenRequests,
+      utilization: utilizationMeter.utilization,
     });
   const members: MemberTable = new MemberTable(self);
   const {controlAddress, seedAddresses} = settings;
@@ -282,6 +285,7 @@
         logger.info('instance forgotten', {peer: id});
       }
       selector.sweep();
+      utilizationMeter.sample();
       limitTracker.prune(view.endpointTable);
       noticeTracker.prune(view.endpointTable);
       permits.prune();
--- a/packages/steering/src/direct/account_table.ts
+++ b/packages/steering/src/direct/account_table.ts
@@ -1,6 +1,9 @@
 import type {ClientAccount} from './client_account.js';
 import type {Route} from './route.js';
 
+/** Least urgent priority of a route that is distinguished from others. */
+const MAX_PRIORITY = 1_000;
+
 /** How the account of a request was determined. */
 export enum AccountStatus {
   /** The deployment has no accounts, so that keys have no meaning. */
@@ -23,7 +26,10 @@
 
 /** Conditions that the route and the account set for a request together. */
 export interface RequestTerms {
-  /** Priority under overload; 0 is the most urgent. */
+  /**
+   * Priority under overload; 0 is the most urgent. Requests whose accounts have the same priority
+   * are ordered by their routes.
+   */
   priority: number;
   /** Regions in which the request may run; empty for all regions, undefined for none. */
   homeRegions: readonly string[] | undefined;
@@ -59,8 +65,8 @@
 }
 
 /**
- * Combines the conditions of a route and an account. The account's priority replaces that of the
- * route, whereas the home regions of both apply.
+ * Combines the conditions of a route and an account. The account's priority precedes that of the
+ * route, and the home regions of both apply.
  * @param route - The route.
  * @param account - The account; undefined if the request has none.
  */
@@ -69,7 +75,10 @@
   account: ClientAccount | undefined,
 ): RequestTerms {
   return {
-    priority: account?.priority ?? route.priority,
+    priority: combinePriorities(
+      account?.priority ?? route.priority,
+      route.priority,
+    ),
     homeRegions: intersectRegions(
       route.homeRegions,
       account?.homeRegions ?? [],
@@ -77,6 +86,10 @@
   };
 }
 
+function combinePriorities(first: number, second: number): number {
+  return first * MAX_PRIORITY + Math.min(second, MAX_PRIORITY - 1);
+}
+
 function intersectRegions(
   a: readonly string[],
   b: readonly string[],
--- a/packages/steering/src/direct/machine_resources.ts
+++ b/packages/steering/src/direct/machine_resources.ts
@@ -4,4 +4,6 @@
   memoryBytes: number;
   /** Most descriptors of files and sockets. */
   maxDescriptors: number;
+  /** Processing capacity in cores; undefined if it is not known. */
+  cores?: number;
 }
--- a/packages/steering/src/direct/member_info.ts
+++ b/packages/steering/src/direct/member_info.ts
@@ -22,6 +22,10 @@
   isFollowing: boolean;
   /** Average number of requests that the instance has open, by service. */
   openRequests: Readonly<Record<string, number>>;
+  /** Processing capacity of its machine in cores; undefined if it is not known. */
+  capacity?: number;
+  /** Fraction of the capacity that was in use recently; sent with the open requests. */
+  utilization?: number;
   /**
    * Increases with every heartbeat of the process, starting from its start time. It increases more
    * slowly than time in milliseconds, so that a later process starts above an earlier one.
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -33,6 +33,11 @@
  */
 const MAX_HEARTBEAT_STEP = 1_000;
 
+/** Largest capacity that is distinguished when instances are ranked, in cores. */
+const MAX_CAPACITY = 1_000;
+/** Instances whose capacities differ by less rank by hash, in cores. */
+const CAPACITY_STEP = 0.25;
+
 /**
  * Tracks the other instances by gossiped announcements and heartbeats. A heartbeat counts only if
  * it is higher than the last one, so that repeated and reordered messages are harmless.
@@ -265,7 +270,8 @@
 
   /**
    * Ranks this instance among all that may be alive, for an endpoint that only some of them may
-   * use. Instances of the endpoint's region rank first because most of its requests arrive there.
+   * use. Instances of the endpoint's region rank first because most of its requests arrive there,
+   * and among them those with the largest capacity, to which callers are directed.
    * @param endpoint - Hash of the endpoint's id.
    * @param region - Region of the endpoint.
    * @returns The zero-based rank, which is unique among the instances.
@@ -273,7 +279,9 @@
   getRankFor(endpoint: number, region: string | undefined): number {
     const self = this.self();
     const getKey = (info: MemberInfo, idHash: number) =>
-      (info.region === region ? 0 : 1) + combineToFraction(idHash, endpoint);
+      (info.region === region ? 0 : MAX_CAPACITY) +
+      (MAX_CAPACITY - Math.min(info.capacity ?? 0, MAX_CAPACITY)) +
+      combineToFraction(idHash, endpoint) * CAPACITY_STEP;
     const own = getKey(self, hash32(self.id));
     let rank = 0;
     for (const {info, idHash} of this.members.values()) {
