Simulate uneven demand, long-tailed work and varying endpoint speed

The simulated deployments had equal demand per object and about as many endpoints as instances, so that neither the load of the busiest endpoint nor the effect of the fourth load figure could be seen.

Figures for the busiest endpoint and for requests with a cached object are recorded. The two earlier deployments draw the same random numbers as before.

--- a/packages/testing/src/bench/direct/caching_endpoint.ts
+++ b/packages/testing/src/bench/direct/caching_endpoint.ts
@@ -23,6 +23,13 @@
   limit?: StatedLimit;
   /** Times at which requests arrived, in milliseconds. */
   readonly arrivedAt: number[] = [];
+  /** Factor on the work of requests that start. */
+  slowness = 1;
+  /** Total run time of all requests, in milliseconds. */
+  busyMs = 0;
+  /** Number of requests that have started, and of those whose object was cached. */
+  startCount = 0;
+  cachedCount = 0;
   private readonly cache = new Set<string>();
   private readonly queue: SimJob[] = [];
   private running = 0;
@@ -71,8 +78,12 @@
   private start(job: SimJob): void {
     this.running++;
     const workFraction = this.cache.has(job.object) ? CACHED_WORK_FRACTION : 1;
+    this.startCount++;
+    if (this.cache.has(job.object)) this.cachedCount++;
     this.addToCache(job.object);
-    this.clock.at(this.clock.now() + job.workMs * workFraction, () => {
+    const runMs = job.workMs * workFraction * this.slowness;
+    this.busyMs += runMs;
+    this.clock.at(this.clock.now() + runMs, () => {
       this.running--;
       job.done(true);
       this.startNext();
--- a/packages/testing/src/bench/direct/deployment.ts
+++ b/packages/testing/src/bench/direct/deployment.ts
@@ -19,6 +19,20 @@
   cacheSize: number;
   /** Number of endpoints by zone. */
   endpoints: Readonly<Record<string, number>>;
+  /** Exponent of the Zipf distribution of requests over objects; undefined for equal shares. */
+  objectSkew?: number;
+  /** Requests that take several times as long; undefined for none. */
+  slowWork?: {fraction: number; factor: number};
+  /** Endpoints whose work takes longer for a time; undefined for none. */
+  slowEndpoints?: SlowEndpoints;
+}
+
+/** Describes endpoints whose work takes longer; which ones is drawn anew at an interval. */
+export interface SlowEndpoints {
+  fraction: number;
+  /** Factor on the work, stated as the fourth load figure (200 for 2). */
+  factor: number;
+  intervalMs: number;
 }
 
 /** Describes a deployment for the simulation. */
@@ -120,3 +134,71 @@
     ],
   },
 ];
+
+/** Lists deployments with uneven demand, endpoints of varying speed and many instances. */
+export const UNEVEN_SIM_DEPLOYMENTS: readonly SimDeployment[] = [
+  {
+    name: 'few-endpoints',
+    zones: {'a-1': 'a', 'b-1': 'b', 'c-1': 'c'},
+    interZoneMs: 1.4,
+    interRegionMs: 30,
+    callerLatencyMs: 2,
+    instancesPerZone: 10,
+    kinds: [
+      {
+        name: 'read',
+        requestKind: RequestKind.Safe,
+        workMs: 440,
+        objectCount: 82,
+        objectiveMs: 448,
+        deadlineMs: 2_239,
+        share: 4,
+        slots: 3,
+        queueCapacity: 9,
+        cacheSize: 24,
+        endpoints: {'a-1': 60, 'b-1': 14, 'c-1': 60},
+        objectSkew: 0.6,
+      },
+      {
+        name: 'write',
+        requestKind: RequestKind.Unsafe,
+        workMs: 560,
+        objectCount: 39,
+        objectiveMs: 1_051,
+        deadlineMs: 3_152,
+        share: 1,
+        slots: 3,
+        queueCapacity: 9,
+        cacheSize: 24,
+        endpoints: {'a-1': 26, 'b-1': 6, 'c-1': 26},
+        objectSkew: 0.6,
+      },
+    ],
+  },
+  {
+    name: 'many-instances',
+    zones: {'a-1': 'a', 'b-1': 'b', 'c-1': 'c'},
+    interZoneMs: 1.4,
+    interRegionMs: 30,
+    callerLatencyMs: 2,
+    instancesPerZone: 20,
+    kinds: [
+      {
+        name: 'read',
+        requestKind: RequestKind.Safe,
+        workMs: 750,
+        objectCount: 55,
+        objectiveMs: 639,
+        deadlineMs: 4_257,
+        share: 1,
+        slots: 3,
+        queueCapacity: 9,
+        cacheSize: 13,
+        endpoints: {'a-1': 37, 'b-1': 36, 'c-1': 36},
+        objectSkew: 0.6,
+        slowWork: {fraction: 0.03, factor: 7},
+        slowEndpoints: {fraction: 0.15, factor: 2.5, intervalMs: 600},
+      },
+    ],
+  },
+];
--- a/packages/testing/src/bench/direct/direct_tally.ts
+++ b/packages/testing/src/bench/direct/direct_tally.ts
@@ -15,6 +15,14 @@
   Failed = 'failed',
 }
 
+/** How the endpoints of a kind of request were used. */
+export interface EndpointUse {
+  /** Busy time of the busiest endpoint as a multiple of the mean. */
+  busiestToMean: number;
+  /** Fraction of the started requests whose object was cached. */
+  warmFraction: number;
+}
+
 /** Time from the first statement of a limit until it must be kept, in milliseconds. */
 const LIMIT_SETTLE_MS = 1_000;
 
@@ -25,6 +33,7 @@
   /** Requests that limited endpoints received, as a fraction of what their limits allow. */
   readonly limitUses: number[] = [];
   private readonly counts = new Map<string, number>();
+  private readonly uses = new Map<string, EndpointUse>();
 
   /**
    * Counts a caller.
@@ -55,6 +64,39 @@
     this.limitUses.push((1_000 * count) / (perSecond * (to - since)));
   }
 
+  /**
+   * Records how the endpoints of a kind of request were used.
+   * @param kind - The kind.
+   * @param endpoints - Busy time, started requests and those with a cached object, by endpoint.
+   */
+  recordUse(
+    {name}: SimRequestKind,
+    endpoints: ReadonlyArray<{
+      busyMs: number;
+      startCount: number;
+      cachedCount: number;
+    }>,
+  ): void {
+    let busyMs = 0;
+    let started = 0;
+    let cached = 0;
+    for (const endpoint of endpoints) {
+      busyMs += endpoint.busyMs;
+      started += endpoint.startCount;
+      cached += endpoint.cachedCount;
+    }
+    const busiestMs = Math.max(...endpoints.map(endpoint => endpoint.busyMs));
+    this.uses.set(name, {
+      busiestToMean: (busiestMs * endpoints.length) / Math.max(1, busyMs),
+      warmFraction: cached / Math.max(1, started),
+    });
+  }
+
+  /** How the endpoints were used, by kind of request. */
+  get endpointUses(): ReadonlyMap<string, EndpointUse> {
+    return this.uses;
+  }
+
   /**
    * Returns the number of callers.
    * @param group - A kind of request or a zone; all callers if empty.
--- a/packages/testing/src/bench/direct/index.ts
+++ b/packages/testing/src/bench/direct/index.ts
@@ -1,6 +1,6 @@
 import type {FigureSink} from '../figure.js';
 import {createBaselines} from './baselines.js';
-import {SIM_DEPLOYMENTS} from './deployment.js';
+import {SIM_DEPLOYMENTS, UNEVEN_SIM_DEPLOYMENTS} from './deployment.js';
 import {CallerOutcome} from './direct_tally.js';
 import {PrimrosestagePolicy} from './primrosestage_policy.js';
 import {
@@ -9,7 +9,7 @@
   runDirectScenario,
 } from './run_direct_scenario.js';
 
-export {SIM_DEPLOYMENTS} from './deployment.js';
+export {SIM_DEPLOYMENTS, UNEVEN_SIM_DEPLOYMENTS} from './deployment.js';
 export {CallerOutcome, type DirectTally} from './direct_tally.js';
 export {
   type CreateDirectPolicy,
@@ -54,11 +54,11 @@
 };
 
 /**
- * Simulates loads on both deployments with the policy of the direct path and with the baselines.
+ * Simulates loads on the deployments with the policy of the direct path and with the baselines.
  * @param sink - Receives the figures.
  */
 export async function runDirectBench(sink: FigureSink): Promise<void> {
-  for (const deployment of SIM_DEPLOYMENTS) {
+  for (const deployment of [...SIM_DEPLOYMENTS, ...UNEVEN_SIM_DEPLOYMENTS]) {
     for (const scenario of DIRECT_SCENARIOS) {
       for (const [name, create] of Object.entries(DIRECT_POLICIES)) {
         const {seed} = sink;
@@ -71,6 +71,22 @@
             n: tally.getCallerCount(),
           });
         }
+        for (const [kind, use] of tally.endpointUses) {
+          const prefix = `direct.${deployment.name}.${scenario.name}.${name}.${kind}`;
+          const n = tally.getCallerCount(kind);
+          sink.record({
+            name: `${prefix}.busiest-to-mean`,
+            value: use.busiestToMean,
+            unit: 'ratio',
+            n,
+          });
+          sink.record({
+            name: `${prefix}.warm`,
+            value: use.warmFraction,
+            unit: 'fraction',
+            n,
+          });
+        }
       }
     }
   }
--- a/packages/testing/src/bench/direct/primrosestage_policy.ts
+++ b/packages/testing/src/bench/direct/primrosestage_policy.ts
@@ -126,7 +126,9 @@
       },
       {
         outcome,
-        load: `${running},${waiting},${slots}`,
+        load: request.kind.slowEndpoints
+          ? `${running},${waiting},${slots},${100 * endpoint.slowness}`
+          : `${running},${waiting},${slots}`,
         connectMs:
           2 * this.world.getLatencyMs(request.zone, endpoint.entry.zone),
       },
--- a/packages/testing/src/bench/direct/run_direct_scenario.ts
+++ b/packages/testing/src/bench/direct/run_direct_scenario.ts
@@ -78,6 +78,9 @@
     createRandom(seed + 2),
   );
   if (scenario.limits) scheduleLimits(world, scenario, scenario.limits);
+  for (const kind of deployment.kinds) {
+    startSlowEndpoints(world, kind, createRandom(seed + 3));
+  }
   Object.keys(deployment.zones).forEach((zone, z) => {
     deployment.kinds.forEach((kind, k) => {
       const random = createRandom(seed + 1_000 * (z + 1) + k);
@@ -93,12 +96,32 @@
     ...deployment.kinds.map(kind => kind.deadlineMs),
   );
   world.clock.runUntil(scenario.durationMs + 2 * maxDeadlineMs);
+  for (const kind of deployment.kinds) {
+    simulation.tally.recordUse(kind, world.getEndpoints(kind));
+  }
   for (const {arrivedAt, limit} of world.getAllEndpoints()) {
     if (limit) simulation.tally.countLimit(arrivedAt, limit);
   }
   return simulation.tally;
 }
 
+function startSlowEndpoints(
+  world: SimWorld,
+  kind: SimRequestKind,
+  random: Random,
+): void {
+  const {slowEndpoints} = kind;
+  if (!slowEndpoints) return;
+  const {fraction, factor, intervalMs} = slowEndpoints;
+  const draw = () => {
+    for (const endpoint of world.getEndpoints(kind)) {
+      endpoint.slowness = random() < fraction ? factor : 1;
+    }
+  };
+  draw();
+  world.clock.every(intervalMs, draw);
+}
+
 function scheduleLimits(
   world: SimWorld,
   scenario: DirectScenario,
@@ -264,13 +287,30 @@
 ): Caller {
   const normal =
     Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+  const {slowWork} = kind;
+  const object = `${zone}-${chooseObject(kind, random)}`;
+  const isSlow = slowWork !== undefined && random() < slowWork.fraction;
   return {
     kind,
-    object: `${zone}-${Math.floor(random() * kind.objectCount)}`,
+    object,
     zone,
-    workMs: kind.workMs * Math.exp(WORK_SIGMA * normal),
+    workMs:
+      kind.workMs *
+      Math.exp(WORK_SIGMA * normal) *
+      (isSlow ? slowWork.factor : 1),
     startedAt: now,
     deadlineAt: now + kind.deadlineMs,
     tries: 0,
   };
 }
+
+/** Draws an object by the inverse of the continuous approximation of a Zipf distribution. */
+function chooseObject(
+  {objectCount, objectSkew = 0}: SimRequestKind,
+  random: Random,
+): number {
+  if (objectSkew === 0) return Math.floor(random() * objectCount);
+  const power = 1 - objectSkew;
+  const range = (objectCount + 1) ** power - 1;
+  return Math.floor((1 + random() * range) ** (1 / power)) - 1;
+}
