Use the fourth load figure of endpoints

An endpoint that states how long work takes at this moment was treated like any other, and its slow moments entered its average service time, which then stayed too high for seconds.

The figure is parsed as a factor (absent, zero or not decimal: no factor, the other three figures hold). The factor enters the expected finish. Its effect halves every 250 ms, towards the average of what the endpoint has stated rather than towards 1: measured service times are divided by the factor, so an endpoint that is slow all the time would otherwise be taken for a fast one between two responses. Without the figure nothing changes.

--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -217,12 +217,13 @@
    * time.
    * @param endpoint - The endpoint.
    * @param elapsedMs - Time from sending to the complete response, in milliseconds.
-   * @param sent - Estimated queue depth when the request was sent, and the key of its object.
+   * @param sent - Estimated queue depth when the request was sent, the key of its object, and the
+   *     work factor that the endpoint stated with the response.
    */
   observeResponse(
     endpoint: KnownEndpoint,
     elapsedMs: number,
-    sent: {depth: number; objectKey: string},
+    sent: {depth: number; objectKey: string; workFactor?: number},
   ): void {
     const now = this.timers.now();
     const state = this.states.get(endpoint);
@@ -239,9 +240,10 @@
       state.load.observeReachable(now);
       return;
     }
-    state.load.observeAnswer(workMs, now);
-    const previous = this.serviceMs.get(service) ?? workMs;
-    this.serviceMs.set(service, previous + 0.05 * (workMs - previous));
+    const usualMs = workMs / (sent.workFactor ?? 1);
+    state.load.observeAnswer(usualMs, now);
+    const previous = this.serviceMs.get(service) ?? usualMs;
+    this.serviceMs.set(service, previous + 0.05 * (usualMs - previous));
   }
 
   /**
@@ -308,7 +310,8 @@
       slots: endpoint.entry.slots,
       depth: load.getDepth(now),
       serviceMs:
-        load.averageServiceMs || this.getServiceMs(endpoint.entry.service),
+        load.getWorkFactor(now) *
+        (load.averageServiceMs || this.getServiceMs(endpoint.entry.service)),
       roundTripMs: this.states.getRoundTripMs(endpoint),
       failureRatio: load.averageFailureRatio,
       isBlocked:
--- a/packages/instance/src/direct/send/observe_attempt.ts
+++ b/packages/instance/src/direct/send/observe_attempt.ts
@@ -1,4 +1,4 @@
-import type {LoadReport} from '@primrosestage/steering';
+import {parseLoadReport} from './parse_load_report.js';
 import {AttemptOutcome, type AttemptResult} from './attempt.js';
 import type {EndpointSelector} from '../place/endpoint_selector.js';
 import type {OpenAttempt} from './start_attempt.js';
@@ -22,7 +22,7 @@
   if (result.connectMs !== undefined) {
     selector.observeConnect(endpoint, result.connectMs);
   }
-  const report = parseLoad(result.load);
+  const report = parseLoadReport(result.load);
   if (report) load.observeReport(report, ended.at);
   switch (result.outcome) {
     case AttemptOutcome.Answered:
@@ -31,7 +31,9 @@
       } else {
         const {objectKey} = ended;
         const elapsedMs = ended.at - startedAt;
-        selector.observeResponse(endpoint, elapsedMs, {depth, objectKey});
+        const workFactor = report?.workFactor;
+        const sent = {depth, objectKey, workFactor};
+        selector.observeResponse(endpoint, elapsedMs, sent);
       }
       break;
     case AttemptOutcome.Refused:
@@ -49,13 +51,3 @@
       break;
   }
 }
-
-function parseLoad(header: string | undefined): LoadReport | undefined {
-  if (header === undefined) return undefined;
-  const [running, waiting, slots] = header.split(',').map(Number);
-  const isValid = [running, waiting, slots].every(
-    value => value !== undefined && Number.isFinite(value) && value >= 0,
-  );
-  if (!isValid) return undefined;
-  return {running: running ?? 0, waiting: waiting ?? 0, slots: slots ?? 0};
-}
--- a/packages/steering/src/direct/endpoint_load.ts
+++ b/packages/steering/src/direct/endpoint_load.ts
@@ -1,3 +1,5 @@
+import {WorkFactor} from './work_factor.js';
+
 /** Weight of a new sample in an exponential moving average. */
 const SMOOTHING = 0.2;
 /** Half-life of an endpoint's load report, in milliseconds. */
@@ -18,6 +20,8 @@
   running: number;
   waiting: number;
   slots: number;
+  /** Duration of work as a multiple of the usual one; undefined if it is not stated. */
+  workFactor?: number;
 }
 
 /** Tracks the load and health of one endpoint as one instance observes them. */
@@ -29,6 +33,7 @@
   private unansweredSince = Infinity;
   private otherInstancesLoad = 0;
   private reportedAt = -Infinity;
+  private readonly workFactor = new WorkFactor();
   private serviceMs = 0;
   private failureRatio = 0;
   private consecutiveFailures = 0;
@@ -56,7 +61,15 @@
     if (this.openRequests === 0) this.unansweredSince = Infinity;
   }
 
-  /** Moving average of the service time, in milliseconds; 0 if unknown. */
+  /**
+   * Returns the expected duration of work as a multiple of the usual one.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getWorkFactor(now: number): number {
+    return this.workFactor.get(now);
+  }
+
+  /** Moving average of the usual service time, in milliseconds; 0 if unknown. */
   get averageServiceMs(): number {
     return this.serviceMs;
   }
@@ -87,11 +100,15 @@
     const total = report.running + report.waiting;
     this.otherInstancesLoad = Math.max(0, total - this.inFlight);
     this.reportedAt = now;
+    if (report.workFactor !== undefined) {
+      this.workFactor.observe(report.workFactor, now);
+    }
   }
 
   /**
    * Records an answer.
-   * @param elapsedMs - Service time without network latency and queueing, in milliseconds.
+   * @param elapsedMs - Service time without network latency and queueing, in milliseconds, divided
+   *     by the work factor.
    * @param now - Monotonic time in milliseconds.
    */
   observeAnswer(elapsedMs: number, now: number): void {
