Keep slow responses from excluding endpoints for good

An endpoint's service time was an exponential average that the first sample set whole. One response of seven times the usual duration as first sample, or some later ones, made the expected finish exceed a short deadline. The endpoint then got no such requests, was not measured again and stayed out for good; where the average over a service rose above its deadline, every request was refused for good. A test of the decision showed both on the code before (chooseEndpoint refuses an hour after one response of 1,050 ms).

A sample counts as at most twice, and at least half, of the average; an endpoint's average starts from that of its service and returns to it with a half-life of 10 s without measurements. The first samples of a service have equal weights. Where the service time exceeds half of the time left and no endpoint is expected to finish in time, one request a second and service is sent nevertheless.

--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -2,6 +2,7 @@
 import {
   type Candidate,
   chooseEndpoint,
+  type ChoiceOptions,
   type ControlView,
   EndpointLoad,
   type EndpointNotices,
@@ -13,6 +14,7 @@
   type MemberTable,
   type RequestTerms,
   type Route,
+  ServiceTime,
   WeightedSplitter,
 } from '@primrosestage/steering';
 import type {DirectSettings} from '../direct_settings.js';
@@ -81,7 +83,7 @@
 export class EndpointSelector {
   private readonly states: EndpointStates;
   private readonly splitters = new WeakMap<Route, WeightedSplitter>();
-  private readonly serviceMs = new Map<string, number>();
+  private readonly serviceTimes = new Map<string, ServiceTime>();
   private readonly placement: ObjectPlacement;
 
   /**
@@ -162,12 +164,17 @@
         }),
       );
     }
-    const choice = chooseEndpoint(candidates, {
+    const options: ChoiceOptions = {
       remainingMs: request.remainingMs,
       objectiveMs: request.route.objectiveMs,
       queueLimit: QUEUE_LIMIT,
       shortestWaitMs,
-    });
+    };
+    let choice = chooseEndpoint(candidates, options);
+    if (choice.id === undefined && this.mayStartTrial(request, now)) {
+      const unlimited = {...options, remainingMs: Infinity};
+      choice = chooseEndpoint(candidates, unlimited);
+    }
     const endpoint =
       choice.id === undefined
         ? undefined
@@ -236,14 +243,15 @@
       1,
       (elapsedMs - this.states.getRoundTripMs(endpoint)) / (1 + ahead),
     );
-    if (!wasWarm) {
+    const usualMs = workMs / (sent.workFactor ?? 1);
+    const serviceTime = this.serviceTimes.get(service) ?? new ServiceTime();
+    if (!wasWarm && !serviceTime.isFarBelowAverage(usualMs)) {
       state.load.observeReachable(now);
       return;
     }
-    const usualMs = workMs / (sent.workFactor ?? 1);
-    state.load.observeAnswer(usualMs, now);
-    const previous = this.serviceMs.get(service) ?? usualMs;
-    this.serviceMs.set(service, previous + 0.05 * (usualMs - previous));
+    this.serviceTimes.set(service, serviceTime);
+    serviceTime.observe(usualMs);
+    state.load.observeAnswer(usualMs, now, serviceTime.value);
   }
 
   /**
@@ -282,7 +290,7 @@
    * @param service - Name of the service.
    */
   getServiceMs(service: string): number {
-    return this.serviceMs.get(service) ?? DEFAULT_SERVICE_MS;
+    return this.serviceTimes.get(service)?.value ?? DEFAULT_SERVICE_MS;
   }
 
   /** Discards the state of removed endpoints and updates the demand. */
@@ -296,6 +304,19 @@
     this.placement.updateDemand(open);
   }
 
+  /**
+   * Limits trials to requests that are refused for the measured time rather than for a queue, and
+   * that leave an endpoint of usual speed time to respond.
+   */
+  private mayStartTrial(
+    {service, remainingMs, tried}: SelectionRequest,
+    now: number,
+  ): boolean {
+    if (remainingMs < DEFAULT_SERVICE_MS || tried.size > 0) return false;
+    if (this.getServiceMs(service) < remainingMs / 2) return false;
+    return this.serviceTimes.get(service)?.tryStartTrial(now) ?? false;
+  }
+
   private createCandidate(
     endpoint: KnownEndpoint,
     state: EndpointState,
@@ -311,7 +332,7 @@
       depth: load.getDepth(now),
       serviceMs:
         load.getWorkFactor(now) *
-        (load.averageServiceMs || this.getServiceMs(endpoint.entry.service)),
+        load.getServiceMs(this.getServiceMs(endpoint.entry.service), now),
       roundTripMs: this.states.getRoundTripMs(endpoint),
       failureRatio: load.averageFailureRatio,
       isBlocked:
--- a/packages/steering/src/direct/endpoint_load.ts
+++ b/packages/steering/src/direct/endpoint_load.ts
@@ -1,7 +1,14 @@
+import {updateRobustAverage} from './robust_average.js';
 import {WorkFactor} from './work_factor.js';
 
 /** Weight of a new sample in an exponential moving average. */
 const SMOOTHING = 0.2;
+/**
+ * Half-life of a measured service time, in milliseconds. Without it, one slow response of an
+ * endpoint could exclude it from requests with short deadlines forever, since an endpoint without
+ * requests is not measured again.
+ */
+const SERVICE_TIME_HALF_LIFE_MS = 10_000;
 /** Half-life of an endpoint's load report, in milliseconds. */
 const REPORT_HALF_LIFE_MS = 500;
 /** Initial backoff of an unreachable endpoint, in milliseconds. */
@@ -35,6 +42,7 @@
   private reportedAt = -Infinity;
   private readonly workFactor = new WorkFactor();
   private serviceMs = 0;
+  private serviceMeasuredAt = -Infinity;
   private failureRatio = 0;
   private consecutiveFailures = 0;
   private backoffMs = 0;
@@ -69,9 +77,16 @@
     return this.workFactor.get(now);
   }
 
-  /** Moving average of the usual service time, in milliseconds; 0 if unknown. */
-  get averageServiceMs(): number {
-    return this.serviceMs;
+  /**
+   * Estimates the usual service time. A measurement that gets old gives way to the service's time.
+   * @param typicalMs - Service time over all endpoints of the service, in milliseconds.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getServiceMs(typicalMs: number, now: number): number {
+    if (this.serviceMs === 0) return typicalMs;
+    const age = Math.max(0, now - this.serviceMeasuredAt);
+    const weight = 0.5 ** (age / SERVICE_TIME_HALF_LIFE_MS);
+    return typicalMs + (this.serviceMs - typicalMs) * weight;
   }
 
   /** Moving average of the fraction of requests that fail. */
@@ -110,12 +125,12 @@
    * @param elapsedMs - Service time without network latency and queueing, in milliseconds, divided
    *     by the work factor.
    * @param now - Monotonic time in milliseconds.
+   * @param typicalMs - Service time over all endpoints of the service, in milliseconds.
    */
-  observeAnswer(elapsedMs: number, now: number): void {
-    this.serviceMs =
-      this.serviceMs === 0
-        ? elapsedMs
-        : this.serviceMs + SMOOTHING * (elapsedMs - this.serviceMs);
+  observeAnswer(elapsedMs: number, now: number, typicalMs = elapsedMs): void {
+    const previousMs = this.getServiceMs(typicalMs, now);
+    this.serviceMs = updateRobustAverage(previousMs, elapsedMs, SMOOTHING);
+    this.serviceMeasuredAt = now;
     this.observeReachable(now);
     this.failureRatio *= 1 - SMOOTHING;
   }
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -8,6 +8,7 @@
 } from './account_table.js';
 export type {ClientAccount} from './client_account.js';
 export type {MachineResources} from './machine_resources.js';
+export {ServiceTime} from './service_time.js';
 export {WorkFactor} from './work_factor.js';
 export {RequestKind, isIdempotent} from './request_kind.js';
 export type {
--- a/packages/steering/test/direct/endpoint_load.test.ts
+++ b/packages/steering/test/direct/endpoint_load.test.ts
@@ -1,5 +1,9 @@
 import {describe, expect, it} from 'vitest';
-import {EndpointLoad, WorkFactor} from '../../src/direct/index.js';
+import {
+  chooseEndpoint,
+  EndpointLoad,
+  WorkFactor,
+} from '../../src/direct/index.js';
 
 const LOAD = {running: 0, waiting: 0, slots: 3};
 
@@ -29,4 +33,39 @@
     load.observeReport(LOAD, 20);
     expect(load.getWorkFactor(20)).toBeGreaterThan(1.9);
   });
+
+  const choose = (load: EndpointLoad, now: number) =>
+    chooseEndpoint(
+      [
+        {
+          id: 'e0',
+          rank: 0,
+          slots: 3,
+          depth: 0,
+          serviceMs: load.getServiceMs(150, now),
+          isWarm: true,
+          roundTripMs: 1,
+          failureRatio: 0,
+          isBlocked: false,
+        },
+      ],
+      {remainingMs: 600, objectiveMs: 400, queueLimit: 5},
+    );
+
+  it('chooses an endpoint after one slow response (guards against excluding it from short requests for good)', () => {
+    const load = new EndpointLoad();
+    load.observeAnswer(1_050, 0, 150);
+    expect(choose(load, 0).id).toBe('e0');
+    for (let i = 1; i < 30; i++) load.observeAnswer(150, i, 150);
+    load.observeAnswer(1_050, 30, 150);
+    expect(load.getServiceMs(150, 30)).toBeLessThan(190);
+  });
+
+  it('follows an endpoint that stays slow, and forgets its time once it gets no requests', () => {
+    const load = new EndpointLoad();
+    for (let i = 0; i < 30; i++) load.observeAnswer(1_050, i, 150);
+    expect(choose(load, 30).id).toBeUndefined();
+    expect(choose(load, 20_000).id).toBe('e0');
+    expect(load.getServiceMs(150, 60_000)).toBeLessThan(170);
+  });
 });
