Send requests to the least suspect endpoint when none is healthy

Three broken or foreign responses in a row keep an endpoint from requests for 0.3 to 3 s. Where each endpoint of a service had given some, all requests were refused with 503 for some seconds, although the endpoints could answer.

While no healthy endpoint of the ranking is left, the one with the fewest consecutive failures is used; an answer makes it healthy again. One that could not be connected, or is silent with several requests open, is still excluded: it has not shown that it may answer, and a request that waits for it cannot be sent elsewhere. Limits, waits and the bound on the queue hold as before.

--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -164,6 +164,9 @@
         }),
       );
     }
+    if (candidates.every(({isBlocked}) => isBlocked)) {
+      candidates.push(...this.getLeastSuspect(ids, request, now));
+    }
     const options: ChoiceOptions = {
       remainingMs: request.remainingMs,
       objectiveMs: request.route.objectiveMs,
@@ -304,6 +307,34 @@
     this.placement.updateDemand(open);
   }
 
+  /**
+   * Returns the endpoint that is the least suspect of failing, for the case that no healthy one is
+   * left; none if no endpoint is reachable.
+   */
+  private getLeastSuspect(
+    ids: readonly string[],
+    {tried, objectKey}: SelectionRequest,
+    now: number,
+  ): Candidate[] {
+    const {permits, notices} = this.constraints;
+    let least: {endpoint: KnownEndpoint; state: EndpointState} | undefined;
+    let leastSuspicion = Infinity;
+    for (const id of ids) {
+      const endpoint = this.view.endpointTable.get(id);
+      if (!endpoint || tried.has(id) || permits.isBlocked(endpoint)) continue;
+      const state = this.states.get(endpoint);
+      const suspicion = state.load.getSuspicion(now);
+      if (state.load.isUsable(now) || suspicion >= leastSuspicion) continue;
+      if (notices.getWaitMs(endpoint.entry, now) > 0) continue;
+      least = {endpoint, state};
+      leastSuspicion = suspicion;
+    }
+    if (!least) return [];
+    const isWarm = least.state.warmObjects.has(objectKey, now);
+    const position = {rank: 0, isWarm};
+    return [this.createCandidate(least.endpoint, least.state, position)];
+  }
+
   /**
    * Limits trials to requests that are refused for the measured time rather than for a queue, and
    * that leave an endpoint of usual speed time to respond.
--- a/packages/instance/test/direct/endpoint_selector.test.ts
+++ b/packages/instance/test/direct/endpoint_selector.test.ts
@@ -100,6 +100,41 @@
 }
 
 describe('EndpointSelector', () => {
+  it('selects the least suspect endpoint when all have failed (guards against 503 on all paths after odd responses of each)', () => {
+    const {selector, endpoints} = createSelector(3);
+    endpoints.forEach((endpoint, i) => {
+      for (let n = 0; n < 3 + ((i + 1) % 3); n++) {
+        selector.observeFailure(endpoint, false);
+      }
+    });
+    expect(selector.select(REQUEST).choice.id).toBe('e2');
+    const tried = new Set(['e2']);
+    expect(selector.select({...REQUEST, tried}).choice.id).toBe('e0');
+  });
+
+  it('prefers a healthy endpoint to a suspect one, whatever its rank', () => {
+    const {selector, endpoints} = createSelector(3);
+    for (const endpoint of endpoints.slice(1)) {
+      for (let n = 0; n < 3; n++) selector.observeFailure(endpoint, false);
+    }
+    expect(selector.select(REQUEST).choice.id).toBe('e0');
+  });
+
+  it('refuses a request while every endpoint is unreachable or silent', () => {
+    const {clock, selector, endpoints} = createSelector(2);
+    const [first, second] = endpoints;
+    if (!first || !second) throw new TypeError('no endpoints');
+    selector.observeFailure(first, true);
+    selector.begin(second);
+    selector.begin(second);
+    clock.runUntil(60);
+    expect(selector.select(REQUEST).choice.id).toBe(second.entry.id);
+    selector.observeFailure(first, true);
+    selector.observeFailure(first, true);
+    clock.runUntil(1_000);
+    expect(selector.select(REQUEST).choice.id).toBeUndefined();
+  });
+
   it('tries a service again that was too slow for the deadline (guards against refusing all its requests for good)', () => {
     const {clock, selector, endpoints} = createSelector(1);
     const [endpoint] = endpoints;
--- a/packages/steering/src/direct/endpoint_load.ts
+++ b/packages/steering/src/direct/endpoint_load.ts
@@ -48,6 +48,7 @@
   private backoffMs = 0;
   private backoffUntil = -Infinity;
   private isTrialRequired = false;
+  private isUnreachable = false;
 
   /** Number of this instance's open requests at the endpoint. */
   get inFlight(): number {
@@ -153,6 +154,7 @@
     this.failureRatio += SMOOTHING * (1 - this.failureRatio);
     this.consecutiveFailures++;
     this.isTrialRequired = false;
+    this.isUnreachable = isUnreachable;
     if (!isUnreachable && this.consecutiveFailures < BACKOFF_THRESHOLD) return;
     this.backoffMs = Math.min(
       MAX_BACKOFF_MS,
@@ -172,6 +174,20 @@
     return !this.isTrialRequired || this.inFlight === 0;
   }
 
+  /**
+   * Rates an endpoint that is not usable, for the case that no other endpoint is left. One that has
+   * failed on open connections is reachable and may answer the next request. One that could not be
+   * connected or is silent has not shown that it may, and a request that waits for it cannot be
+   * sent elsewhere.
+   * @param now - Monotonic time in milliseconds.
+   * @returns The number of consecutive failures; Infinity if the endpoint must not be used.
+   */
+  getSuspicion(now: number): number {
+    return this.isUnreachable || this.isUnresponsive(now)
+      ? Infinity
+      : this.consecutiveFailures;
+  }
+
   /** Returns whether several open requests have had no answer for far longer than usual. */
   private isUnresponsive(now: number): boolean {
     if (this.openRequests < 2) return false;
@@ -194,5 +210,6 @@
     this.backoffMs = 0;
     this.backoffUntil = -Infinity;
     this.isTrialRequired = false;
+    this.isUnreachable = false;
   }
 }
