--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -2,6 +2,7 @@
 import {
   type Candidate,
   chooseEndpoint,
+  type ChoiceOptions,
   type ControlView,
   EndpointLoad,
   type EndpointNotices,
@@ -14,6 +15,7 @@
   PriorityDemand,
   type RequestTerms,
   type Route,
+  ServiceTime,
   WeightedSplitter,
 } from '@primrosestage/steering';
 import type {DirectSettings} from '../direct_settings.js';
@@ -82,7 +84,7 @@
 export class EndpointSelector {
   private readonly states: EndpointStates;
   private readonly splitters = new WeakMap<Route, WeightedSplitter>();
-  private readonly serviceMs = new Map<string, number>();
+  private readonly serviceTimes = new Map<string, ServiceTime>();
   private readonly placement: ObjectPlacement;
   private readonly priorityDemands = new Map<string, PriorityDemand>();
 
@@ -164,7 +166,10 @@
         }),
       );
     }
-    const choice = chooseEndpoint(candidates, {
+    if (candidates.every(({isBlocked}) => isBlocked)) {
+      candidates.push(...this.getLeastSuspect(ids, request, now));
+    }
+    const options: ChoiceOptions = {
       remainingMs: request.remainingMs,
       objectiveMs: request.route.objectiveMs,
       queueLimit: QUEUE_LIMIT,
@@ -172,7 +177,12 @@
         request.service,
       ).getReservedObjectiveMs(request.terms.priority, now),
       shortestWaitMs,
-    });
+    };
+    let choice = chooseEndpoint(candidates, options);
+    if (choice.id === undefined && this.mayStartTrial(request, now)) {
+      const unlimited = {...options, remainingMs: Infinity};
+      choice = chooseEndpoint(candidates, unlimited);
+    }
     const endpoint =
       choice.id === undefined
         ? undefined
@@ -252,12 +262,13 @@
    * time.
    * @param endpoint - The endpoint.
    * @param elapsedMs - Time from sending to the complete response, in milliseconds.
-   * @param sent - Estimated queue depth when the request was sent, and the key of its object.
+   * @param sent - Estimated queue depth when the request was sent, the key of its object, and the
+   *     work factor that the endpoint stated with the response.
    */
   observeResponse(
     endpoint: KnownEndpoint,
     elapsedMs: number,
-    sent: {depth: number; objectKey: string},
+    sent: {depth: number; objectKey: string; workFactor?: number},
   ): void {
     const now = this.timers.now();
     const state = this.states.get(endpoint);
@@ -270,13 +281,15 @@
       1,
       (elapsedMs - this.states.getRoundTripMs(endpoint)) / (1 + ahead),
     );
-    if (!wasWarm) {
+    const usualMs = workMs / (sent.workFactor ?? 1);
+    const serviceTime = this.serviceTimes.get(service) ?? new ServiceTime();
+    if (!wasWarm && !serviceTime.isFarBelowAverage(usualMs)) {
       state.load.observeReachable(now);
       return;
     }
-    state.load.observeAnswer(workMs, now);
-    const previous = this.serviceMs.get(service) ?? workMs;
-    this.serviceMs.set(service, previous + 0.05 * (workMs - previous));
+    this.serviceTimes.set(service, serviceTime);
+    serviceTime.observe(usualMs);
+    state.load.observeAnswer(usualMs, now, serviceTime.value);
   }
 
   /**
@@ -315,7 +328,7 @@
    * @param service - Name of the service.
    */
   getServiceMs(service: string): number {
-    return this.serviceMs.get(service) ?? DEFAULT_SERVICE_MS;
+    return this.serviceTimes.get(service)?.value ?? DEFAULT_SERVICE_MS;
   }
 
   /** Discards the state of removed endpoints and updates the demand. */
@@ -329,6 +342,47 @@
     this.placement.updateDemand(open);
   }
 
+  /**
+   * Returns the endpoint that is the least suspect of failing, for the case that no healthy one is
+   * left; none if no endpoint is reachable.
+   */
+  private getLeastSuspect(
+    ids: readonly string[],
+    {tried, objectKey}: SelectionRequest,
+    now: number,
+  ): Candidate[] {
+    const {permits, notices} = this.constraints;
+    let least: {endpoint: KnownEndpoint; state: EndpointState} | undefined;
+    let leastSuspicion = Infinity;
+    for (const id of ids) {
+      const endpoint = this.view.endpointTable.get(id);
+      if (!endpoint || tried.has(id) || permits.isBlocked(endpoint)) continue;
+      const state = this.states.get(endpoint);
+      const suspicion = state.load.getSuspicion(now);
+      if (state.load.isUsable(now) || suspicion >= leastSuspicion) continue;
+      if (notices.getWaitMs(endpoint.entry, now) > 0) continue;
+      least = {endpoint, state};
+      leastSuspicion = suspicion;
+    }
+    if (!least) return [];
+    const isWarm = least.state.warmObjects.has(objectKey, now);
+    const position = {rank: 0, isWarm};
+    return [this.createCandidate(least.endpoint, least.state, position)];
+  }
+
+  /**
+   * Limits trials to requests that are refused for the measured time rather than for a queue, and
+   * that leave an endpoint of usual speed time to respond.
+   */
+  private mayStartTrial(
+    {service, remainingMs, tried}: SelectionRequest,
+    now: number,
+  ): boolean {
+    if (remainingMs < DEFAULT_SERVICE_MS || tried.size > 0) return false;
+    if (this.getServiceMs(service) < remainingMs / 2) return false;
+    return this.serviceTimes.get(service)?.tryStartTrial(now) ?? false;
+  }
+
   private createCandidate(
     endpoint: KnownEndpoint,
     state: EndpointState,
@@ -343,7 +397,8 @@
       slots: endpoint.entry.slots,
       depth: load.getDepth(now),
       serviceMs:
-        load.averageServiceMs || this.getServiceMs(endpoint.entry.service),
+        load.getWorkFactor(now) *
+        load.getServiceMs(this.getServiceMs(endpoint.entry.service), now),
       roundTripMs: this.states.getRoundTripMs(endpoint),
       failureRatio: load.averageFailureRatio,
       isBlocked:
--- a/packages/steering/src/direct/endpoint_load.ts
+++ b/packages/steering/src/direct/endpoint_load.ts
@@ -1,5 +1,14 @@
+import {updateRobustAverage} from './robust_average.js';
+import {WorkFactor} from './work_factor.js';
+
 /** Weight of a new sample in an exponential moving average. */
 const SMOOTHING = 0.2;
+/**
+ * Half-life of a measured service time, in milliseconds. Without it, one slow response of an
+ * endpoint could exclude it from requests with short deadlines forever, since an endpoint without
+ * requests is not measured again.
+ */
+const SERVICE_TIME_HALF_LIFE_MS = 10_000;
 /** Half-life of an endpoint's load report, in milliseconds. */
 const REPORT_HALF_LIFE_MS = 500;
 /** Initial backoff of an unreachable endpoint, in milliseconds. */
@@ -18,6 +27,8 @@
   running: number;
   waiting: number;
   slots: number;
+  /** Duration of work as a multiple of the usual one; undefined if it is not stated. */
+  workFactor?: number;
 }
 
 /** Tracks the load and health of one endpoint as one instance observes them. */
@@ -29,12 +40,15 @@
   private unansweredSince = Infinity;
   private otherInstancesLoad = 0;
   private reportedAt = -Infinity;
+  private readonly workFactor = new WorkFactor();
   private serviceMs = 0;
+  private serviceMeasuredAt = -Infinity;
   private failureRatio = 0;
   private consecutiveFailures = 0;
   private backoffMs = 0;
   private backoffUntil = -Infinity;
   private isTrialRequired = false;
+  private isUnreachable = false;
 
   /** Number of this instance's open requests at the endpoint. */
   get inFlight(): number {
@@ -56,9 +70,24 @@
     if (this.openRequests === 0) this.unansweredSince = Infinity;
   }
 
-  /** Moving average of the service time, in milliseconds; 0 if unknown. */
-  get averageServiceMs(): number {
-    return this.serviceMs;
+  /**
+   * Returns the expected duration of work as a multiple of the usual one.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getWorkFactor(now: number): number {
+    return this.workFactor.get(now);
+  }
+
+  /**
+   * Estimates the usual service time. A measurement that gets old gives way to the service's time.
+   * @param typicalMs - Service time over all endpoints of the service, in milliseconds.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getServiceMs(typicalMs: number, now: number): number {
+    if (this.serviceMs === 0) return typicalMs;
+    const age = Math.max(0, now - this.serviceMeasuredAt);
+    const weight = 0.5 ** (age / SERVICE_TIME_HALF_LIFE_MS);
+    return typicalMs + (this.serviceMs - typicalMs) * weight;
   }
 
   /** Moving average of the fraction of requests that fail. */
@@ -87,18 +116,22 @@
     const total = report.running + report.waiting;
     this.otherInstancesLoad = Math.max(0, total - this.inFlight);
     this.reportedAt = now;
+    if (report.workFactor !== undefined) {
+      this.workFactor.observe(report.workFactor, now);
+    }
   }
 
   /**
    * Records an answer.
-   * @param elapsedMs - Service time without network latency and queueing, in milliseconds.
+   * @param elapsedMs - Service time without network latency and queueing, in milliseconds, divided
+   *     by the work factor.
    * @param now - Monotonic time in milliseconds.
+   * @param typicalMs - Service time over all endpoints of the service, in milliseconds.
    */
-  observeAnswer(elapsedMs: number, now: number): void {
-    this.serviceMs =
-      this.serviceMs === 0
-        ? elapsedMs
-        : this.serviceMs + SMOOTHING * (elapsedMs - this.serviceMs);
+  observeAnswer(elapsedMs: number, now: number, typicalMs = elapsedMs): void {
+    const previousMs = this.getServiceMs(typicalMs, now);
+    this.serviceMs = updateRobustAverage(previousMs, elapsedMs, SMOOTHING);
+    this.serviceMeasuredAt = now;
     this.observeReachable(now);
     this.failureRatio *= 1 - SMOOTHING;
   }
@@ -121,6 +154,7 @@
     this.failureRatio += SMOOTHING * (1 - this.failureRatio);
     this.consecutiveFailures++;
     this.isTrialRequired = false;
+    this.isUnreachable = isUnreachable;
     if (!isUnreachable && this.consecutiveFailures < BACKOFF_THRESHOLD) return;
     this.backoffMs = Math.min(
       MAX_BACKOFF_MS,
@@ -140,6 +174,20 @@
     return !this.isTrialRequired || this.inFlight === 0;
   }
 
+  /**
+   * Rates an endpoint that is not usable, for the case that no other endpoint is left. One that has
+   * failed on open connections is reachable and may answer the next request. One that could not be
+   * connected or is silent has not shown that it may, and a request that waits for it cannot be
+   * sent elsewhere.
+   * @param now - Monotonic time in milliseconds.
+   * @returns The number of consecutive failures; Infinity if the endpoint must not be used.
+   */
+  getSuspicion(now: number): number {
+    return this.isUnreachable || this.isUnresponsive(now)
+      ? Infinity
+      : this.consecutiveFailures;
+  }
+
   /** Returns whether several open requests have had no answer for far longer than usual. */
   private isUnresponsive(now: number): boolean {
     if (this.openRequests < 2) return false;
@@ -162,5 +210,6 @@
     this.backoffMs = 0;
     this.backoffUntil = -Infinity;
     this.isTrialRequired = false;
+    this.isUnreachable = false;
   }
 }
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -10,6 +10,8 @@
 export type {MachineResources} from './machine_resources.js';
 export {chooseListedInstances} from './choose_listed_instances.js';
 export {PriorityDemand} from './priority_demand.js';
+export {ServiceTime} from './service_time.js';
+export {WorkFactor} from './work_factor.js';
 export {RequestKind, isIdempotent} from './request_kind.js';
 export type {
   CallerLimits,
