Find faults of a route configuration before it is in force

Cause: instances skip or repair what a configuration states wrongly (an unknown service, a key held by two accounts, a prefix that no path has), so that an operator learns of it only from refused requests.

Change: packages/steering/src/direct/check has pure functions that report errors, entries without effect, contradicting limits and the differences from the configuration in force.

Ruled out: numbered places; they change when an entry is added, and the map of services has no numbers.

--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -95,3 +95,4 @@
   type PlacedEndpoint,
   type ServiceRankingOptions,
 } from './service_ranking.js';
+export * from './check/index.js';
