Keep keys of accounts out of messages on a state file

Cause: the message on an invalid state file held the value found. A key that was no list, a misspelled field of an account or a misspelled table of accounts therefore put keys into the error of the file registry, which is logged, and onto the terminal.

Change: loadDirectState prints values of accounts only for the fields that are no keys, and no values of unknown tables.

A syntax error was not affected: only the first line of the parser's message is used, which holds no text of the file.

--- a/packages/control/src/settings/load_direct_settings.ts
+++ b/packages/control/src/settings/load_direct_settings.ts
@@ -7,6 +7,11 @@
 } from './direct_settings_schema.js';
 import {parseTomlFile} from './parse_toml_file.js';
 import {SettingsError} from './settings_error.js';
+import type {SettingsIssue} from './settings_issue.js';
+
+/** Fields of an account whose values may be printed; any other value may hold a key. */
+const PRINTED_ACCOUNT_FIELDS =
+  /^accounts\.\d+\.(name|priority|ratePerSecond|burst|homeRegions)(\.|$)/;
 
 /**
  * Loads and checks the settings of an instance that sends requests directly to endpoints.
@@ -30,8 +35,28 @@
 /**
  * Loads and checks routes, services, endpoints and evacuations.
  * @param file - Path of the TOML file.
- * @throws SettingsError with all issues that were found.
+ * @throws SettingsError with all issues that were found; its text holds no keys of accounts.
  */
 export function loadDirectState(file: string): DirectFileState {
-  return parseTomlFile(file, DIRECT_STATE_SCHEMA);
+  try {
+    return parseTomlFile(file, DIRECT_STATE_SCHEMA);
+  } catch (err) {
+    if (!(err instanceof SettingsError)) throw err;
+    throw new SettingsError(file, err.issues.map(hideSecretValue));
+  }
+}
+
+/**
+ * Replaces a value that may hold the key of an account: those of accounts, and those of unknown
+ * keys at the top level, which may be a misspelled `accounts`.
+ */
+function hideSecretValue(issue: SettingsIssue): SettingsIssue {
+  const {key, value} = issue;
+  const table = key.split('.')[0] ?? '';
+  const isInAccount = table === 'accounts' && !PRINTED_ACCOUNT_FIELDS.test(key);
+  const isUnknownTable = !Object.hasOwn(DIRECT_STATE_SCHEMA.shape, table);
+  const isSecret = key !== '(file)' && (isInAccount || isUnknownTable);
+  return isSecret && value !== 'nothing'
+    ? {...issue, value: '(not printed)'}
+    : issue;
 }
