Check an operator's state file with primrosectl

Cause: faults of a state file showed only after an instance had read it.

Change: primrosectl check-configuration FILE [--in-force FILE] [--json] needs no instance.

Ruled out: the conversion of the state file in the file registry of the instance, since primrosectl does not depend on the instance.

--- a/packages/control/src/settings/index.ts
+++ b/packages/control/src/settings/index.ts
@@ -12,4 +12,5 @@
   type DirectFileSettings,
   type DirectFileState,
 } from './direct_settings_schema.js';
+export {buildRouteConfiguration} from './build_route_configuration.js';
 export {loadDirectSettings, loadDirectState} from './load_direct_settings.js';
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -5,6 +5,7 @@
 import {
   type CommandContext,
   type CommandOutput,
+  runCheckConfiguration,
   runDrain,
   runPresets,
   runStatus,
@@ -23,6 +24,7 @@
   changeId?: string | number;
   file?: string;
   from?: string;
+  inForce?: string;
   set?: string | string[];
 }
 
@@ -71,6 +73,15 @@
   cli
     .command('status', 'Show shares, headroom, drains and revisions')
     .action((options: CommandOptions) => run(options, runStatus));
+  cli
+    .command(
+      'check-configuration <file>',
+      'Find faults of a state file in TOML without an instance',
+    )
+    .option('--in-force <file>', 'State file in force, to compare with')
+    .action((file: string, options: CommandOptions) =>
+      printOutput(options, runCheckConfiguration(file, options.inForce)),
+    );
   cli.help();
   try {
     cli.parse(argv, {run: false});
@@ -96,7 +107,13 @@
   options: CommandOptions,
   command: (context: CommandContext) => Promise<CommandOutput>,
 ): Promise<void> {
-  const {json, text, exitCode} = await command(createContext(options));
+  printOutput(options, await command(createContext(options)));
+}
+
+function printOutput(
+  options: CommandOptions,
+  {json, text, exitCode}: CommandOutput,
+): void {
   process.stdout.write(options.json ? `${JSON.stringify(json)}\n` : text);
   process.exitCode = exitCode ?? ExitCode.Success;
 }
