--- a/packages/steering/test/direct/configuration_check.test.ts
+++ b/packages/steering/test/direct/configuration_check.test.ts
@@ -202,6 +202,22 @@
   ],
 ];
 
+const WARNINGS = [
+  'same-match',
+  'host-case',
+  'prefix-without-slash',
+  'unused-service',
+  'no-common-region',
+  'burst-without-rate',
+  'objective-above-timeout',
+  'attempts-without-timeout',
+  'attempts-below-one',
+  'burst-below-one',
+  'body-above-memory',
+  'header-above-server',
+  'cold-time-without-rate',
+];
+
 describe('findConfigurationIssues', () => {
   it('guards against findings in a valid configuration', () => {
     const inForce = create({version: 6});
@@ -211,16 +227,14 @@
     );
   });
 
-  it.each(CASES)(
-    'guards against missing %s at %s (%j)',
-    (code, place, parts) => {
-      const findings = findConfigurationIssues(create(parts));
-      expect(findings).toMatchObject([{code, place}]);
-      expect(findings[0]?.value).not.toBe('');
-      expect(findings[0]?.expected).not.toBe('');
-      expect(formatFindings(findings)).not.toContain('secret');
-    },
-  );
+  it.each(CASES)('guards against missing %s at %s', (code, place, parts) => {
+    const findings = findConfigurationIssues(create(parts));
+    const severity = WARNINGS.includes(code) ? 'warning' : 'error';
+    expect(findings).toMatchObject([{severity, code, place}]);
+    expect(findings[0]?.value).not.toBe('');
+    expect(findings[0]?.expected).not.toBe('');
+    expect(formatFindings(findings)).not.toContain('secret');
+  });
 
   it('guards against a version that instances would ignore', () => {
     const options = {inForce: create()};
