--- a/packages/steering/src/lookup/prefix_page.ts
+++ b/packages/steering/src/lookup/prefix_page.ts
@@ -51,6 +51,17 @@
     this.count++;
   }
 
+  /**
+   * Writes the prefix of an entry.
+   * @param index - Index of the entry.
+   * @param words - Start address of the prefix.
+   * @param length - Its length in bits.
+   */
+  write(index: number, words: readonly number[], length: number): void {
+    this.starts.forEach((column, w) => (column[index] = words[w] ?? 0));
+    this.lengths[index] = length;
+  }
+
   /**
    * Removes an entry.
    * @param index - Index of the entry.
