Open the import circle of exchanges and their pool

Cause: exchange.ts took the type PeerRequest from peer_connection_pool.ts, which starts exchanges.

Change: PeerRequest is in peer_request.ts. Types only; no behaviour changes.

--- a/packages/instance/src/exchange/exchange.ts
+++ b/packages/instance/src/exchange/exchange.ts
@@ -14,7 +14,7 @@
   getHeader,
 } from '../http/index.js';
 import type {CarriedRequests} from './carried_requests.js';
-import type {PeerRequest} from './peer_connection_pool.js';
+import type {PeerRequest} from './peer_request.js';
 
 /** Headers of this system that occur once in a response. */
 const SINGLE_HEADERS: ReadonlySet<string> = new Set([
--- a/packages/instance/src/exchange/index.ts
+++ b/packages/instance/src/exchange/index.ts
@@ -4,8 +4,8 @@
 export {
   PeerConnectionPool,
   type PeerConnectionPoolOptions,
-  type PeerRequest,
 } from './peer_connection_pool.js';
+export type {PeerRequest} from './peer_request.js';
 export {
   sendAnswer,
   type SendAnswerFailure,
--- a/packages/instance/src/exchange/peer_connection_pool.ts
+++ b/packages/instance/src/exchange/peer_connection_pool.ts
@@ -6,9 +6,10 @@
   type Step,
   type TimerService,
 } from '@primrosestage/common';
-import {parseAddress, type RequestBody} from '../http/index.js';
+import {parseAddress} from '../http/index.js';
 import {CarriedRequests} from './carried_requests.js';
 import {Exchange, type ExchangeResult, FailureKind} from './exchange.js';
+import type {PeerRequest} from './peer_request.js';
 
 /**
  * Maximum idle time of a connection that is used for a non-idempotent request, in milliseconds.
@@ -37,20 +38,6 @@
   progressTimeoutMs: number;
 }
 
-/** Describes a request to a peer; times are monotonic milliseconds. */
-export interface PeerRequest {
-  method: string;
-  path: string;
-  headers: http.OutgoingHttpHeaders;
-  /** Request id to which an id in the answer must be equal; undefined for probes. */
-  requestId?: string;
-  body: RequestBody;
-  deadlineAt: number;
-  /** Whether idle connections that the peer may have closed must not be used. */
-  needsFreshConnection: boolean;
-  signal: AbortSignal;
-}
-
 /** Pools the connections to one peer. */
 export class PeerConnectionPool implements AsyncDisposable {
   private agent: http.Agent;
