Open the import circle of owner and relay

Cause: owner_task.ts took RetryLimiter from relay, whose dispatcher takes OwnerTask from owner.

Change: RetryLimiter has the folder retry, which both import and which imports neither. No behaviour changes.

Ruled out: an interface in relay in place of OwnerTask. It would have one implementation, and ingress and request_path use the class anyway.

--- a/packages/instance/src/owner/owner_task.ts
+++ b/packages/instance/src/owner/owner_task.ts
@@ -25,7 +25,7 @@
 import type {AttemptResult, Refusal} from '../exchange/index.js';
 import type {RequestBody} from '../http/index.js';
 import type {RequestContext} from '../request_context.js';
-import type {RetryLimiter} from '../relay/index.js';
+import type {RetryLimiter} from '../retry/index.js';
 import {
   type RequestMetrics,
   type ServiceTimes,
--- a/packages/instance/src/relay/dispatcher.ts
+++ b/packages/instance/src/relay/dispatcher.ts
@@ -19,6 +19,7 @@
 import type {RequestBody} from '../http/index.js';
 import type {OwnerTask} from '../owner/index.js';
 import type {RequestContext} from '../request_context.js';
+import type {RetryLimiter} from '../retry/index.js';
 import type {ServiceTimes} from '../telemetry/index.js';
 import {InstanceRole} from './instance_role.js';
 import type {LinkPacer} from './link_pacer.js';
@@ -29,7 +30,6 @@
   type RunningAttempt,
 } from './race_attempts.js';
 import type {RelayTask} from './relay_task.js';
-import type {RetryLimiter} from './retry_limiter.js';
 
 /** Configures the dispatcher. */
 export interface DispatcherOptions {
--- a/packages/instance/src/relay/index.ts
+++ b/packages/instance/src/relay/index.ts
@@ -4,4 +4,3 @@
 export type {LinkPacer, LinkTransfer} from './link_pacer.js';
 export {NO_RECORDS_STATUS} from './read_refusal.js';
 export {RelayTask, type RelayTaskOptions} from './relay_task.js';
-export {RetryLimiter, type RetryLimiterOptions} from './retry_limiter.js';
--- a/packages/instance/src/request_path/create_request_path.ts
+++ b/packages/instance/src/request_path/create_request_path.ts
@@ -17,12 +17,8 @@
 import {HomeRouter} from '../idempotency/index.js';
 import {IngressTask, RequestTracker} from '../ingress/index.js';
 import {OwnerTask} from '../owner/index.js';
-import {
-  Dispatcher,
-  type LinkPacer,
-  RelayTask,
-  RetryLimiter,
-} from '../relay/index.js';
+import {Dispatcher, type LinkPacer, RelayTask} from '../relay/index.js';
+import {RetryLimiter} from '../retry/index.js';
 import {RequestMetrics, ServiceTimes} from '../telemetry/index.js';
 
 /** Configures the tasks that process a request. */
--- /dev/null
+++ b/packages/instance/src/retry/index.ts
@@ -0,0 +1,1 @@
+export {RetryLimiter, type RetryLimiterOptions} from './retry_limiter.js';
