--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -99,3 +99,4 @@
   type PlacedEndpoint,
   type ServiceRankingOptions,
 } from './service_ranking.js';
+export * from './check/index.js';
