Keep what instances have learned when the store returns from an older copy

Cause: the store may come back from a copy that lacks its last seconds. Its revisions go back and are assigned again, so that an instance took an old statement for the present one, ignored new ones under lower revisions, and used a lease whose number another writer may hold.

Change: in platform/, the era and the revision form one number, era x 2^40 + revision; without the header, nothing differs. A watch, read, page or write of another era ends with HistoryLost and the instance lists again. In the view, a process that has left stays unused in later eras, a later process is not replaced by the copy's earlier one, an entry or evacuation that the copy lacks lapses after the grace period, and an evacuation that was lifted stays lifted. An instance registers anew. Removals found by a listing are logged with their effect, `lapsed` or `left`, where it was always `left`.

--- a/packages/control/src/store/registry_store.ts
+++ b/packages/control/src/store/registry_store.ts
@@ -3,7 +3,7 @@
   key: string;
   /** The value, or undefined if the key was removed. */
   value?: Buffer;
-  /** Revision of the change; increases across all keys. */
+  /** Revision of the change; increases across all keys and, with their number, across eras. */
   revision: number;
 }
 
@@ -21,7 +21,10 @@
   Unavailable = 'unavailable',
   /** The rate limit of calls is exceeded. */
   RateLimited = 'limited',
-  /** The registry no longer keeps the revisions that a watch asks for. */
+  /**
+   * The registry does not keep the revisions that a watch asks for, or has returned from an older
+   * copy since the last listing.
+   */
   HistoryLost = 'history-lost',
   /** The lease has ended. */
   LeaseEnded = 'lease-ended',
@@ -61,7 +64,8 @@
   ): Promise<RegistryItems>;
 
   /**
-   * Reads the revision of the registry on a connection that no watch uses.
+   * Reads the revision of the registry on a connection that no watch uses. Fails with
+   * `HistoryLost` if the era is not that of the last listing.
    */
   readRevision(): Promise<number>;
 
--- a/packages/instance/src/direct/control/control_sync.ts
+++ b/packages/instance/src/direct/control/control_sync.ts
@@ -13,6 +13,7 @@
   type ControlChanges,
   type ControlView,
   FollowerElection,
+  getEra,
   type MemberInfo,
   type MemberTable,
 } from '@primrosestage/steering';
@@ -70,6 +71,10 @@
   private watchAbort?: AbortController;
   /** Revision up to which this instance has followed the registry itself. */
   private position?: number;
+  /** Era of the last listing. */
+  private era?: number;
+  /** Ends the wait for the next registration, since a later era lacks the last one. */
+  private registrationWait = new AbortController();
   /** Delays the first watch at a system start, so that not every instance opens one. */
   private isDiscoveringPeers: boolean;
   private isRegistryLost = false;
@@ -103,7 +108,10 @@
         this.endWatch();
       },
       handleUnavailable: err => {
-        this.markRegistryLost(err);
+        // A registry that has lost its history answers; the next read shows it again.
+        if (getFault(err) === RegistryFault.HistoryLost) {
+          this.isConfirmationDue = true;
+        } else this.markRegistryLost(err);
         this.endWatch();
       },
       timers,
@@ -138,6 +146,7 @@
     await this.roleChecks?.[Symbol.asyncDispose]();
     this.abort.abort();
     this.watchAbort?.abort();
+    this.registrationWait.abort();
     await Promise.all(this.loops);
   }
 
@@ -167,8 +176,15 @@
         if (getFault(err) === RegistryFault.HistoryLost) {
           this.options.logger.warn('registry history lost', {
             revision: this.position,
+            reason: getErrorMessage(err),
             outcome: 'list again',
           });
+          this.isReopening = false;
+          // A listing that fails in this way, while the era changes, is not repeated at once.
+          if (this.position === undefined) {
+            await this.options.timers.sleep(backoffMs, signal);
+            backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+          }
           this.position = undefined;
           continue;
         }
@@ -235,9 +251,19 @@
     this.markRegistryAvailable();
     this.isFollower = true;
     this.apply(listed, true);
+    this.handleEra(getEra(listed.revision));
     return listed.revision;
   }
 
+  /** Registers this instance anew in a new era, which may lack its registration. */
+  private handleEra(era: number): void {
+    const isNew = this.era !== undefined && this.era !== era;
+    this.era = era;
+    if (!isNew) return;
+    this.registrationWait.abort();
+    this.registrationWait = new AbortController();
+  }
+
   private async confirmAndWatch(after: number): Promise<number> {
     if (this.isConfirmationDue) {
       await this.options.source.store.readRevision();
@@ -348,6 +374,8 @@
         continue;
       }
       let delayMs = REGISTRATION_INTERVAL_MS;
+      // Taken before the write, whose era may end before its response.
+      const waitSignal = this.registrationWait.signal;
       try {
         const info = self();
         await source.store.put({
@@ -360,7 +388,7 @@
         logger.warn('registration failed', {reason: getErrorMessage(err)});
         delayMs = MAX_BACKOFF_MS;
       }
-      await timers.sleep(delayMs, signal);
+      await timers.sleep(delayMs, waitSignal);
     }
   }
 }
--- a/packages/instance/src/direct/control/create_change_handler.ts
+++ b/packages/instance/src/direct/control/create_change_handler.ts
@@ -1,10 +1,11 @@
 import type http from 'node:http';
 import type {EventLogger, TimerService} from '@primrosestage/common';
-import type {
-  ControlChanges,
-  ControlView,
-  RouteConfiguration,
-  ViewEffects,
+import {
+  type ControlChanges,
+  type ControlView,
+  getEra,
+  type RouteConfiguration,
+  type ViewEffects,
 } from '@primrosestage/steering';
 import type {DirectMetrics} from '../direct_metrics.js';
 import {logEffects} from './log_effects.js';
@@ -25,6 +26,8 @@
   metrics: DirectMetrics;
   /** Broadcasts the changes of the view since a revision to other instances. */
   broadcast: (since: number) => void;
+  /** Broadcasts what this instance holds against the registry's older copy. */
+  broadcastCorrections: () => void;
   /** Called after each change with which the view is complete. */
   handleComplete: () => void;
 }
@@ -43,9 +46,17 @@
   const {view, timers, logger, metrics} = options;
   return (changes, from) => {
     const since = view.revision;
+    const wasComplete = view.isComplete;
     const effects = view.apply(changes, timers.now());
     logEffects(effects, {view, from, now: timers.now()}, logger);
     countEffects(effects, metrics);
+    if (wasComplete && getEra(view.revision) > getEra(since)) {
+      logNewEra(view, {since, from}, logger);
+    }
+    // Each instance lists only once in an era unless the registry loses its history.
+    if (changes.isFromRegistry && changes.isFull) {
+      options.broadcastCorrections();
+    }
     const isIncremental = changes.isFromRegistry === true && !changes.isFull;
     if (isIncremental && hasEffects(effects)) options.broadcast(since);
     if (view.isComplete) options.handleComplete();
@@ -63,6 +74,23 @@
   };
 }
 
+function logNewEra(
+  view: ControlView,
+  {since, from}: {since: number; from: string},
+  logger: EventLogger,
+): void {
+  const corrections = view.getCorrections();
+  logger.warn('registry era changed', {
+    era: getEra(view.revision),
+    before: getEra(since),
+    revision: view.revision,
+    endpointsKeptOut: corrections?.endpoints.length ?? 0,
+    evacuationsKeptLifted: corrections?.evacuations.length ?? 0,
+    from,
+    outcome: 'the registry lost its last writes, which must be repeated',
+  });
+}
+
 function setTimeouts(server: http.Server, {limits}: RouteConfiguration): void {
   server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   server.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
--- a/packages/instance/src/direct/control/gossip.ts
+++ b/packages/instance/src/direct/control/gossip.ts
@@ -39,6 +39,8 @@
 const MAX_HEARTBEATS = 64;
 const MAX_ANNOUNCEMENTS = 12;
 const MAX_LIMITS = 32;
+/** Limit on corrected endpoints per datagram, so that few networks fragment it. */
+const MAX_CORRECTIONS = 4;
 /** Minimum time between two broadcasts of changed rate limits, in milliseconds. */
 const LIMIT_BROADCAST_INTERVAL_MS = 400;
 /** Minimum time between two pulls of members, in milliseconds. */
@@ -119,6 +121,25 @@
     for (const part of parts) this.broadcastToAllRegions(part);
   }
 
+  /** Broadcasts what this instance holds against the registry's older copy. */
+  broadcastCorrections(): void {
+    const {view} = this.options;
+    const corrections = view.getCorrections();
+    if (!corrections) return;
+    // The view of a receiver must have reached this era, which a part must not make it skip.
+    const {revision} = view;
+    const {endpoints, evacuations} = corrections;
+    for (let i = 0; i === 0 || i < endpoints.length; i += MAX_CORRECTIONS) {
+      this.broadcastToAllRegions({
+        since: revision,
+        revision,
+        isFull: false,
+        endpoints: endpoints.slice(i, i + MAX_CORRECTIONS),
+        evacuations: i === 0 ? evacuations : [],
+      });
+    }
+  }
+
   /** Broadcasts at once that the state of this instance has changed. */
   announce(): void {
     this.announcedVersion = this.options.self().version;
@@ -269,8 +290,8 @@
 
   /** Returns a number that rises with each change of control state that this instance learns. */
   private getStateCounter(): number {
-    const {changedRevision, configuration} = this.options.view;
-    return changedRevision + (configuration?.version ?? 0);
+    const {version, configuration} = this.options.view;
+    return version + (configuration?.version ?? 0);
   }
 
   private applyMessage(message: GossipMessage): void {
@@ -295,7 +316,7 @@
     if (message.revision > 0) {
       // The full state is large, so it is pulled from one instance at a time.
       if (!view.isComplete) return !this.options.exchange.isBusy;
-      return message.changedRevision > view.revision;
+      return view.isBehind(message.changedRevision, message.revision);
     }
     return false;
   }
--- a/packages/instance/src/direct/control/peer_exchange.ts
+++ b/packages/instance/src/direct/control/peer_exchange.ts
@@ -204,6 +204,9 @@
     if (laterProcess) message.members.push(laterProcess);
     if (view.revision > other.revision) {
       message.changes = view.getChangesAfter(other.revision);
+    } else if (view.revision === other.revision) {
+      // An instance that started in the present era has not learned these otherwise.
+      message.changes = view.getCorrections();
     }
     if (configuration && configuration.version > other.configurationVersion) {
       message.configuration = toWireConfiguration(configuration);
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -178,6 +178,7 @@
     logger,
     metrics,
     broadcast: since => gossip.broadcastChanges(since),
+    broadcastCorrections: () => gossip.broadcastCorrections(),
     handleComplete: () => void startServing(),
   });
   let hasStartedServing = false;
@@ -275,9 +276,13 @@
   const subscriptions = [
     timers.every(SWEEP_INTERVAL_MS, () => {
       const now = timers.now();
-      for (const id of view.endpointTable.expire(now)) {
+      const expired = view.expire(now);
+      for (const id of expired.endpoints) {
         logger.info('endpoint changed', {endpoint: id, effect: 'expired'});
       }
+      for (const change of expired.evacuations) {
+        logger.info('evacuation changed', {...change, from: 'grace period'});
+      }
       for (const id of members.expire(now)) {
         logger.info('instance forgotten', {peer: id});
       }
--- a/packages/steering/src/direct/control_view.ts
+++ b/packages/steering/src/direct/control_view.ts
@@ -1,15 +1,16 @@
 import {AccountTable} from './account_table.js';
-import {EndpointEffect, EndpointTable} from './endpoint_table.js';
+import {
+  EndpointEffect,
+  EndpointTable,
+  getLapseGraceMs,
+} from './endpoint_table.js';
 import type {EndpointChange} from './endpoint_entry.js';
+import {type EvacuationChange, EvacuationTable} from './evacuation_table.js';
+import {getEra} from './revision.js';
 import type {RouteConfiguration} from './route.js';
 import {RouteTable} from './route_table.js';
 
-/** Starts or ends the evacuation of a zone, whose endpoints then get no requests. */
-export interface EvacuationChange {
-  zone: string;
-  isActive: boolean;
-  revision: number;
-}
+export type {EvacuationChange} from './evacuation_table.js';
 
 /** Changes of the control state, as instances exchange them. */
 export interface ControlChanges {
@@ -42,11 +43,9 @@
   private config?: RouteConfiguration;
   private routeTable = new RouteTable([]);
   private accountTable = new AccountTable();
-  private readonly evacuations = new Map<string, EvacuationChange>();
+  private readonly evacuations: EvacuationTable;
   private syncedRevision = 0;
   private listedRevision = Infinity;
-  private evacuationVersion = 0;
-  private evacuationRevision = 0;
 
   /**
    * Creates an empty view.
@@ -54,6 +53,7 @@
    */
   constructor(drainMs: number) {
     this.endpointTable = new EndpointTable(drainMs);
+    this.evacuations = new EvacuationTable(getLapseGraceMs(drainMs));
   }
 
   /** Revision up to which this view is complete. */
@@ -63,7 +63,7 @@
 
   /** Highest revision of any change to the endpoints or evacuations. */
   get changedRevision(): number {
-    return Math.max(this.endpointTable.revision, this.evacuationRevision);
+    return Math.max(this.endpointTable.revision, this.evacuations.revision);
   }
 
   /** The configuration in force; undefined until one is known. */
@@ -83,7 +83,7 @@
 
   /** Counter that increases whenever the set of usable endpoints may have changed. */
   get version(): number {
-    return this.endpointTable.version + this.evacuationVersion;
+    return this.endpointTable.version + this.evacuations.version;
   }
 
   /** Whether there is a configuration and a complete view of the endpoints. */
@@ -96,7 +96,7 @@
    * @param zone - Name of the zone.
    */
   isEvacuated(zone: string): boolean {
-    return this.evacuations.get(zone)?.isActive === true;
+    return this.evacuations.isActive(zone);
   }
 
   /**
@@ -107,12 +107,21 @@
    */
   apply(changes: ControlChanges, now: number): ViewEffects {
     const effects: ViewEffects = {endpoints: [], evacuations: []};
+    const isNewEra = this.isOfLaterEra(changes.revision);
+    if (isNewEra && changes.isFromRegistry && this.listedRevision < Infinity) {
+      this.endOutage(now);
+    }
+    // Only the first listing may show a copy, but later ones do not tell what was observed either.
+    const listing =
+      changes.isFull && changes.isFromRegistry && getEra(changes.revision) > 0
+        ? {isListed: true}
+        : {};
     if (this.adoptConfiguration(changes.configuration)) {
       effects.configuration = changes.configuration;
     }
     for (const change of changes.endpoints) {
       const effect = this.endpointTable.apply(
-        change,
+        {...change, ...listing},
         now,
         changes.isFromRegistry,
       );
@@ -124,13 +133,39 @@
       });
     }
     for (const change of changes.evacuations) {
-      if (this.adoptEvacuation(change)) effects.evacuations.push(change);
+      if (this.evacuations.apply({...change, ...listing}, now)) {
+        effects.evacuations.push(change);
+      }
     }
     if (changes.isFull) this.removeUnlisted(changes, now, effects);
-    this.syncedRevision = Math.max(this.syncedRevision, changes.revision);
+    // Changes of a later era say what is missing in it only if they are a full snapshot.
+    if (changes.isFull || !isNewEra) {
+      this.syncedRevision = Math.max(this.syncedRevision, changes.revision);
+    }
     return effects;
   }
 
+  /**
+   * Removes endpoints and evacuations whose grace period has ended.
+   * @param now - Monotonic time in milliseconds.
+   * @returns Ids of the removed endpoints, and the evacuations that ended.
+   */
+  expire(now: number): {endpoints: string[]; evacuations: EvacuationChange[]} {
+    return {
+      endpoints: this.endpointTable.expire(now),
+      evacuations: this.evacuations.expire(now),
+    };
+  }
+
+  /**
+   * Says whether another instance's view contains changes that this one lacks.
+   * @param changedRevision - Highest revision of any change in the other view.
+   * @param revision - Revision up to which the other view is complete.
+   */
+  isBehind(changedRevision: number, revision: number): boolean {
+    return changedRevision > this.syncedRevision || this.isOfLaterEra(revision);
+  }
+
   /**
    * Advances the revision of this view to that of another instance's complete view, if this view
    * contains all changes of the other one.
@@ -139,7 +174,9 @@
    * @returns Whether this view contains all changes of the other one.
    */
   advanceRevision(changedRevision: number, revision: number): boolean {
-    if (!this.isComplete || this.syncedRevision < changedRevision) return false;
+    if (!this.isComplete || this.isBehind(changedRevision, revision)) {
+      return false;
+    }
     this.syncedRevision = Math.max(this.syncedRevision, revision);
     return true;
   }
@@ -155,12 +192,23 @@
       revision: this.syncedRevision,
       isFull: isFull && this.isComplete,
       endpoints: this.endpointTable.getChangesAfter(since),
-      evacuations: [...this.evacuations.values()].filter(
-        change => change.revision > since,
-      ),
+      evacuations: this.evacuations.getChangesAfter(since),
     };
   }
 
+  /**
+   * Returns what this instance holds against the registry's older copy; undefined if nothing.
+   * Instances that started in the present era learn only from this what has left before.
+   */
+  getCorrections(): ControlChanges | undefined {
+    const isPresent = ({revision}: {revision: number}) =>
+      getEra(revision) === getEra(this.syncedRevision);
+    const endpoints = this.endpointTable.getCorrections().filter(isPresent);
+    const evacuations = this.evacuations.getCorrections().filter(isPresent);
+    if (endpoints.length + evacuations.length === 0) return undefined;
+    return {revision: 0, isFull: false, endpoints, evacuations};
+  }
+
   private adoptConfiguration(configuration?: RouteConfiguration): boolean {
     if (!configuration) return false;
     if (this.config && configuration.version <= this.config.version) {
@@ -172,16 +220,14 @@
     return true;
   }
 
-  private adoptEvacuation(change: EvacuationChange): boolean {
-    const known = this.evacuations.get(change.zone);
-    if (known && known.revision >= change.revision) return false;
-    this.evacuations.set(change.zone, change);
-    this.evacuationVersion++;
-    this.evacuationRevision = Math.max(
-      this.evacuationRevision,
-      change.revision,
-    );
-    return known?.isActive === true || change.isActive;
+  private isOfLaterEra(revision: number): boolean {
+    return getEra(revision) > getEra(this.syncedRevision);
+  }
+
+  /** Leases are lost with an era, so that live endpoints may be removed until they write again. */
+  private endOutage(now: number): void {
+    this.endpointTable.markRegistryUnavailable();
+    this.endpointTable.markRegistryAvailable(now);
   }
 
   /** Removes the endpoints and evacuations that a full snapshot does not list. */
@@ -198,17 +244,17 @@
       now,
       changes.isFromRegistry,
     );
-    for (const id of removed) {
-      effects.endpoints.push({id, effect: EndpointEffect.Left, revision});
+    for (const {id, effect} of removed) {
+      effects.endpoints.push({id, effect, revision});
     }
-    const zones = new Set(changes.evacuations.map(({zone}) => zone));
-    for (const known of [...this.evacuations.values()]) {
-      if (zones.has(known.zone) || known.revision > revision) continue;
-      const change = {zone: known.zone, isActive: false, revision};
-      if (known.isActive && this.adoptEvacuation(change)) {
-        effects.evacuations.push(change);
-      }
-    }
-    this.listedRevision = Math.min(this.listedRevision, revision);
+    effects.evacuations.push(
+      ...this.evacuations.removeUnlisted(changes.evacuations, revision, now),
+    );
+    const isNewEra =
+      this.listedRevision < Infinity &&
+      getEra(revision) > getEra(this.listedRevision);
+    this.listedRevision = isNewEra
+      ? revision
+      : Math.min(this.listedRevision, revision);
   }
 }
--- a/packages/steering/src/direct/endpoint_entry.ts
+++ b/packages/steering/src/direct/endpoint_entry.ts
@@ -33,4 +33,9 @@
    * have been unable to renew its registration.
    */
   isLapse?: boolean;
+  /**
+   * Whether the change comes from a listing, which may show an older copy of the registry, rather
+   * than from a write that was observed.
+   */
+  isListed?: boolean;
 }
--- a/packages/steering/src/direct/endpoint_table.ts
+++ b/packages/steering/src/direct/endpoint_table.ts
@@ -3,6 +3,8 @@
   type EndpointEntry,
   EndpointState,
 } from './endpoint_entry.js';
+import {ProcessHistory, Standing} from './process_history.js';
+import {getEra} from './revision.js';
 
 /**
  * Time within which a live endpoint whose registration lapsed registers again, in milliseconds:
@@ -12,6 +14,14 @@
 /** Maximum grace period of a lapsed entry, as a fraction of the drain time. */
 const LAPSE_GRACE_FRACTION = 0.85;
 
+/**
+ * Returns the time for which an entry that lapsed stays in force, in milliseconds.
+ * @param drainMs - Time after which a leaving endpoint must get no requests, in milliseconds.
+ */
+export function getLapseGraceMs(drainMs: number): number {
+  return Math.min(REREGISTRATION_MS, drainMs * LAPSE_GRACE_FRACTION);
+}
+
 /** An endpoint that this instance knows. */
 export interface KnownEndpoint {
   readonly entry: EndpointEntry;
@@ -42,6 +52,9 @@
 export class EndpointTable {
   private readonly endpoints = new Map<string, KnownEndpoint>();
   private readonly lastChanges = new Map<string, EndpointChange>();
+  /** Changes that replace what the registry's older copy shows, by endpoint. */
+  private readonly corrections = new Map<string, EndpointChange>();
+  private readonly processes = new ProcessHistory();
   private readonly byService = new Map<string, KnownEndpoint[]>();
   private readonly slotsByService = new Map<string, number>();
   private readonly lapseGraceMs: number;
@@ -55,10 +68,7 @@
    * @param drainMs - Time after which a leaving endpoint must get no requests, in milliseconds.
    */
   constructor(drainMs: number) {
-    this.lapseGraceMs = Math.min(
-      REREGISTRATION_MS,
-      drainMs * LAPSE_GRACE_FRACTION,
-    );
+    this.lapseGraceMs = getLapseGraceMs(drainMs);
   }
 
   /** Highest revision of all applied changes. */
@@ -108,13 +118,19 @@
   ): EndpointEffect {
     const last = this.lastChanges.get(change.id);
     if (last && last.revision >= change.revision) return EndpointEffect.None;
-    this.lastChanges.set(change.id, change);
-    this.highestRevision = Math.max(this.highestRevision, change.revision);
-    this.invalidateCaches();
+    const standing = this.processes.judge(change);
+    if (standing !== Standing.Current) {
+      return this.correct(change, standing, now);
+    }
+    this.corrections.delete(change.id);
+    this.record(change);
     const before = this.endpoints.get(change.id);
     const {entry} = change;
     if (!entry || entry.state === EndpointState.Draining) {
-      if (!before) return EndpointEffect.None;
+      if (!before) {
+        if (!change.isLapse) this.processes.recordDeparture(change);
+        return EndpointEffect.None;
+      }
       const isLapse =
         change.isLapse === true ||
         (isFromRegistry && this.isLapsePossible(now));
@@ -124,17 +140,21 @@
         before.graceEndsAt = now + this.lapseGraceMs;
         return EndpointEffect.Lapsed;
       }
+      this.processes.recordDeparture(change);
       this.endpoints.delete(change.id);
       return EndpointEffect.Left;
     }
+    this.processes.recordUse(change.id, entry.bornAt, change.revision);
     const isSameProcess = before?.entry.bornAt === entry.bornAt;
+    const isNewEra =
+      last !== undefined && getEra(change.revision) > getEra(last.revision);
     const coldUntil = now + entry.coldLeftMs;
     this.endpoints.set(change.id, {
       entry,
       revision: change.revision,
-      // A delayed entry of the same process must not shorten its cold start.
+      // A delayed entry of the same process must not shorten its cold start, nor an older copy.
       coldUntil:
-        isSameProcess && entry.coldLeftMs > 0
+        isSameProcess && (entry.coldLeftMs > 0 || isNewEra)
           ? Math.max(before.coldUntil, coldUntil)
           : coldUntil,
       learnedAt: now,
@@ -148,23 +168,30 @@
    * @param revision - Revision before the listing began; later entries are kept.
    * @param now - Monotonic time in milliseconds.
    * @param isFromRegistry - Whether this instance has read the listing itself.
-   * @returns Ids of the endpoints that left or lapsed.
+   * @returns The endpoints that left or lapsed.
    */
   removeUnlisted(
     ids: ReadonlySet<string>,
     revision: number,
     now: number,
     isFromRegistry = false,
-  ): string[] {
-    const removedIds: string[] = [];
+  ): Array<{id: string; effect: EndpointEffect}> {
+    const removed: Array<{id: string; effect: EndpointEffect}> = [];
     for (const [id, {revision: knownRevision}] of [...this.endpoints]) {
       if (ids.has(id) || knownRevision > revision) continue;
       const at = Math.max(knownRevision + 0.5, revision);
-      const change = {id, revision: at, isRemoved: true};
+      // The registry's older copy does not show that an endpoint has left since an earlier era.
+      const isLapse = getEra(revision) > getEra(knownRevision);
+      const change = {
+        id,
+        revision: at,
+        isRemoved: true,
+        ...(isLapse ? {isLapse} : {}),
+      };
       const effect = this.apply(change, now, isFromRegistry);
-      if (effect !== EndpointEffect.None) removedIds.push(id);
+      if (effect !== EndpointEffect.None) removed.push({id, effect});
     }
-    return removedIds;
+    return removed;
   }
 
   /**
@@ -239,6 +266,52 @@
     );
   }
 
+  /** Returns the changes that replace what the registry's older copy shows. */
+  getCorrections(): EndpointChange[] {
+    return [...this.corrections.values()];
+  }
+
+  /**
+   * Replaces a change of a process that has left, or of one that a later process has replaced. The
+   * correction is ordered behind the change, so that other instances apply it too.
+   */
+  private correct(
+    change: EndpointChange,
+    standing: Standing.Left | Standing.Replaced,
+    now: number,
+  ): EndpointEffect {
+    const {id, entry, revision} = change;
+    const isReplaced = standing === Standing.Replaced;
+    const correction: EndpointChange = {
+      id,
+      revision: revision + 0.5,
+      isRemoved: isReplaced,
+      ...(isReplaced ? {isLapse: true} : {}),
+      ...(!isReplaced && entry
+        ? {entry: {...entry, state: EndpointState.Draining}}
+        : {}),
+    };
+    this.record(correction);
+    this.corrections.set(id, correction);
+    const before = this.endpoints.get(id);
+    if (!before) return EndpointEffect.None;
+    if (!isReplaced) {
+      this.endpoints.delete(id);
+      return EndpointEffect.Left;
+    }
+    // The later process is not registered in the copy and has to register again.
+    before.graceEndsAt ??= now + this.lapseGraceMs;
+    return EndpointEffect.Lapsed;
+  }
+
+  private record(change: EndpointChange): void {
+    this.lastChanges.set(change.id, change);
+    // Other instances do not wait for corrections and conclusions, which have no own revision.
+    const revision = Math.floor(change.revision);
+    this.highestRevision = Math.max(this.highestRevision, revision);
+    this.invalidateCaches();
+  }
+
   private invalidateCaches(): void {
     this.versionCount++;
     this.byService.clear();
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -17,6 +17,13 @@
   RouteTarget,
 } from './route.js';
 export {RouteTable} from './route_table.js';
+export {
+  getEra,
+  getEraPosition,
+  MAX_ERA,
+  REVISIONS_PER_ERA,
+  toRevision,
+} from './revision.js';
 export {
   EndpointState,
   type EndpointChange,
