Treat a final status outside 200 to 599 as no valid response

Cause: the head of a response was judged by what Node.js can write, which includes statuses up to 999. An endpoint's 600 or 999 was passed on, and with the not-run marker it counted as a refusal, so that the caller of an order that may have run got 503.

Change: findResponseHeadFault, which both paths use (the direct one in judge_response.ts, the one with owners and relays in exchange.ts), takes 200 to 599 as final. Others are 502, or the request is retried where it may be repeated.

Ruled out: a check in each path, which would leave the prober and the relay with another rule.

--- a/packages/instance/src/http/head_fault.ts
+++ b/packages/instance/src/http/head_fault.ts
@@ -1,15 +1,15 @@
 import http, {type IncomingMessage} from 'node:http';
 import {getErrorMessage} from '@primrosestage/common';
 
-/** Lowest status of a final response. */
+/** Lowest and highest status of a valid final response; Node.js parses and writes others too. */
 const MIN_FINAL_STATUS = 200;
-const MAX_STATUS = 999;
+const MAX_FINAL_STATUS = 599;
 /** Characters that may not stand in the path of a request. */
 const INVALID_PATH_CHARACTERS = /[^\u0021-\u00ff]/;
 
 /**
- * Finds out why the head of a response cannot be written again. Node.js reads heads that it refuses
- * to write, such as a status of zeros or a header without a name.
+ * Finds out why the head of a response must not be forwarded. Node.js reads heads that are not valid
+ * or that it refuses to write, such as a status above 599 or a header without a name.
  * @param res - The response of an endpoint.
  * @returns The reason, or undefined if the head can be forwarded.
  */
@@ -17,8 +17,8 @@
   res: Pick<IncomingMessage, 'statusCode' | 'rawHeaders'>,
 ): string | undefined {
   const status = res.statusCode ?? 0;
-  if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
-    return `status ${status} is not a final one`;
+  if (status < MIN_FINAL_STATUS || status > MAX_FINAL_STATUS) {
+    return `status ${status} is not a valid final one`;
   }
   return findHeaderFault(res.rawHeaders);
 }
