Decide quotas of accounts over all instances

Cause: an account has a rate over all instances together, and nothing kept its requests within it.

Change: planQuota derives all amounts of credit from the bound. QuotaLedger lends credit of an account at the part of the rate for which it hears the instances, QuotaCredit holds it at an instance, FixedQuotaShares apply while no coordinator replies. RateBucket takes its capacity as an argument.

Ruled out: a lend limit of 0.4 of the margin, since an account of 700/s without a burst can't use its rate over a round trip of 120 ms (computed: up to 0.32 s of the rate are lent, 0.4 of the margin are 0.2 s).

--- a/packages/steering/src/direct/account_table.ts
+++ b/packages/steering/src/direct/account_table.ts
@@ -32,6 +32,7 @@
 /** Finds the accounts of one configuration by their keys, in constant time. */
 export class AccountTable {
   private readonly accountsByKey = new Map<string, ClientAccount>();
+  private readonly limitedByName = new Map<string, ClientAccount>();
 
   /**
    * Creates the table.
@@ -40,9 +41,25 @@
   constructor(private readonly accounts?: readonly ClientAccount[]) {
     for (const account of accounts ?? []) {
       for (const key of account.keys) this.accountsByKey.set(key, account);
+      if (account.ratePerSecond > 0) {
+        this.limitedByName.set(account.name, account);
+      }
     }
   }
 
+  /** Whether an account has a rate limit. */
+  get hasLimits(): boolean {
+    return this.limitedByName.size > 0;
+  }
+
+  /**
+   * Returns an account that has a rate limit.
+   * @param name - Name of the account.
+   */
+  getLimited(name: string): ClientAccount | undefined {
+    return this.limitedByName.get(name);
+  }
+
   /**
    * Determines the account of a request.
    * @param key - Key in the request; undefined if it has none.
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -95,3 +95,19 @@
   type PlacedEndpoint,
   type ServiceRankingOptions,
 } from './service_ranking.js';
+export {
+  getQuotaBound,
+  planQuota,
+  type QuotaLimit,
+  type QuotaPlan,
+  type QuotaTolerance,
+} from './plan_quota.js';
+export type {QuotaReply, QuotaRequest} from './quota_message.js';
+export {
+  chooseQuotaGroups,
+  getQuotaGroupIndex,
+  type QuotaGroup,
+} from './quota_groups.js';
+export {QuotaLedger} from './quota_ledger.js';
+export {QuotaCredit, type QuotaResult, QuotaSource} from './quota_credit.js';
+export {HEARD_MS, UNDECIDED_RETRY_MS} from './quota_timing.js';
--- a/packages/steering/src/direct/rate_bucket.ts
+++ b/packages/steering/src/direct/rate_bucket.ts
@@ -21,10 +21,16 @@
    * @param max - Maximum number of tokens to take.
    * @param now - Monotonic time in milliseconds.
    * @param perSecond - Rate at which tokens are added.
+   * @param capacity - Most tokens that the bucket holds.
    * @returns The number of tokens taken.
    */
-  take(max: number, now: number, perSecond: number): number {
-    this.refill(now, perSecond);
+  take(
+    max: number,
+    now: number,
+    perSecond: number,
+    capacity = getDefaultCapacity(perSecond),
+  ): number {
+    this.refill(now, perSecond, capacity);
     const taken = Math.min(max, Math.floor(this.tokens));
     this.tokens -= taken;
     return taken;
@@ -34,18 +40,31 @@
    * Returns the time until there is a token, in milliseconds; 0 if there is one.
    * @param now - Monotonic time in milliseconds.
    * @param perSecond - Rate at which tokens are added.
+   * @param capacity - Most tokens that the bucket holds.
    */
-  getWaitMs(now: number, perSecond: number): number {
-    this.refill(now, perSecond);
+  getWaitMs(
+    now: number,
+    perSecond: number,
+    capacity = getDefaultCapacity(perSecond),
+  ): number {
+    this.refill(now, perSecond, capacity);
     if (this.tokens >= 1) return 0;
     return ((1 - this.tokens) * 1_000) / perSecond;
   }
 
-  private refill(now: number, perSecond: number): void {
+  /** Puts back a token that was taken and not used. */
+  putBack(): void {
+    this.tokens++;
+  }
+
+  private refill(now: number, perSecond: number, capacity: number): void {
     const elapsedMs = Math.max(0, now - this.refilledAt);
-    const capacity = Math.max(MIN_CAPACITY, (perSecond * FILL_MS) / 1_000);
     const added = (perSecond * elapsedMs) / 1_000;
     this.tokens = Math.min(capacity, this.tokens + added);
     this.refilledAt = now;
   }
 }
+
+function getDefaultCapacity(perSecond: number): number {
+  return Math.max(MIN_CAPACITY, (perSecond * FILL_MS) / 1_000);
+}
