Refuse requests beyond the quotas of accounts with 429

A request takes credit after its body has arrived and before its first attempt. One that ends with 503 gives it back.

Ruled out: at most one early request each 100 ms; a second request behind the report of a used credit then gets no reply of a distant coordinator within its wait.

--- a/packages/instance/src/direct/control/gossip.ts
+++ b/packages/instance/src/direct/control/gossip.ts
@@ -22,6 +22,7 @@
 import type {GossipSocket} from './gossip_socket.js';
 import type {PeerExchange} from './peer_exchange.js';
 import type {PermitMessage} from '../limits/permit_message.js';
+import type {QuotaMessage} from '../limits/quota_message.js';
 import {splitChanges} from './split_changes.js';
 
 /** Time between two rounds, in milliseconds. */
@@ -71,6 +72,8 @@
   apply: (changes: ControlChanges, from: string) => void;
   /** Handles a datagram about permits. */
   receivePermit: (message: PermitMessage) => void;
+  /** Handles a datagram about quotas. */
+  receiveQuota: (message: QuotaMessage) => void;
   /** Records how far another instance has followed the registry. */
   recordPeerRevision: (revision: number) => void;
 }
@@ -141,11 +144,11 @@
   }
 
   /**
-   * Sends a datagram about permits.
+   * Sends a datagram about permits or quotas.
    * @param message - The message.
    * @param address - Address of the other instance, `host:port`.
    */
-  sendPermit(message: PermitMessage, address: string): void {
+  sendDirect(message: PermitMessage | QuotaMessage, address: string): void {
     this.sendTo(address, message);
   }
 
@@ -248,7 +251,8 @@
     }
     metrics.gossip.inc({result: 'received'});
     if ('type' in message) {
-      this.options.receivePermit(message);
+      if ('group' in message) this.options.receiveQuota(message);
+      else this.options.receivePermit(message);
       return;
     }
     if (message.sender.id === self().id) return;
--- a/packages/instance/src/direct/control/gossip_message.ts
+++ b/packages/instance/src/direct/control/gossip_message.ts
@@ -3,6 +3,7 @@
   isPermitMessage,
   isSharedLimit,
 } from '../limits/permit_message.js';
+import {isQuotaMessage, type QuotaMessage} from '../limits/quota_message.js';
 import type {
   ControlChanges,
   Heartbeats,
@@ -44,7 +45,7 @@
 }
 
 /** A datagram between instances. */
-export type Datagram = GossipMessage | PermitMessage;
+export type Datagram = GossipMessage | PermitMessage | QuotaMessage;
 
 /**
  * Encodes a message for a datagram.
@@ -67,7 +68,8 @@
     return undefined;
   }
   if (typeof message !== 'object' || message === null) return undefined;
-  if (isPermitMessage(message) || isGossipMessage(message)) return message;
+  if (isPermitMessage(message) || isQuotaMessage(message)) return message;
+  if (isGossipMessage(message)) return message;
   return undefined;
 }
 
--- a/packages/instance/src/direct/decision.ts
+++ b/packages/instance/src/direct/decision.ts
@@ -6,6 +6,8 @@
   BadRequest = 'bad-request',
   /** The request has no key of an account, or one that the configuration does not hold. */
   UnknownAccount = 'unknown-account',
+  /** The request exceeds the quota of its account. */
+  QuotaExceeded = 'quota-exceeded',
   TooLarge = 'too-large',
   /** The request's body does not fit into the memory for bodies beside those of other requests. */
   NoBodyMemory = 'no-body-memory',
@@ -22,8 +24,8 @@
 }
 
 /**
- * Returns the status of a request without a response of an endpoint. Only 503 guarantees that the
- * request has not run and will not run.
+ * Returns the status of a request without a response of an endpoint. Only 503, and 429 for a request
+ * beyond its account's quota, guarantee that the request has not run and will not run.
  * @param decision - Why there is no response.
  * @param mayHaveRun - Whether an endpoint may have run the request.
  */
@@ -31,6 +33,7 @@
   decision: Decision,
   mayHaveRun: boolean,
 ): number {
+  if (decision === Decision.QuotaExceeded) return 429;
   if (!mayHaveRun) return 503;
   return decision === Decision.TimedOut ? 504 : 502;
 }
--- a/packages/instance/src/direct/direct_metrics.ts
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -19,6 +19,7 @@
   endpointLimit: Gauge<'endpoint'>;
   endpointNotices: Gauge<'notice'>;
   ratePermits: Counter<'result'>;
+  quotas: Counter<'result'>;
   configurationVersion: Gauge;
   openRequests: Gauge;
 }
@@ -104,6 +105,12 @@
       labelNames: ['result'],
       registers,
     }),
+    quotas: new Counter({
+      name: 'primrose_direct_quotas_total',
+      help: 'Requests of accounts with a quota by result.',
+      labelNames: ['result'],
+      registers,
+    }),
     configurationVersion: new Gauge({
       name: 'primrose_direct_configuration_version',
       help: 'Version of the configuration in force.',
--- a/packages/instance/src/direct/direct_settings.ts
+++ b/packages/instance/src/direct/direct_settings.ts
@@ -1,4 +1,4 @@
-import type {MachineResources} from '@primrosestage/steering';
+import type {MachineResources, QuotaTolerance} from '@primrosestage/steering';
 
 /** Configures an instance that sends requests directly to endpoints. */
 export interface DirectSettings {
@@ -25,14 +25,7 @@
 }
 
 /** Tolerance of the request quotas of client accounts over all instances. */
-export interface QuotaBounds {
-  /** Length of the sliding window in which requests are counted, in milliseconds. */
-  windowMs: number;
-  /** Fraction by which the requests in a window may exceed the quota. */
-  overshoot: number;
-  /** Requests in a window beyond that. */
-  slack: number;
-}
+export type QuotaBounds = QuotaTolerance;
 
 /** Limits that hold across all instances. */
 export interface DirectBounds {
--- a/packages/instance/src/direct/listen/exchange_options.ts
+++ b/packages/instance/src/direct/listen/exchange_options.ts
@@ -1,4 +1,5 @@
 import type {ControlView} from '@primrosestage/steering';
+import type {QuotaGate} from '../limits/quota_gate.js';
 import type {BodyBuffers} from './body_buffers.js';
 import type {RequestLog} from './request_log.js';
 import type {RequestStartQueue} from './request_start_queue.js';
@@ -11,6 +12,8 @@
   bodyBuffers: BodyBuffers;
   /** Delays the start of requests until closed connections of callers have been detected. */
   startQueue: RequestStartQueue;
+  /** Keeps the requests of accounts within their quotas. */
+  quotas: QuotaGate;
   log: RequestLog;
   /** Returns a random number in [0, 1). */
   random: () => number;
--- a/packages/instance/src/direct/listen/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -26,6 +26,7 @@
 import {monitorStream} from '../answer/monitor_stream.js';
 import {BodyFault, readBody} from './read_body.js';
 import type {ReceivedResponse} from '../send/response_holder.js';
+import type {PendingOutcome, QuotaOutcome} from '../limits/quota_gate.js';
 import {RetryingSender} from '../send/retrying_sender.js';
 import {UnforwardableRequestError} from '../send/unforwardable_request_error.js';
 import {RESPONSE_GRACE_MS, type OpenAttempt} from '../send/start_attempt.js';
@@ -55,6 +56,10 @@
   private objectKey = '';
   private deadlineAt = 0;
   private retryAfterMs?: number;
+  /** The wait for credit of the account's quota. */
+  private quotaWait?: PendingOutcome;
+  /** Credit of the account's quota that was taken. */
+  private quota?: QuotaOutcome;
   private span?: HopSpan;
 
   constructor(
@@ -205,6 +210,7 @@
       this.finish(503, Decision.NoEndpoint);
       return;
     }
+    if (!(await this.acquireQuota(route))) return;
     this.options.retryBudgets.countRequest(this.service);
     this.sender = new RetryingSender(
       {
@@ -224,6 +230,46 @@
     await this.forwardOrFail(this.sender);
   }
 
+  /**
+   * Takes credit of the account's quota, for which the request may have to wait. Refuses the request
+   * and returns false if there is none; also returns false if the request ends meanwhile.
+   */
+  private async acquireQuota(route: Route): Promise<boolean> {
+    const decision = this.options.quotas.acquire(this.account?.account);
+    if (!decision) return true;
+    const isPending = 'outcome' in decision;
+    const outcome = isPending ? await this.awaitQuota(decision) : decision;
+    if (isPending && !this.mayStart(route)) {
+      outcome.giveBack();
+      return false;
+    }
+    if (!outcome.isGranted) {
+      this.retryAfterMs = outcome.retryAfterMs;
+      const decidedBy = Decision.QuotaExceeded;
+      this.finish(getFailureStatus(decidedBy, false), decidedBy);
+      return false;
+    }
+    this.quota = outcome;
+    return true;
+  }
+
+  /** Ends a request that must not start any more, because of what has happened while it waited. */
+  private mayStart(route: Route): boolean {
+    if (this.isFinished) return false;
+    if (this.hasCallerDisconnected()) {
+      this.finishWithoutCaller();
+      return false;
+    }
+    return this.findAccount(route);
+  }
+
+  private async awaitQuota(pending: PendingOutcome): Promise<QuotaOutcome> {
+    this.quotaWait = pending;
+    const outcome = await pending.outcome;
+    this.quotaWait = undefined;
+    return outcome;
+  }
+
   private async forwardOrFail(sender: RetryingSender): Promise<void> {
     const result = await sender.send();
     if (this.isFinished) {
@@ -329,7 +375,11 @@
     if (this.isFinished) return;
     this.isFinished = true;
     this.sender?.stop();
-    if (status === 503) this.retryAfterMs = this.computeRetryAfterMs(decision);
+    this.quotaWait?.cancel();
+    if (status === 503) {
+      this.retryAfterMs = this.computeRetryAfterMs(decision);
+      this.quota?.giveBack();
+    }
     const isBodyAwaited = decision === Decision.TimedOut && !this.req.complete;
     const {requestId, retryAfterMs} = this;
     const {names} = this.options;
@@ -386,6 +436,7 @@
   private finishWithoutCaller(): void {
     this.isFinished = true;
     this.sender?.stop();
+    this.quotaWait?.cancel();
     // A non-idempotent request is not cancelled: its response may have been about to arrive.
     if (!this.route || isIdempotent(this.route.kind)) {
       this.sender?.cancelOpenAttempts();
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -20,6 +20,7 @@
 import {createChangeHandler} from './control/create_change_handler.js';
 import {createLimitControl} from './limits/create_limit_control.js';
 import {ControlSync} from './control/control_sync.js';
+import {QuotaGate} from './limits/quota_gate.js';
 import {createDirectMetrics} from './direct_metrics.js';
 import type {DirectSettings} from './direct_settings.js';
 import {EndpointAgent} from './send/endpoint_agent.js';
@@ -130,10 +131,22 @@
     logger,
     metrics,
     getServingSince: () => servingSince ?? Infinity,
-    send: (message, address) => gossip.sendPermit(message, address),
+    send: (message, address) => gossip.sendDirect(message, address),
     announce: () => gossip.announceLimits(),
   });
   const {limits, tracker: limitTracker, permits} = limitControl;
+  const quotas = new QuotaGate({
+    id: settings.id,
+    gossipAddress: settings.gossipAddress,
+    view,
+    members,
+    getTolerance: () => settings.bounds.quota,
+    timers,
+    logger,
+    metrics,
+    random: options.random,
+    send: (message, address) => gossip.sendDirect(message, address),
+  });
   const notices = new EndpointNotices();
   const noticeTracker = new NoticeTracker({notices, timers, logger, metrics});
   const selector: EndpointSelector = new EndpointSelector(
@@ -151,6 +164,7 @@
     noticeTracker,
     retryBudgets: new RetryBudgets(settings.bounds, members, timers),
     agent,
+    quotas,
     bodyBuffers: new BodyBuffers(),
     startQueue: new RequestStartQueue(timers),
     timers,
@@ -234,6 +248,7 @@
     random: options.random,
     apply,
     receivePermit: message => limitControl.receive(message),
+    receiveQuota: message => quotas.receive(message),
     recordPeerRevision: revision => sync.recordPeerRevision(revision),
   });
   const readinessServer = createReadinessServer(isReady);
@@ -285,10 +300,12 @@
       limitTracker.prune(view.endpointTable);
       noticeTracker.prune(view.endpointTable);
       permits.prune();
+      quotas.sweep();
+    }),
+    timers.every(LIMIT_REPORT_INTERVAL_MS, () => {
+      limitTracker.reportUse(view.endpointTable);
+      quotas.reportUse();
     }),
-    timers.every(LIMIT_REPORT_INTERVAL_MS, () =>
-      limitTracker.reportUse(view.endpointTable),
-    ),
   ];
   await gossip.start();
   sync.start();
@@ -323,6 +340,7 @@
       }
       await gossip[Symbol.asyncDispose]();
       permits[Symbol.dispose]();
+      quotas[Symbol.dispose]();
       await peerExchange[Symbol.asyncDispose]();
       await sync[Symbol.asyncDispose]();
       agent.destroy();
