Wait for the end of the work that a relayed request had started

It also held if the request had not reached the endpoint within 100 ms, which shows nothing.

Change: the caller leaves once the request has arrived at the endpoint, and the test waits until the endpoint sees the connection of that request closed. The endpoint never responds, and neither the progress timeout nor the deadline (120 s) can close it within the test's 10 s, so that only the cancellation can.

Ruled out: a longer wait, which a timeout of 400 ms could have ended in place of the cancellation.

--- a/packages/instance/test/request_path/relay.test.ts
+++ b/packages/instance/test/request_path/relay.test.ts
@@ -10,6 +10,8 @@
 import {startSystem, type TestSystem} from '../support/start_system.js';
 
 const SUBNET = 6;
+/** Time longer than any test, in milliseconds. */
+const UNREACHED_MS = 120_000;
 const INTERNAL = [1, 2].map(i => `127.40.${SUBNET}.${i}:${getTestPort(1)}`);
 
 let system: TestSystem;
@@ -17,10 +19,15 @@
 
 afterEach(() => system.stopAll());
 
+interface StartOptions {
+  traceFile?: string;
+  progressTimeoutMs?: number;
+}
+
 /** Starts two instances; one owns the only endpoint, the caller uses the other one. */
 async function start(
   handle: BackendHandler,
-  traceFile?: string,
+  {traceFile, progressTimeoutMs = 400}: StartOptions = {},
 ): Promise<{url: string; owner: number}> {
   control = new ConnectControl();
   system = await startSystem({
@@ -28,7 +35,7 @@
     instances: 2,
     handle,
     traceFile,
-    timing: {progressTimeoutMs: 400},
+    timing: {progressTimeoutMs},
     connect: control.connect,
   });
   const urls = [0, 1].map(i => `${system.getUrl(i)}/x`);
@@ -97,20 +104,34 @@
   });
 
   it('guards against work that continues at the endpoint after the caller of a relayed request has disconnected', async () => {
-    const {url} = await start((req, res, run) => {
-      if (run === 1) sendRunNumber(req, res, run);
-    });
+    const arrived = createDeferred();
+    const closed = createDeferred();
+    // Neither the lack of progress nor the deadline may end the work within the test's time.
+    const {url} = await start(
+      (req, res, run) => {
+        if (run === 1) return sendRunNumber(req, res, run);
+        res.on('close', closed.resolve);
+        arrived.resolve();
+      },
+      {progressTimeoutMs: UNREACHED_MS},
+    );
     const abort = new AbortController();
-    setTimeout(() => abort.abort(), 100);
-    await call(url, {signal: abort.signal});
-    await new Promise(resolve => setTimeout(resolve, 50));
+    const result = call(url, {
+      signal: abort.signal,
+      headers: {'primrose-deadline-ms': String(UNREACHED_MS)},
+    });
+    await arrived.promise;
+    expect(system.backends[0]!.inFlight).toBe(1);
+    abort.abort();
+    await result;
+    await closed.promise;
     expect(system.backends[0]!.inFlight).toBe(0);
-  });
+  }, 10_000);
 
   it('guards against a trace that is interrupted between hops', async () => {
     const dir = mkdtempSync(path.join(tmpdir(), 'primrose-traces-'));
     const file = path.join(dir, 'spans.jsonl');
-    const {url} = await start(sendRunNumber, file);
+    const {url} = await start(sendRunNumber, {traceFile: file});
     const traceId = 'a'.repeat(32);
     const traceparent = `00-${traceId}-${'b'.repeat(16)}-01`;
     await call(url, {headers: {traceparent}});
@@ -137,3 +158,11 @@
     expect(receivedTraceparent).toBe(`00-${traceId}-${parent}-01`);
   });
 });
+
+function createDeferred() {
+  let resolve!: () => void;
+  const promise = new Promise<void>(done => {
+    resolve = done;
+  });
+  return {promise, resolve};
+}
