Hold a reserve of quota credit at instances that use an account

Cause: instances held only the credit that they expected to need within a round trip and 150 ms, which is none for an account that is seldom used there. Each of its requests waited for a round trip of 110 ms to the coordinator, and was refused where it had to wait for the interval of early requests as well (150 ms in all).

Change: the coordinator tells how much credit an instance may hold in reserve, by the credit per instance that uses the account. A request waits up to 300 ms. Coordinators are chosen among the largest instances, to which callers are directed.

--- a/packages/instance/src/direct/limits/quota_gate.ts
+++ b/packages/instance/src/direct/limits/quota_gate.ts
@@ -39,8 +39,11 @@
  * would get no reply of a distant coordinator within its wait.
  */
 const EARLY_BURST = 3;
-/** Longest time for which a request waits for a reply of the coordinator, in milliseconds. */
-const MAX_WAIT_MS = 150;
+/**
+ * Longest time for which a request waits for a reply of the coordinator, in milliseconds. It covers
+ * the interval of early requests and two round trips between regions.
+ */
+const MAX_WAIT_MS = 300;
 /** Interval at which unused state is dropped, in milliseconds. */
 const PRUNE_INTERVAL_MS = 1_000;
 /** Range of the numbers of processes. */
--- a/packages/instance/src/direct/limits/quota_message.ts
+++ b/packages/instance/src/direct/limits/quota_message.ts
@@ -34,7 +34,7 @@
     Number.isInteger(process) &&
     Number.isInteger(number) &&
     Array.isArray(accounts) &&
-    accounts.every(credit => isAccountCredit(credit, type));
+    accounts.every(isAccountCredit);
   if (!hasOutline) return false;
   switch (type) {
     case QuotaMessageType.Request: {
@@ -54,9 +54,8 @@
   }
 }
 
-function isAccountCredit(credit: unknown, type: unknown): boolean {
-  const length = type === QuotaMessageType.Request ? 4 : 3;
-  if (!Array.isArray(credit) || credit.length !== length) return false;
+function isAccountCredit(credit: unknown): boolean {
+  if (!Array.isArray(credit) || credit.length !== 4) return false;
   const [name, ...amounts] = credit as unknown[];
   return (
     typeof name === 'string' &&
--- a/packages/steering/src/direct/lent_credit.ts
+++ b/packages/steering/src/direct/lent_credit.ts
@@ -5,6 +5,11 @@
 /** Heard fraction below which the time until there is credit cannot be told. */
 const MIN_DECIDED_FRACTION = 0.5;
 
+/** Credit per instance that uses the account from which on instances may hold one in reserve. */
+const RESERVE_FROM_CREDIT = 1.5;
+/** Part of the credit per instance that may be its reserve where there is more. */
+const RESERVE_FRACTION = 1 / 3;
+
 interface Holder {
   /** Credit that the instance has stated. */
   held: number;
@@ -58,6 +63,19 @@
     );
   }
 
+  /**
+   * Credit that an instance may hold in reserve for requests that it does not expect. Without it,
+   * each request of an account that is seldom used waits for a round trip. Where many instances use
+   * an account with a low rate, their reserves would keep the credit from those that need it.
+   */
+  get reserve(): number {
+    const {plan, heard, holders} = this;
+    const perHolder =
+      (plan.lendLimit * heard.fraction) / Math.max(1, holders.size);
+    if (perHolder < RESERVE_FROM_CREDIT) return 0;
+    return Math.max(1, Math.floor(perHolder * RESERVE_FRACTION));
+  }
+
   /**
    * Records the credit that an instance states.
    * @param id - Id of the instance.
@@ -79,18 +97,17 @@
    * @param id - Id of the instance.
    * @param target - The credit that it needs in all.
    * @param now - Monotonic time in milliseconds.
-   * @returns The credit granted and the time until more is expected, 0 if it has got all; undefined
-   *     if it needs none.
+   * @returns The credit granted, and the time until more is expected, 0 if it has got all.
    */
   grant(
     id: string,
     target: number,
     now: number,
-  ): {granted: number; retryAfterMs: number} | undefined {
+  ): {granted: number; retryAfterMs: number} {
     const holder = this.getHolder(id);
     const wanted = target - holder.held - holder.pending;
     if (target > 0) this.usedAt = now;
-    if (wanted < 1) return undefined;
+    if (wanted < 1) return {granted: 0, retryAfterMs: 0};
     const granted = Math.min(Math.floor(this.tokens), Math.floor(wanted));
     this.tokens -= granted;
     this.lent += granted;
--- a/packages/steering/src/direct/quota_credit.ts
+++ b/packages/steering/src/direct/quota_credit.ts
@@ -16,6 +16,8 @@
  * some variation of the latency.
  */
 const RESERVE_MS = 150;
+/** Time after its last request for which an account may have a reserve, in milliseconds. */
+const RESERVE_AFTER_USE_MS = 5_000;
 /** Time for which credit is kept for a request that was refused without a reply, in milliseconds. */
 const KEEP_MS = 1_000;
 /** Longest time for which a coordinator's refusal applies to later requests, in milliseconds. */
@@ -66,6 +68,8 @@
   deniedUntil: number;
   keepUntil: number;
   emptyStatements: number;
+  /** Credit that the coordinator allows for requests that are not expected. */
+  reserve: number;
   /** Whether credit has been used since the last statement. */
   isUnreported: boolean;
   /** Increases when credit is discarded, so that credit from before is not given back. */
@@ -279,9 +283,10 @@
     this.lastReplyAt = now;
     this.shares = undefined;
     this.recordRoundTrip(now - sentAt);
-    for (const [name, granted, retryAfterMs] of reply.accounts) {
+    for (const [name, granted, retryAfterMs, reserve] of reply.accounts) {
       const account = this.accounts.get(name);
       if (!account) continue;
+      account.reserve = reserve;
       account.held += granted;
       const deniedMs = granted > 0 ? 0 : Math.min(retryAfterMs, MAX_DENIED_MS);
       account.deniedUntil = now + deniedMs;
@@ -344,12 +349,15 @@
   }
 
   private getNeed(account: AccountCredit, now: number): number {
-    const {demand, plan, keepUntil} = account;
+    const {demand, plan, keepUntil, usedAt} = account;
     const kept = now < keepUntil ? 1 : 0;
     // The coordinator decides its own requests without delay.
     if (this.coordinator === this.options.id) return kept;
     const need = demand.getPerMs(now) * (this.roundTripMs + RESERVE_MS);
-    return Math.max(kept, Math.floor(Math.min(need, plan.lendLimit)));
+    const isUsed = now - usedAt < RESERVE_AFTER_USE_MS;
+    // The number of requests that arrive in this time varies by about its square root.
+    const reserve = isUsed ? Math.min(account.reserve, 1 + Math.sqrt(need)) : 0;
+    return Math.max(kept, Math.floor(Math.min(need + reserve, plan.lendLimit)));
   }
 
   private getAccount(
@@ -368,6 +376,7 @@
         deniedUntil: -Infinity,
         keepUntil: -Infinity,
         emptyStatements: 0,
+        reserve: 0,
         isUnreported: false,
         epoch: 0,
       };
@@ -385,5 +394,6 @@
 function discard(account: AccountCredit): void {
   account.held = 0;
   account.deniedUntil = -Infinity;
+  account.reserve = 0;
   account.epoch++;
 }
--- a/packages/steering/src/direct/quota_groups.ts
+++ b/packages/steering/src/direct/quota_groups.ts
@@ -21,10 +21,11 @@
   serving: readonly MemberInfo[],
 ): QuotaGroup[] {
   const count = Math.max(1, Math.ceil(serving.length / INSTANCES_PER_GROUP));
+  const largest = getLargest(serving);
   return Array.from({length: count}, (_, index) => {
     const name = `${index}/${count}`;
     const coordinator = chooseCoordinator(
-      serving,
+      largest,
       hash32(`quota ${name}`),
       undefined,
     );
@@ -32,6 +33,16 @@
   });
 }
 
+/**
+ * Returns the instances with at least half of the largest capacity. Callers are directed to them, so
+ * that a coordinator among them decides some requests itself.
+ */
+function getLargest(serving: readonly MemberInfo[]): readonly MemberInfo[] {
+  const capacities = serving.map(({capacity = 0}) => capacity);
+  const minCapacity = Math.max(0, ...capacities) / 2;
+  return serving.filter(({capacity = 0}) => capacity >= minCapacity);
+}
+
 /**
  * Returns the index of the group of an account.
  * @param account - Name of the account.
--- a/packages/steering/src/direct/quota_ledger.ts
+++ b/packages/steering/src/direct/quota_ledger.ts
@@ -54,15 +54,13 @@
     for (const [name, held, target, returned] of request.accounts) {
       const credit = this.getCredit(group, name, now);
       if (!credit) {
-        if (target > 0) accounts.push([name, 0, UNDECIDED_RETRY_MS]);
+        if (target > 0) accounts.push([name, 0, UNDECIDED_RETRY_MS, 0]);
         continue;
       }
       credit.recordHeld(request.from, held, returned, now);
       credit.refill(this.options.getPlan(name) as QuotaPlan);
-      const result = credit.grant(request.from, target, now);
-      if (!result) continue;
-      const {granted, retryAfterMs} = result;
-      accounts.push([name, granted, retryAfterMs]);
+      const {granted, retryAfterMs} = credit.grant(request.from, target, now);
+      accounts.push([name, granted, retryAfterMs, credit.reserve]);
       if (granted === 0) continue;
       instance.pending.push({
         number,
--- a/packages/steering/src/direct/quota_message.ts
+++ b/packages/steering/src/direct/quota_message.ts
@@ -10,13 +10,15 @@
 ];
 
 /**
- * What the coordinator decides for an account that needs credit: the credit granted, and the time
- * until more is expected if it is less than needed (0 otherwise), in milliseconds.
+ * What the coordinator decides for an account: the credit granted, the time until more is expected
+ * if it is less than needed (0 otherwise), in milliseconds, and the
+ * credit that the instance may hold in reserve.
  */
 export type GrantedCredit = readonly [
   account: string,
   granted: number,
   retryAfterMs: number,
+  reserve: number,
 ];
 
 /** Asks the coordinator of a group of accounts for credit, and says that the sender is alive. */
