Let the average load of endpoints enter the choice

Where many instances send few requests each, the last load report of an endpoint is mostly too old to show its queue (half-life 0.5 s), so each instance takes hot endpoints for free ones.

The reports of an endpoint are averaged with a half-life of 5 s, and the mean wait at this depth enters the expected finish and once more the choice. It does not enter the bound on the wait. The simulation can count callers and endpoints from a time at which caches are filled.

--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -361,6 +361,7 @@
       ...position,
       slots: endpoint.entry.slots,
       depth: load.getDepth(now),
+      averageDepth: load.getAverageDepth(now),
       serviceMs:
         load.getWorkFactor(now) *
         load.getServiceMs(this.getServiceMs(endpoint.entry.service), now),
--- a/packages/steering/src/direct/choose_endpoint.ts
+++ b/packages/steering/src/direct/choose_endpoint.ts
@@ -6,6 +6,8 @@
   slots: number;
   /** Estimated number of requests that run or are queued at the endpoint. */
   depth: number;
+  /** Average of the depth over some seconds; undefined if unknown. */
+  averageDepth?: number;
   /** Service time of a request for a cached object, in milliseconds. */
   serviceMs: number;
   /** Whether this instance knows that the endpoint has recently handled the object. */
@@ -45,6 +47,12 @@
 const EVICTION_PENALTY = 0.5;
 /** Penalty for an endpoint that does not rank first, as a fraction of the service time. */
 const RANK_PENALTY = 0.15;
+/**
+ * Weight of the average wait in the choice, beyond its part of the expected finish. The average
+ * shows where queues form before this instance sees one. With 3, objects moved to endpoints without
+ * them too often: ruotalibera lost 0.016 of its callers in time under calm load.
+ */
+const AVERAGE_WAIT_WEIGHT = 1;
 /**
  * Maximum fraction of the latency objective that a queued request may spend on the network and in
  * the queue. It applies to retries of callers too: longer queues for them would cause refusals of
@@ -87,7 +95,8 @@
       continue;
     }
     const cost =
-      finishMs * (1 + 2 * candidate.failureRatio) +
+      (finishMs + AVERAGE_WAIT_WEIGHT * getAverageWaitMs(candidate)) *
+        (1 + 2 * candidate.failureRatio) +
       (isCached(candidate) ? 0 : EVICTION_PENALTY * serviceMs) +
       (candidate.rank === 0 ? 0 : RANK_PENALTY * serviceMs);
     if (cost < bestCost) {
@@ -130,9 +139,26 @@
   return (serviceMs * ahead) / Math.max(1, slots);
 }
 
+/**
+ * Estimates the mean queueing time at an endpoint by its average depth: the mean of the positive
+ * part of a normal variable whose variance is the average depth, as that of random arrivals. This
+ * does not limit the queueing time, since an old average would then refuse requests whose endpoints
+ * have become free: in the simulation, 0.77 of ruotalibera's callers were refused at overload.
+ */
+function getAverageWaitMs(candidate: Candidate): number {
+  const {averageDepth = 0, slots, serviceMs} = candidate;
+  const excess = averageDepth - slots + 1;
+  // 0.64 = (2 x 0.4)^2, where 0.4 is the mean positive part of a standard normal variable.
+  const ahead = (excess + Math.sqrt(excess ** 2 + 0.64 * averageDepth)) / 2;
+  return averageDepth > 0
+    ? (serviceMs * Math.max(0, ahead)) / Math.max(1, slots)
+    : 0;
+}
+
 /** Estimates the time until an answer: round trip, queueing and service time. */
 function getFinishMs(candidate: Candidate): number {
   const {serviceMs, roundTripMs} = candidate;
   const workMs = serviceMs * (isCached(candidate) ? 1 : UNCACHED_FACTOR);
-  return roundTripMs + getWaitMs(candidate) + workMs;
+  const waitMs = getWaitMs(candidate) + getAverageWaitMs(candidate);
+  return roundTripMs + waitMs + workMs;
 }
--- a/packages/steering/src/direct/endpoint_load.ts
+++ b/packages/steering/src/direct/endpoint_load.ts
@@ -1,3 +1,4 @@
+import {AverageLoad} from './average_load.js';
 import {updateRobustAverage} from './robust_average.js';
 import {WorkFactor} from './work_factor.js';
 
@@ -40,6 +41,7 @@
   private unansweredSince = Infinity;
   private otherInstancesLoad = 0;
   private reportedAt = -Infinity;
+  private readonly averageLoad = new AverageLoad();
   private readonly workFactor = new WorkFactor();
   private serviceMs = 0;
   private serviceMeasuredAt = -Infinity;
@@ -107,6 +109,14 @@
     );
   }
 
+  /**
+   * Returns the average number of requests at the endpoint in the last seconds.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getAverageDepth(now: number): number {
+    return this.averageLoad.get(now);
+  }
+
   /**
    * Records a load report.
    * @param report - Load of the endpoint, including the requests of this instance.
@@ -116,6 +126,7 @@
     const total = report.running + report.waiting;
     this.otherInstancesLoad = Math.max(0, total - this.inFlight);
     this.reportedAt = now;
+    this.averageLoad.observe(total, now);
     if (report.workFactor !== undefined) {
       this.workFactor.observe(report.workFactor, now);
     }
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -9,6 +9,7 @@
 export type {ClientAccount} from './client_account.js';
 export type {MachineResources} from './machine_resources.js';
 export {ServiceTime} from './service_time.js';
+export {AverageLoad} from './average_load.js';
 export {WorkFactor} from './work_factor.js';
 export {RequestKind, isIdempotent} from './request_kind.js';
 export type {
--- a/packages/steering/test/direct/endpoint_load.test.ts
+++ b/packages/steering/test/direct/endpoint_load.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {
+  AverageLoad,
   chooseEndpoint,
   EndpointLoad,
   WorkFactor,
@@ -69,3 +70,36 @@
     expect(load.getServiceMs(150, 60_000)).toBeLessThan(170);
   });
 });
+
+describe('AverageLoad', () => {
+  it('averages reports over some seconds and forgets them', () => {
+    const load = new AverageLoad();
+    for (let now = 0; now < 30_000; now += 500) {
+      load.observe(now % 1_000 === 0 ? 6 : 0, now);
+    }
+    expect(load.get(30_000)).toBeGreaterThan(2.5);
+    expect(load.get(30_000)).toBeLessThan(3.5);
+    expect(load.get(150_000)).toBeLessThan(0.1);
+  });
+
+  it('moves a request from an endpoint that had long queues in the last seconds (guards against hot endpoints that instances with few requests do not notice)', () => {
+    const busy = {
+      id: 'busy',
+      rank: 0,
+      slots: 3,
+      depth: 0,
+      averageDepth: 8,
+      serviceMs: 100,
+      isWarm: true,
+      roundTripMs: 1,
+      failureRatio: 0,
+      isBlocked: false,
+    };
+    const other = {...busy, id: 'other', rank: 1, averageDepth: 1};
+    const options = {remainingMs: 5_000, objectiveMs: 100, queueLimit: 5};
+    expect(chooseEndpoint([busy, other], options).id).toBe('other');
+    expect(chooseEndpoint([busy], options).id).toBe('busy');
+    const calm = {...busy, averageDepth: 1};
+    expect(chooseEndpoint([calm, other], options).id).toBe('busy');
+  });
+});
--- a/packages/testing/src/bench/direct/caching_endpoint.ts
+++ b/packages/testing/src/bench/direct/caching_endpoint.ts
@@ -75,6 +75,13 @@
     return true;
   }
 
+  /** Forgets the run times and counts of requests that have started. */
+  resetCounts(): void {
+    this.busyMs = 0;
+    this.startCount = 0;
+    this.cachedCount = 0;
+  }
+
   private start(job: SimJob): void {
     this.running++;
     const workFraction = this.cache.has(job.object) ? CACHED_WORK_FRACTION : 1;
--- a/packages/testing/src/bench/direct/run_direct_scenario.ts
+++ b/packages/testing/src/bench/direct/run_direct_scenario.ts
@@ -23,6 +23,8 @@
   /** Offered load as a fraction of all slots if every object were cached. */
   load: number;
   durationMs: number;
+  /** Time from which callers and endpoints are counted, once caches are filled; 0 if undefined. */
+  countFromMs?: number;
   /** Load factors of the zones, in the order of the deployment. */
   skew: readonly number[];
   /** Rate limits that endpoints state for a time; undefined for none. */
@@ -77,6 +79,13 @@
     policy,
     createRandom(seed + 2),
   );
+  if (scenario.countFromMs) {
+    const {countFromMs} = scenario;
+    simulation.countFromMs = countFromMs;
+    world.clock.at(countFromMs, () => {
+      for (const endpoint of world.getAllEndpoints()) endpoint.resetCounts();
+    });
+  }
   if (scenario.limits) scheduleLimits(world, scenario, scenario.limits);
   for (const kind of deployment.kinds) {
     startSlowEndpoints(world, kind, createRandom(seed + 3));
@@ -145,6 +154,8 @@
 /** Simulates the callers of one run. */
 class DirectSimulation {
   readonly tally = new DirectTally();
+  /** Start of the callers that are counted, in milliseconds. */
+  countFromMs = 0;
 
   constructor(
     private readonly world: SimWorld,
@@ -225,6 +236,11 @@
         : isInTime
           ? CallerOutcome.InTime
           : CallerOutcome.Late;
+    this.count(caller, outcome);
+  }
+
+  private count(caller: Caller, outcome: CallerOutcome): void {
+    if (caller.startedAt < this.countFromMs) return;
     this.tally.count(caller, outcome);
   }
 
@@ -232,7 +248,7 @@
     const {clock, deployment} = this.world;
     const remainingMs = caller.deadlineAt - clock.now();
     if (caller.tries >= MAX_TRIES || remainingMs <= 0) {
-      this.tally.count(caller, CallerOutcome.Refused);
+      this.count(caller, CallerOutcome.Refused);
       return;
     }
     const retryDelayMs = getRetryAfterMs({
