Give popular objects several endpoints by their own demand

An object whose requests fill its first endpoint was sent elsewhere only once a queue cost more than a cold cache, and always to a cold one.

Each instance estimates the demand for an object as its own requests times the serving instances of its region. Above 0.2 of an endpoint's slots per endpoint the object gets the next one of its ranking, at most three, and below 0.12 it loses the last. Its requests are spread over them by expected finish.

Metrics: primrose_direct_popular_objects and primrose_direct_placements_total.

--- a/packages/instance/src/direct/direct_metrics.ts
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -19,6 +19,8 @@
   endpointLimit: Gauge<'endpoint'>;
   endpointNotices: Gauge<'notice'>;
   ratePermits: Counter<'result'>;
+  placements: Counter<'service' | 'endpoint' | 'cache'>;
+  popularObjects: Gauge<'service'>;
   configurationVersion: Gauge;
   openRequests: Gauge;
 }
@@ -104,6 +106,18 @@
       labelNames: ['result'],
       registers,
     }),
+    placements: new Counter({
+      name: 'primrose_direct_placements_total',
+      help: 'Attempts by position of the endpoint for the object and by whether it has the object cached, as expected.',
+      labelNames: ['service', 'endpoint', 'cache'],
+      registers,
+    }),
+    popularObjects: new Gauge({
+      name: 'primrose_direct_popular_objects',
+      help: 'Objects with more than one endpoint by their demand at this instance.',
+      labelNames: ['service'],
+      registers,
+    }),
     configurationVersion: new Gauge({
       name: 'primrose_direct_configuration_version',
       help: 'Version of the configuration in force.',
--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -2,6 +2,7 @@
 import {
   type Candidate,
   chooseEndpoint,
+  combineToFraction,
   type ChoiceOptions,
   type ControlView,
   EndpointLoad,
@@ -85,6 +86,8 @@
   private readonly splitters = new WeakMap<Route, WeightedSplitter>();
   private readonly serviceTimes = new Map<string, ServiceTime>();
   private readonly placement: ObjectPlacement;
+  /** Varies the spread of popular objects from request to request. */
+  private selectionCount: number;
 
   /**
    * Creates the selector.
@@ -101,6 +104,7 @@
     private readonly constraints: EndpointConstraints,
     private readonly timers: TimerService,
   ) {
+    this.selectionCount = hash32(settings.id);
     this.states = new EndpointStates(settings);
     this.placement = new ObjectPlacement(settings, view, members, timers);
   }
@@ -110,6 +114,11 @@
     return this.placement.averageOpenRequests;
   }
 
+  /** Number of objects with more than one endpoint, by service. */
+  get popularObjectCounts(): ReadonlyMap<string, number> {
+    return this.placement.popularObjectCounts;
+  }
+
   /**
    * Chooses the service of a request by the weights of its route.
    * @param route - The route.
@@ -132,11 +141,14 @@
   select(request: SelectionRequest): Selection {
     const now = this.timers.now();
     const {permits, notices} = this.constraints;
-    const ids = this.placement.rank({
-      service: request.service,
-      objectKey: request.objectKey,
-      homeRegions: request.terms.homeRegions,
-    });
+    const {service, objectKey, terms} = request;
+    const object = {service, objectKey, homeRegions: terms.homeRegions};
+    if (request.tried.size === 0) {
+      this.placement.countRequest(object, this.getServiceMs(service));
+    }
+    const endpointCount = this.placement.getEndpointCount(object);
+    const ids = this.placement.rank(object);
+    this.selectionCount++;
     let shortestWaitMs = Infinity;
     const candidates: Candidate[] = [];
     const limited: string[] = [];
@@ -160,7 +172,11 @@
       candidates.push(
         this.createCandidate(endpoint, state, {
           rank,
-          isWarm: state.warmObjects.has(request.objectKey, now),
+          isWarm: state.warmObjects.has(objectKey, now),
+          spread:
+            endpointCount > 1 && rank < endpointCount
+              ? combineToFraction(this.selectionCount, state.idHash)
+              : undefined,
         }),
       );
     }
@@ -351,7 +367,7 @@
   private createCandidate(
     endpoint: KnownEndpoint,
     state: EndpointState,
-    position: {rank: number; isWarm: boolean},
+    position: Pick<Candidate, 'rank' | 'isWarm' | 'spread'>,
   ): Candidate {
     const now = this.timers.now();
     const {load, coldRateLimiter} = state;
--- a/packages/instance/src/direct/place/object_placement.ts
+++ b/packages/instance/src/direct/place/object_placement.ts
@@ -5,6 +5,7 @@
   DemandLevel,
   type KnownEndpoint,
   type MemberTable,
+  ObjectDemand,
   type PlacedEndpoint,
   PreferenceLimiter,
   type RegionSlots,
@@ -18,6 +19,13 @@
 const MAX_UTILIZATION = 0.75;
 /** Weight of a new sample in the moving average of open requests. */
 const OPEN_REQUESTS_SMOOTHING = 0.1;
+/**
+ * Utilization of a service above which objects have one endpoint, and below which their demand
+ * counts again. Where all slots are busy, further endpoints gain nothing and cost cached objects:
+ * with them, 0.080 rather than 0.116 of the simulated callers were served in time at overload.
+ */
+const SATURATED_ABOVE = 0.9;
+const UNSATURATED_BELOW = 0.7;
 /** Window of the shift cap, in milliseconds. */
 const SHIFT_WINDOW_MS = 2_000;
 /** Interval between adjustments of a preference towards its target, in milliseconds. */
@@ -40,10 +48,12 @@
   /** Regions in which the objects may be handled; empty if all are allowed. */
   homeRegions: readonly string[];
   ranking: ServiceRanking;
+  demand: ObjectDemand;
   limiter: PreferenceLimiter;
   /** Version of the control view from which the endpoints were read. */
   version: number;
   slots: RegionSlots;
+  endpointCount: number;
   slotsByRegion: ReadonlyMap<string, number>;
   /** Weight factor of endpoints in this instance's region. */
   preference: number;
@@ -59,6 +69,9 @@
 export class ObjectPlacement {
   private readonly placements = new Map<string, ServicePlacement>();
   private readonly openRequests = new Map<string, number>();
+  private readonly saturatedServices = new Set<string>();
+  /** Instances of this region that serve callers. */
+  private instanceCount = 1;
   private readonly demands = new Map<string, DemandLevel>();
 
   /**
@@ -85,11 +98,14 @@
    * @param open - Open requests by service; a missing service counts as zero.
    */
   updateDemand(open: ReadonlyMap<string, number>): void {
+    const now = this.timers.now();
+    this.instanceCount = this.members
+      .getServing(now)
+      .filter(({region}) => region === this.settings.region).length;
     const services = new Set([...open.keys(), ...this.openRequests.keys()]);
     for (const service of services) {
       this.updateServiceDemand(service, open.get(service) ?? 0);
     }
-    const now = this.timers.now();
     for (const placement of this.placements.values()) {
       const isDue = now - placement.adjustedAt >= PREFERENCE_STEP_MS;
       if (placement.isAdjusting && isDue) this.adjustPreference(placement);
@@ -111,6 +127,46 @@
     );
   }
 
+  /**
+   * Counts a request in the demand for its object.
+   * @param request - The object, its service and the allowed regions.
+   * @param serviceMs - Service time of a request for a cached object, in milliseconds.
+   */
+  countRequest(request: PlacementRequest, serviceMs: number): void {
+    const {homeRegions, service, objectKey} = request;
+    const {demand, slots, endpointCount} = this.getPlacement(
+      service,
+      homeRegions,
+    );
+    const meanSlots = (slots.own + slots.other) / Math.max(1, endpointCount);
+    demand.count(
+      objectKey,
+      {instances: this.instanceCount, serviceMs, slots: meanSlots},
+      this.timers.now(),
+    );
+  }
+
+  /**
+   * Returns the number of endpoints of an object, at least 1.
+   * @param request - The object, its service and the allowed regions.
+   */
+  getEndpointCount(request: PlacementRequest): number {
+    const {homeRegions, service, objectKey} = request;
+    if (this.saturatedServices.has(service)) return 1;
+    const {demand} = this.getPlacement(service, homeRegions);
+    return demand.getEndpointCount(objectKey);
+  }
+
+  /** Number of objects with more than one endpoint, by service. */
+  get popularObjectCounts(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const {service, demand} of this.placements.values()) {
+      const count = counts.get(service) ?? 0;
+      counts.set(service, count + demand.popularObjectCount);
+    }
+    return counts;
+  }
+
   private updateServiceDemand(service: string, count: number): void {
     const previous = this.openRequests.get(service) ?? count;
     const average = previous + OPEN_REQUESTS_SMOOTHING * (count - previous);
@@ -119,6 +175,8 @@
     if (slots === 0) return;
     const now = this.timers.now();
     const utilization = this.members.getOpenRequests(service, now) / slots;
+    if (utilization > SATURATED_ABOVE) this.saturatedServices.add(service);
+    if (utilization < UNSATURATED_BELOW) this.saturatedServices.delete(service);
     if (!this.getDemand(service).update(utilization, now)) return;
     for (const placement of this.placements.values()) {
       if (placement.service === service) this.adjustPreference(placement);
@@ -153,9 +211,11 @@
           depth: RANKING_DEPTH,
           maxObjects: MAX_OBJECTS,
         }),
+        demand: new ObjectDemand(MAX_OBJECTS),
         limiter: new PreferenceLimiter(cap, now),
         version: -1,
         slots: {own: 0, other: 0},
+        endpointCount: 0,
         slotsByRegion: new Map(),
         preference: 1,
         isAdjusting: false,
@@ -184,6 +244,7 @@
       slotsByRegion.set(region, (slotsByRegion.get(region) ?? 0) + count);
     }
     placement.slots = slots;
+    placement.endpointCount = endpoints.length;
     placement.slotsByRegion = slotsByRegion;
     placement.ranking.update(endpoints);
     this.adjustPreference(placement);
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -282,6 +282,9 @@
         logger.info('instance forgotten', {peer: id});
       }
       selector.sweep();
+      for (const [service, count] of selector.popularObjectCounts) {
+        metrics.popularObjects.set({service}, count);
+      }
       limitTracker.prune(view.endpointTable);
       noticeTracker.prune(view.endpointTable);
       permits.prune();
--- a/packages/instance/src/direct/send/retrying_sender.ts
+++ b/packages/instance/src/direct/send/retrying_sender.ts
@@ -2,6 +2,7 @@
 import {
   type AccountLookup,
   canFinishBeforeStop,
+  isExpectedCached,
   isIdempotent,
   type Route,
 } from '@primrosestage/steering';
@@ -234,6 +235,12 @@
   private registerAttempt(open: OpenAttempt): void {
     this.tried.add(open.endpoint.entry.id);
     this.openAttempts.add(open);
+    const {endpoint, candidate} = open;
+    this.options.metrics.placements.inc({
+      service: endpoint.entry.service,
+      endpoint: candidate.rank === 0 ? 'first' : 'further',
+      cache: isExpectedCached(candidate) ? 'warm' : 'cold',
+    });
   }
 
   private async awaitAttempt(open: OpenAttempt): Promise<FinishedAttempt> {
--- a/packages/instance/src/direct/send/start_attempt.ts
+++ b/packages/instance/src/direct/send/start_attempt.ts
@@ -89,6 +89,8 @@
   startedAt: number;
   /** Estimated queue depth of the endpoint when the request was sent. */
   depth: number;
+  /** The endpoint as it was chosen. */
+  candidate: Candidate;
   /** What was known of the endpoint's rate limit when the request was sent. */
   limit?: LimitRecord;
   /** Trace span of the attempt. */
@@ -209,6 +211,7 @@
     span,
     startedAt: timers.now(),
     depth: candidate.depth,
+    candidate,
     limit,
     hedgeDelayMs: HEDGE_DELAY_FACTOR * choice.finishMs + MIN_HEDGE_DELAY_MS,
   };
--- a/packages/instance/test/direct/retrying_sender.test.ts
+++ b/packages/instance/test/direct/retrying_sender.test.ts
@@ -25,7 +25,7 @@
     const endpoint = {entry: {id: stub.id, address: stub.address}};
     const choice = {id: stub.id, finishMs: 10};
     const selector = {
-      select: () => ({choice, endpoint, candidate: {depth: 0}}),
+      select: () => ({choice, endpoint, candidate: {depth: 0, rank: 0}}),
       begin: () => BeginResult.Begun,
       getServiceMs: () => 10,
     };
@@ -35,6 +35,7 @@
       timers,
       names: NAMES,
       limitTracker: {describe: () => undefined},
+      metrics: {placements: {inc: () => {}}},
       getStopSchedule: () => undefined,
       log: {writeError: () => {}},
     };
--- a/packages/steering/src/direct/choose_endpoint.ts
+++ b/packages/steering/src/direct/choose_endpoint.ts
@@ -12,6 +12,11 @@
   serviceMs: number;
   /** Whether this instance knows that the endpoint has recently handled the object. */
   isWarm: boolean;
+  /**
+   * Position of the request in the spread of a popular object over its endpoints, from 0 to 1;
+   * undefined if the endpoint is not one of several that the object has.
+   */
+  spread?: number;
   /** Network round-trip time to the endpoint, in milliseconds. */
   roundTripMs: number;
   /** Fraction of recent requests to the endpoint that failed. */
@@ -45,6 +50,11 @@
 const UNCACHED_FACTOR = 3.2;
 /** Penalty for evicting another object from a cache, as a fraction of the service time. */
 const EVICTION_PENALTY = 0.5;
+/**
+ * Largest difference of cost over which the requests for a popular object are spread, as a fraction
+ * of the service time. Without it, all instances with the same view would choose the same one.
+ */
+const SPREAD_FRACTION = 0.1;
 /** Penalty for an endpoint that does not rank first, as a fraction of the service time. */
 const RANK_PENALTY = 0.15;
 /**
@@ -97,8 +107,8 @@
     const cost =
       (finishMs + AVERAGE_WAIT_WEIGHT * getAverageWaitMs(candidate)) *
         (1 + 2 * candidate.failureRatio) +
-      (isCached(candidate) ? 0 : EVICTION_PENALTY * serviceMs) +
-      (candidate.rank === 0 ? 0 : RANK_PENALTY * serviceMs);
+      (isExpectedCached(candidate) ? 0 : EVICTION_PENALTY * serviceMs) +
+      getRankPenalty(candidate) * serviceMs;
     if (cost < bestCost) {
       best = candidate;
       bestCost = cost;
@@ -128,9 +138,19 @@
   return objectiveMs > 0 ? objectiveMs * MAX_WAIT_FRACTION : Infinity;
 }
 
-/** An object is expected to be cached at the endpoint that ranks first for it. */
-function isCached(candidate: Candidate): boolean {
-  return candidate.isWarm || candidate.rank === 0;
+/** Prefers the first endpoint, unless the object has several. */
+function getRankPenalty({rank, spread}: Candidate): number {
+  if (spread !== undefined) return spread * SPREAD_FRACTION;
+  return rank === 0 ? 0 : RANK_PENALTY;
+}
+
+/**
+ * Returns whether an object is expected to be cached: at the first endpoint, at the others that it
+ * has by its demand, and where this instance knows that it was handled recently.
+ * @param candidate - The endpoint.
+ */
+export function isExpectedCached({isWarm, rank, spread}: Candidate): boolean {
+  return isWarm || rank === 0 || spread !== undefined;
 }
 
 /** Estimates the queueing time at an endpoint. */
@@ -158,7 +178,8 @@
 /** Estimates the time until an answer: round trip, queueing and service time. */
 function getFinishMs(candidate: Candidate): number {
   const {serviceMs, roundTripMs} = candidate;
-  const workMs = serviceMs * (isCached(candidate) ? 1 : UNCACHED_FACTOR);
+  const workMs =
+    serviceMs * (isExpectedCached(candidate) ? 1 : UNCACHED_FACTOR);
   const waitMs = getWaitMs(candidate) + getAverageWaitMs(candidate);
   return roundTripMs + waitMs + workMs;
 }
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -8,6 +8,7 @@
 } from './account_table.js';
 export type {ClientAccount} from './client_account.js';
 export type {MachineResources} from './machine_resources.js';
+export {ObjectDemand, type DemandScale} from './object_demand.js';
 export {ServiceTime} from './service_time.js';
 export {AverageLoad} from './average_load.js';
 export {WorkFactor} from './work_factor.js';
@@ -65,6 +66,7 @@
 } from './region_preference.js';
 export {
   chooseEndpoint,
+  isExpectedCached,
   type Candidate,
   type ChoiceOptions,
   type EndpointChoice,
--- a/packages/testing/test/direct_load.test.ts
+++ b/packages/testing/test/direct_load.test.ts
@@ -6,6 +6,7 @@
   type DirectTally,
   runDirectScenario,
   SIM_DEPLOYMENTS,
+  UNEVEN_SIM_DEPLOYMENTS,
 } from '../src/bench/direct/index.js';
 
 const SEED = 20_261_204;
@@ -76,4 +77,21 @@
       expect(getInTime(own)).toBeGreaterThanOrEqual(0.5);
     });
   }
+
+  it('spreads a skewed load more evenly than the placement before popular objects had several endpoints, and keeps caches warm', () => {
+    const deployment = UNEVEN_SIM_DEPLOYMENTS[0];
+    const calm = DIRECT_SCENARIOS[0];
+    const create = DIRECT_POLICIES['primrosestage'];
+    if (!deployment || !calm || !create) throw new TypeError('no scenario');
+    const load = {...calm, durationMs: 14_000, countFromMs: 8_000};
+    const tally = runDirectScenario(deployment, load, create, SEED);
+    // Measured with this seed on the code before, busiest endpoint to mean and warm requests:
+    // read 2.74 and 0.998, write 2.69 and 1.
+    const read = tally.endpointUses.get('read');
+    const write = tally.endpointUses.get('write');
+    expect(read?.busiestToMean).toBeLessThan(2.4);
+    expect(write?.busiestToMean).toBeLessThan(2.4);
+    expect(read?.warmFraction).toBeGreaterThan(0.99);
+    expect(write?.warmFraction).toBeGreaterThan(0.99);
+  });
 });
