--- a/packages/steering/src/direct/object_demand.ts
+++ b/packages/steering/src/direct/object_demand.ts
@@ -6,7 +6,7 @@
  * endpoint has to handle the object before it is needed.
  */
 const ADD_ABOVE = 0.2;
-/** Fraction below which it loses the last one again; random arrivals alone change it by a third. */
+/** Fraction below which it loses the last one again; random arrivals alone vary it by a fifth. */
 const REMOVE_BELOW = 0.12;
 /**
  * Most endpoints of an object. More would let each object take more room in caches, of which the
