--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -306,6 +306,9 @@
       }
       selector.sweep();
       utilizationMeter.sample();
+      for (const [service, count] of selector.popularObjectCounts) {
+        metrics.popularObjects.set({service}, count);
+      }
       limitTracker.prune(view.endpointTable);
       noticeTracker.prune(view.endpointTable);
       permits.prune();
--- a/packages/steering/src/direct/choose_endpoint.ts
+++ b/packages/steering/src/direct/choose_endpoint.ts
@@ -6,10 +6,17 @@
   slots: number;
   /** Estimated number of requests that run or are queued at the endpoint. */
   depth: number;
+  /** Average of the depth over some seconds; undefined if unknown. */
+  averageDepth?: number;
   /** Service time of a request for a cached object, in milliseconds. */
   serviceMs: number;
   /** Whether this instance knows that the endpoint has recently handled the object. */
   isWarm: boolean;
+  /**
+   * Position of the request in the spread of a popular object over its endpoints, from 0 to 1;
+   * undefined if the endpoint is not one of several that the object has.
+   */
+  spread?: number;
   /** Network round-trip time to the endpoint, in milliseconds. */
   roundTripMs: number;
   /** Fraction of recent requests to the endpoint that failed. */
@@ -48,8 +55,19 @@
 const UNCACHED_FACTOR = 3.2;
 /** Penalty for evicting another object from a cache, as a fraction of the service time. */
 const EVICTION_PENALTY = 0.5;
+/**
+ * Largest difference of cost over which the requests for a popular object are spread, as a fraction
+ * of the service time. Without it, all instances with the same view would choose the same one.
+ */
+const SPREAD_FRACTION = 0.1;
 /** Penalty for an endpoint that does not rank first, as a fraction of the service time. */
 const RANK_PENALTY = 0.15;
+/**
+ * Weight of the average wait in the choice, beyond its part of the expected finish. The average
+ * shows where queues form before this instance sees one. With 3, objects moved to endpoints without
+ * them too often: ruotalibera lost 0.016 of its callers in time under calm load.
+ */
+const AVERAGE_WAIT_WEIGHT = 1;
 /**
  * Maximum fraction of the latency objective that a queued request may spend on the network and in
  * the queue. It applies to retries of callers too: longer queues for them would cause refusals of
@@ -103,9 +121,10 @@
       continue;
     }
     const cost =
-      finishMs * (1 + 2 * candidate.failureRatio) +
-      (isCached(candidate) ? 0 : EVICTION_PENALTY * serviceMs) +
-      (candidate.rank === 0 ? 0 : RANK_PENALTY * serviceMs);
+      (finishMs + AVERAGE_WAIT_WEIGHT * getAverageWaitMs(candidate)) *
+        (1 + 2 * candidate.failureRatio) +
+      (isExpectedCached(candidate) ? 0 : EVICTION_PENALTY * serviceMs) +
+      getRankPenalty(candidate) * serviceMs;
     if (cost < bestCost) {
       best = candidate;
       bestCost = cost;
@@ -151,9 +170,19 @@
   return waitMs > 0 && waitMs + roundTripMs > getWaitLimit(reservedObjectiveMs);
 }
 
-/** An object is expected to be cached at the endpoint that ranks first for it. */
-function isCached(candidate: Candidate): boolean {
-  return candidate.isWarm || candidate.rank === 0;
+/** Prefers the first endpoint, unless the object has several. */
+function getRankPenalty({rank, spread}: Candidate): number {
+  if (spread !== undefined) return spread * SPREAD_FRACTION;
+  return rank === 0 ? 0 : RANK_PENALTY;
+}
+
+/**
+ * Returns whether an object is expected to be cached: at the first endpoint, at the others that it
+ * has by its demand, and where this instance knows that it was handled recently.
+ * @param candidate - The endpoint.
+ */
+export function isExpectedCached({isWarm, rank, spread}: Candidate): boolean {
+  return isWarm || rank === 0 || spread !== undefined;
 }
 
 /** Estimates the queueing time at an endpoint. */
@@ -162,9 +191,27 @@
   return (serviceMs * ahead) / Math.max(1, slots);
 }
 
+/**
+ * Estimates the mean queueing time at an endpoint by its average depth: the mean of the positive
+ * part of a normal variable whose variance is the average depth, as that of random arrivals. This
+ * does not limit the queueing time, since an old average would then refuse requests whose endpoints
+ * have become free: in the simulation, 0.77 of ruotalibera's callers were refused at overload.
+ */
+function getAverageWaitMs(candidate: Candidate): number {
+  const {averageDepth = 0, slots, serviceMs} = candidate;
+  const excess = averageDepth - slots + 1;
+  // 0.64 = (2 x 0.4)^2, where 0.4 is the mean positive part of a standard normal variable.
+  const ahead = (excess + Math.sqrt(excess ** 2 + 0.64 * averageDepth)) / 2;
+  return averageDepth > 0
+    ? (serviceMs * Math.max(0, ahead)) / Math.max(1, slots)
+    : 0;
+}
+
 /** Estimates the time until an answer: round trip, queueing and service time. */
 function getFinishMs(candidate: Candidate): number {
   const {serviceMs, roundTripMs} = candidate;
-  const workMs = serviceMs * (isCached(candidate) ? 1 : UNCACHED_FACTOR);
-  return roundTripMs + getWaitMs(candidate) + workMs;
+  const workMs =
+    serviceMs * (isExpectedCached(candidate) ? 1 : UNCACHED_FACTOR);
+  const waitMs = getWaitMs(candidate) + getAverageWaitMs(candidate);
+  return roundTripMs + waitMs + workMs;
 }
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -10,7 +10,9 @@
 export type {MachineResources} from './machine_resources.js';
 export {chooseListedInstances} from './choose_listed_instances.js';
 export {PriorityDemand} from './priority_demand.js';
+export {ObjectDemand, type DemandScale} from './object_demand.js';
 export {ServiceTime} from './service_time.js';
+export {AverageLoad} from './average_load.js';
 export {WorkFactor} from './work_factor.js';
 export {RequestKind, isIdempotent} from './request_kind.js';
 export type {
@@ -73,6 +75,7 @@
 } from './region_preference.js';
 export {
   chooseEndpoint,
+  isExpectedCached,
   type Candidate,
   type ChoiceOptions,
   type EndpointChoice,
