Derive limits on memory and connections from the machine

Cause: nothing relates what callers can make an instance hold to the memory and the descriptors of its machine.

Change: `planResources` derives the limits from the machine and the heap limit, `ConnectionLedger` selects the connection to close when a listener has too many, `selectBusiest` and `selectUnread` those with most requests and most unread bytes. Nothing uses them yet.

Ruled out: one limit on connections for all listeners but the callers' one; all callers use the directory, so that it has a share of its own.

--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -8,6 +8,17 @@
 } from './account_table.js';
 export type {ClientAccount} from './client_account.js';
 export type {MachineResources} from './machine_resources.js';
+export {planResources, type ResourcePlan} from './plan_resources.js';
+export {
+  CloseReason,
+  ConnectionLedger,
+  type ConnectionVictim,
+} from './connection_ledger.js';
+export {
+  selectBusiest,
+  selectUnread,
+  type ConnectionLoad,
+} from './select_connection.js';
 export {RequestKind, isIdempotent} from './request_kind.js';
 export type {
   CallerLimits,
