Limit what callers make an instance hold

Cause: connections, pipelined requests, request bodies on small machines and responses that are not read had no limit, and a response that closes its connection was written although requests behind it were forwarded. Where a connection closed, Node.js reported no end of the responses that waited behind others on it, so that their attempts, streams and exchanges stayed open.

Change: - `guardConnections` on all five listeners accepts a new connection in place of the one that has been idle longest. - `PacedReader` passes 2 KiB at a time to the HTTP parser, since Node.js parses up to 2,600 requests of one read. While no further request is wanted it keeps reading up to 64 KiB, so that a caller that leaves is noticed. - `CallerConnection` runs 16 requests of a connection at a time, a non-idempotent one only when the responses before it are written, and none behind a response that closes the connection. In a planned stop the last request that was read gets `connection: close`. - At the limit of requests in progress the connection with most of them is closed; where none has two, the new request is refused with 503. - `ResponseBuffers` counts collected responses until they are written; near the limit responses are streamed, and callers that do not read are closed. Collected chunks are written without being joined. - A response without a length becomes 502 if requests behind it have been started.

Ruled out: pausing the socket alone, as a whole read is parsed at once; pausing at the first held byte, as the caller's end is then noticed only at the second response that is written.

--- a/packages/instance/src/direct/answer/failure_response.ts
+++ b/packages/instance/src/direct/answer/failure_response.ts
@@ -27,7 +27,10 @@
   if (retryAfterMs !== undefined) {
     headers['retry-after'] = (retryAfterMs / 1_000).toFixed(3);
   }
-  if (closesConnection) headers['connection'] = 'close';
+  if (closesConnection) {
+    headers['connection'] = 'close';
+    res.shouldKeepAlive = false;
+  }
   res.writeHead(status, headers).end();
 }
 
@@ -35,8 +38,12 @@
  * Discards what was prepared of a response that could not be written, so that a failure response
  * carries no headers of an endpoint.
  * @param res - The response to the caller, whose head has not been sent.
+ * @param closesConnection - Whether the connection carries no further response.
  */
-export function discardHeaders(res: ServerResponse): void {
+export function discardHeaders(
+  res: ServerResponse,
+  closesConnection: boolean,
+): void {
   for (const name of res.getHeaderNames()) res.removeHeader(name);
-  res.shouldKeepAlive = false;
+  res.shouldKeepAlive = !closesConnection;
 }
--- a/packages/instance/src/direct/answer/write_response.ts
+++ b/packages/instance/src/direct/answer/write_response.ts
@@ -27,19 +27,39 @@
     response.rawHeaders,
     isHead ? OMITTED_HEAD_HEADERS : OMITTED_HEADERS,
   );
-  const hasBody = !isHead && status !== 204 && status !== 304 && status >= 200;
+  const hasBody = canHaveBody(status, isHead);
   if (hasBody && !isSelfDelimited) delimitByClose(res, headers);
   if (bodyStream) {
     res.writeHead(status, headers);
     streamBody(chunks, bodyStream, res);
     return;
   }
-  const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
   if (hasBody && isSelfDelimited) {
-    headers['content-length'] = String(body?.length ?? 0);
+    const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+    headers['content-length'] = String(length);
   }
   res.writeHead(status, headers);
-  res.end(body);
+  // One buffer with all chunks would need their memory twice.
+  res.cork();
+  for (const chunk of chunks.slice(0, -1)) res.write(chunk);
+  res.end(chunks.at(-1));
+  res.uncork();
+}
+
+/**
+ * Returns whether a response ends only when its connection is closed.
+ * @param response - The endpoint's response.
+ * @param isHead - Whether the request was HEAD.
+ */
+export function endsOnClose(
+  {status, isSelfDelimited}: EndpointResponse,
+  isHead: boolean,
+): boolean {
+  return !isSelfDelimited && canHaveBody(status, isHead);
+}
+
+function canHaveBody(status: number, isHead: boolean): boolean {
+  return !isHead && status !== 204 && status !== 304 && status >= 200;
 }
 
 /**
--- a/packages/instance/src/direct/decision.ts
+++ b/packages/instance/src/direct/decision.ts
@@ -9,6 +9,8 @@
   TooLarge = 'too-large',
   /** The request's body does not fit into the memory for bodies beside those of other requests. */
   NoBodyMemory = 'no-body-memory',
+  /** Too many requests are in progress on all connections. */
+  TooManyRequests = 'too-many-requests',
   NoEndpoint = 'no-endpoint',
   NoCapacity = 'no-room',
   Refused = 'refused-by-endpoints',
--- a/packages/instance/src/direct/direct_metrics.ts
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -21,6 +21,10 @@
   ratePermits: Counter<'result'>;
   configurationVersion: Gauge;
   openRequests: Gauge;
+  connections: Gauge<'listener'>;
+  closedConnections: Counter<'listener' | 'reason'>;
+  pausedConnections: Gauge;
+  heldBytes: Gauge<'kind'>;
 }
 
 /**
@@ -114,5 +118,28 @@
       help: 'Requests that are not answered to the end.',
       registers,
     }),
+    connections: new Gauge({
+      name: 'primrose_direct_connections',
+      help: 'Open connections by listener.',
+      labelNames: ['listener'],
+      registers,
+    }),
+    closedConnections: new Counter({
+      name: 'primrose_direct_closed_connections_total',
+      help: 'Connections closed because of a limit, by listener and reason.',
+      labelNames: ['listener', 'reason'],
+      registers,
+    }),
+    pausedConnections: new Gauge({
+      name: 'primrose_direct_paused_connections',
+      help: 'Connections of callers that are not read because of their pipelined requests.',
+      registers,
+    }),
+    heldBytes: new Gauge({
+      name: 'primrose_direct_held_bytes',
+      help: 'Bytes of request bodies and of responses that are held in memory.',
+      labelNames: ['kind'],
+      registers,
+    }),
   };
 }
--- a/packages/instance/src/direct/listen/body_buffers.ts
+++ b/packages/instance/src/direct/listen/body_buffers.ts
@@ -1,7 +1,3 @@
-/** Most bytes of request bodies that are buffered at a time. */
-const MAX_BUFFERED_BYTES = 128 * 1024 * 1024;
-/** Part of the bytes above that only small bodies may use, so that large ones do not crowd them out. */
-const RESERVED_BYTES = 16 * 1024 * 1024;
 /** Largest body that counts as small, in bytes. */
 const MAX_SMALL_BODY_BYTES = 64 * 1024;
 
@@ -9,7 +5,7 @@
 export interface BodyBufferLimits {
   /** Most bytes that are buffered at a time. */
   maxBytes: number;
-  /** Part of `maxBytes` that only small bodies may use. */
+  /** Part of `maxBytes` that only small bodies may use, so that large ones do not crowd them out. */
   reservedBytes: number;
 }
 
@@ -36,12 +32,7 @@
    * Creates the account of the buffered bytes.
    * @param limits - Limits on them.
    */
-  constructor(
-    private readonly limits: BodyBufferLimits = {
-      maxBytes: MAX_BUFFERED_BYTES,
-      reservedBytes: RESERVED_BYTES,
-    },
-  ) {}
+  constructor(private readonly limits: BodyBufferLimits) {}
 
   /** The number of buffered bytes. */
   get usedBytes(): number {
--- /dev/null
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -0,0 +1,171 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {ConnectionLoad} from '@primrosestage/steering';
+import {PacedReader} from './paced_reader.js';
+import {PipelinedRequest} from './pipelined_request.js';
+
+/** What a connection needs of all connections of callers. */
+export interface ConnectionContext {
+  /** Most requests of a connection in progress. */
+  maxPipelined: number;
+  /** Returns whether a request may run more than once. */
+  isIdempotent(req: IncomingMessage): boolean;
+  now(): number;
+  /** Starts a request. */
+  start(request: PipelinedRequest): void;
+  /** Called when a request has arrived, and when its response has ended or its connection closed. */
+  handleOpened(connection: CallerConnection, request: PipelinedRequest): void;
+  handleSettled(connection: CallerConnection): void;
+  /** Called when reading has stopped or goes on. */
+  handleReading(connection: CallerConnection): void;
+  handleHeld(connection: CallerConnection): void;
+}
+
+/** The connection of a caller with its requests in progress, which may be pipelined. */
+export class CallerConnection implements ConnectionLoad {
+  progressAt = 0;
+  private readonly open: PipelinedRequest[] = [];
+  private readonly reader: PacedReader;
+  private isEnding = false;
+  private sentBytes = 0;
+
+  /**
+   * Takes over the reading of a connection.
+   * @param socket - The connection.
+   * @param context - Limits and the other connections.
+   */
+  constructor(
+    readonly socket: Socket,
+    private readonly context: ConnectionContext,
+  ) {
+    this.reader = new PacedReader(
+      socket,
+      () => this.mayRead(),
+      () => context.handleReading(this),
+    );
+    socket.once('close', () => this.settleAll());
+  }
+
+  /** The number of requests that await the end of their response. */
+  get requests(): number {
+    return this.open.length;
+  }
+
+  get unreadBytes(): number {
+    return this.open.reduce(
+      (sum, {reservation}) => sum + (reservation?.bytes ?? 0),
+      0,
+    );
+  }
+
+  /** Whether it is not read because of its pipelined requests. */
+  get isPaused(): boolean {
+    return this.reader.isStopped && !this.isEnding && !this.socket.destroyed;
+  }
+
+  /** Whether a request awaits its response that has arrived whole, so that it may run. */
+  get mayRun(): boolean {
+    return this.open.some(({req}) => req.complete);
+  }
+
+  /** Takes a request. One behind a response that closes the connection is never started. */
+  receive(req: IncomingMessage, res: ServerResponse): void {
+    if (this.isEnding || this.isClosing) {
+      this.stopReading();
+      return;
+    }
+    const {context} = this;
+    const request = new PipelinedRequest(req, res, context.now(), this);
+    this.open.push(request);
+    res.once('close', () => this.settle(request));
+    context.handleOpened(this, request);
+    this.startWaiting();
+  }
+
+  /** Reads no further request. */
+  stopReading(): void {
+    this.isEnding = true;
+    this.reader.update();
+  }
+
+  /** Resets the connection; its requests no longer count. */
+  close(): void {
+    this.isEnding = true;
+    this.socket.resetAndDestroy();
+    this.settleAll();
+  }
+
+  isLast(request: PipelinedRequest): boolean {
+    return this.open.at(-1) === request;
+  }
+
+  hasStartedBehind(request: PipelinedRequest): boolean {
+    const index = this.open.indexOf(request);
+    return this.open.some((each, i) => i > index && each.isStarted);
+  }
+
+  /** Records that a response awaits its caller. */
+  recordHeld(request: PipelinedRequest): void {
+    if (!this.open.includes(request)) {
+      request.settle();
+      return;
+    }
+    if (this.unreadBytes === request.reservation?.bytes) {
+      this.progressAt = this.context.now();
+    }
+    this.context.handleHeld(this);
+  }
+
+  /** Notices whether a part of the responses has been sent since the last call. */
+  observeProgress(): void {
+    const sent = this.socket.bytesWritten - this.socket.writableLength;
+    if (sent === this.sentBytes) return;
+    this.sentBytes = sent;
+    this.progressAt = this.context.now();
+  }
+
+  /** Whether a response has been begun that closes the connection. */
+  private get isClosing(): boolean {
+    return this.open.some(each => each.closesConnection);
+  }
+
+  private mayRead(): boolean {
+    if (this.isEnding || this.isClosing) return false;
+    return (
+      this.open.length < this.context.maxPipelined ||
+      this.open.at(-1)?.req.complete === false
+    );
+  }
+
+  /**
+   * Starts requests in their order. A non-idempotent one waits for the responses before it: if the
+   * connection were lost, its caller could not tell which of them have run.
+   */
+  private startWaiting(): void {
+    const {maxPipelined} = this.context;
+    for (let i = 0; i < Math.min(this.open.length, maxPipelined); i++) {
+      const request = this.open[i]!;
+      if (request.closesConnection) break;
+      if (request.isStarted) continue;
+      if (i > 0 && !this.context.isIdempotent(request.req)) break;
+      request.isStarted = true;
+      this.context.start(request);
+    }
+    this.reader.update();
+  }
+
+  private settle(request: PipelinedRequest): void {
+    const index = this.open.indexOf(request);
+    if (index < 0) return;
+    this.open.splice(index, 1);
+    request.settle();
+    this.context.handleSettled(this);
+    if (this.socket.destroyed) return;
+    this.startWaiting();
+  }
+
+  private settleAll(): void {
+    for (const request of [...this.open]) this.settle(request);
+    this.context.handleReading(this);
+  }
+}
--- /dev/null
+++ b/packages/instance/src/direct/listen/caller_connections.ts
@@ -0,0 +1,153 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {TimerService} from '@primrosestage/common';
+import {
+  CloseReason,
+  type ResourcePlan,
+  selectBusiest,
+  selectUnread,
+} from '@primrosestage/steering';
+import type {ResponseBuffers} from '../send/response_buffers.js';
+import {CallerConnection, type ConnectionContext} from './caller_connection.js';
+import type {LimitReport} from './limit_report.js';
+import type {PipelinedRequest} from './pipelined_request.js';
+
+/** Name of the callers' listener in metrics and log lines. */
+export const CALLER_LISTENER = 'callers';
+
+/** Configures the connections of callers. */
+export interface CallerConnectionsOptions {
+  plan: ResourcePlan;
+  responseBuffers: ResponseBuffers;
+  report: LimitReport;
+  timers: TimerService;
+  /** Returns whether a request may run more than once. */
+  isIdempotent: (req: IncomingMessage) => boolean;
+  /** Starts a request whose turn has come. */
+  start: (request: PipelinedRequest) => void;
+}
+
+/**
+ * Tracks the requests in progress on all connections of callers, and closes connections that hold
+ * too much.
+ */
+export class CallerConnections {
+  private readonly connections = new WeakMap<Duplex, CallerConnection>();
+  private readonly busy = new Set<CallerConnection>();
+  private readonly paused = new Set<CallerConnection>();
+  private readonly holding = new Set<CallerConnection>();
+  private readonly context: ConnectionContext;
+  private openRequests = 0;
+
+  /**
+   * Starts tracking.
+   * @param server - The server of callers.
+   * @param options - Limits and how requests are started.
+   */
+  constructor(
+    server: Server,
+    private readonly options: CallerConnectionsOptions,
+  ) {
+    const {plan, timers, responseBuffers, isIdempotent, start} = options;
+    this.context = {
+      maxPipelined: plan.maxPipelinedRequests,
+      isIdempotent,
+      start,
+      now: () => timers.now(),
+      handleOpened: (connection, request) =>
+        this.handleOpened(connection, request),
+      handleSettled: connection => this.handleSettled(connection),
+      handleReading: connection => this.handleReading(connection),
+      handleHeld: connection => this.holding.add(connection),
+    };
+    responseBuffers.handlePressure = () => this.relievePressure();
+    server.on('connection', (socket: Socket) => {
+      const connection = new CallerConnection(socket, this.context);
+      this.connections.set(socket, connection);
+    });
+  }
+
+  /** The number of connections that are not read because of their pipelined requests. */
+  get pausedConnections(): number {
+    return this.paused.size;
+  }
+
+  /**
+   * Takes a request.
+   * @param req - The request.
+   * @param res - The response to it.
+   */
+  receive(req: IncomingMessage, res: ServerResponse): void {
+    this.connections.get(req.socket)?.receive(req, res);
+  }
+
+  /**
+   * Stops reading from a connection whose bytes are no request.
+   * @param connection - The connection.
+   * @returns Whether a request on it may run: it has arrived whole and awaits its response.
+   */
+  stopReading(connection: Duplex): boolean {
+    const found = this.connections.get(connection);
+    found?.stopReading();
+    return found?.mayRun === true;
+  }
+
+  /** Observes which callers read, and closes those that do not while memory is short. */
+  sweep(): void {
+    for (const connection of this.holding) {
+      if (connection.unreadBytes === 0) this.holding.delete(connection);
+      else connection.observeProgress();
+    }
+    if (this.options.responseBuffers.isNearLimit) this.relievePressure();
+  }
+
+  private handleOpened(
+    connection: CallerConnection,
+    request: PipelinedRequest,
+  ): void {
+    this.busy.add(connection);
+    this.openRequests++;
+    if (this.openRequests <= this.options.plan.maxOpenRequests) return;
+    const busiest = selectBusiest(this.busy);
+    if (busiest) this.close(busiest, CloseReason.Requests);
+    else {
+      request.isRefused = true;
+      this.options.report.countRefused();
+    }
+  }
+
+  private handleSettled(connection: CallerConnection): void {
+    this.openRequests--;
+    if (connection.requests > 0) return;
+    this.busy.delete(connection);
+    this.holding.delete(connection);
+  }
+
+  private handleReading(connection: CallerConnection): void {
+    if (!connection.isPaused) {
+      this.paused.delete(connection);
+      return;
+    }
+    this.paused.add(connection);
+    if (this.paused.size <= this.options.plan.maxPausedConnections) return;
+    const busiest = selectBusiest(this.paused);
+    if (busiest) this.close(busiest, CloseReason.Paused);
+  }
+
+  private relievePressure(): void {
+    const {responseBuffers, timers} = this.options;
+    const unread = selectUnread(
+      this.holding,
+      timers.now(),
+      responseBuffers.isAboveLimit,
+    );
+    if (unread) this.close(unread, CloseReason.Unread);
+  }
+
+  private close(connection: CallerConnection, reason: CloseReason): void {
+    this.options.report.countClosed(CALLER_LISTENER, reason);
+    connection.close();
+    this.paused.delete(connection);
+  }
+}
--- a/packages/instance/src/direct/listen/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -1,5 +1,4 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Duplex} from 'node:stream';
 import {HeaderName, Step} from '@primrosestage/common';
 import {
   type AccountLookup,
@@ -29,7 +28,8 @@
 import {RetryingSender} from '../send/retrying_sender.js';
 import {UnforwardableRequestError} from '../send/unforwardable_request_error.js';
 import {RESPONSE_GRACE_MS, type OpenAttempt} from '../send/start_attempt.js';
-import {writeResponse} from '../answer/write_response.js';
+import {endsOnClose, writeResponse} from '../answer/write_response.js';
+import type {PipelinedRequest} from './pipelined_request.js';
 
 /** Deadline of a request without a deadline header, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 10_000;
@@ -42,6 +42,8 @@
 
 /** Handles one request from its arrival to its final response. */
 export class RequestExchange {
+  private readonly req: IncomingMessage;
+  private readonly res: ServerResponse;
   private readonly arrivedAt: number;
   private readonly requestId: string;
   private isCallerDisconnected = false;
@@ -58,11 +60,13 @@
   private span?: HopSpan;
 
   constructor(
-    private readonly req: IncomingMessage,
-    private readonly res: ServerResponse,
+    private readonly request: PipelinedRequest,
     private readonly options: RequestExchangeOptions,
   ) {
-    this.arrivedAt = options.timers.now();
+    const {req, res, arrivedAt} = request;
+    this.req = req;
+    this.res = res;
+    this.arrivedAt = arrivedAt;
     this.requestId = String(req.headers[options.names.requestId] ?? '');
     res.on('close', () => this.handleClose());
     res.on('error', () => this.handleClose());
@@ -80,15 +84,6 @@
     }
   }
 
-  /**
-   * Returns whether the request came from a connection and may run; its body is forwarded only when
-   * it has arrived whole.
-   * @param connection - The connection of a caller.
-   */
-  mayRunOn(connection: Duplex): boolean {
-    return this.req.socket === connection && this.req.complete;
-  }
-
   /**
    * Ends the request at the end of a planned stop. A response that is still being streamed is
    * aborted: an orderly close would mark one without a length as complete.
@@ -100,6 +95,15 @@
     this.sender?.cancelOpenAttempts();
   }
 
+  /**
+   * Ends the request if its response cannot be sent. Node.js reports no end of a response that was
+   * still waiting behind others when its connection was closed.
+   */
+  handleSettled(): void {
+    if (!this.res.writableFinished) this.bodyStream?.destroy();
+    this.handleClose();
+  }
+
   private startSpan(): void {
     this.span = this.options.startSpan?.({
       step: Step.Ingress,
@@ -238,11 +242,19 @@
 
   private forwardResponse({response, from}: ReceivedResponse): void {
     this.sender?.stop();
+    const isHead = this.req.method === 'HEAD';
+    if (endsOnClose(response, isHead) && this.request.hasStartedBehind) {
+      // Closing the connection would take the responses of the requests behind from the caller.
+      discardResponse({response});
+      this.finish(502, Decision.ConnectionBroken);
+      return;
+    }
     if (this.res.destroyed) discardResponse({response});
     else {
       this.bodyStream = response.bodyStream;
       if (response.bodyStream) this.monitorStream(response.bodyStream, from);
-      writeResponse(response, this.res, this.req.method === 'HEAD');
+      writeResponse(response, this.res, isHead);
+      if (response.reservation) this.request.holdResponse(response.reservation);
     }
     this.isFinished = true;
     this.recordCompletion(response.status, Decision.Endpoint);
@@ -304,7 +316,7 @@
     if (!this.isFinished) {
       if (this.res.headersSent) this.abortResponse();
       else {
-        discardHeaders(this.res);
+        discardHeaders(this.res, this.request.isLast);
         const isCallersFault = err instanceof UnforwardableRequestError;
         if (isCallersFault && !this.mayHaveRun) {
           this.finish(400, Decision.BadRequest);
@@ -342,7 +354,9 @@
               ? undefined
               : {name: names.requestId, value: requestId},
           retryAfterMs,
-          closesConnection: status === 413 || status === 431 || isBodyAwaited,
+          closesConnection:
+            (status === 413 || status === 431 || isBodyAwaited) &&
+            this.request.isLast,
         });
       }
     } catch (err) {
--- a/packages/instance/src/direct/listen/request_handler.ts
+++ b/packages/instance/src/direct/listen/request_handler.ts
@@ -1,18 +1,45 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
+import {isIdempotent, type ResourcePlan} from '@primrosestage/steering';
+import {writeFailure} from '../answer/failure_response.js';
+import {Decision} from '../decision.js';
+import {CallerConnections} from './caller_connections.js';
 import type {RequestExchangeOptions} from './exchange_options.js';
+import type {LimitReport} from './limit_report.js';
+import type {PipelinedRequest} from './pipelined_request.js';
 import {RequestExchange} from './request_exchange.js';
 
+/** Time after which a caller whose request was refused for a limit may retry, in milliseconds. */
+const REFUSED_RETRY_AFTER_MS = 300;
+
+/** Configures the handling of callers' requests. */
+export interface RequestHandlerOptions extends RequestExchangeOptions {
+  plan: ResourcePlan;
+  report: LimitReport;
+}
+
 /** Handles the HTTP requests of callers and counts those in progress. */
 export class RequestHandler {
+  private readonly connections: CallerConnections;
   private openCount = 0;
   private readonly unfinished = new Set<RequestExchange>();
 
   /**
    * Creates the handler.
-   * @param options - Dependencies of the exchanges that it starts.
+   * @param server - The server of callers.
+   * @param options - Limits, and the dependencies of the exchanges that it starts.
    */
-  constructor(private readonly options: RequestExchangeOptions) {}
+  constructor(
+    server: Server,
+    private readonly options: RequestHandlerOptions,
+  ) {
+    this.connections = new CallerConnections(server, {
+      ...options,
+      isIdempotent: req => this.isIdempotent(req),
+      start: request => this.start(request),
+    });
+    server.on('request', (req, res) => this.connections.receive(req, res));
+  }
 
   /** The number of requests in progress; a response that is still being streamed is not counted. */
   get openRequests(): number {
@@ -20,12 +47,12 @@
   }
 
   /**
-   * Returns whether a request from a connection may run: it has arrived whole and awaits its
-   * response.
+   * Stops reading from a connection whose bytes are no request.
    * @param connection - The connection of a caller.
+   * @returns Whether a request on it may run.
    */
-  mayRunOn(connection: Duplex): boolean {
-    return [...this.unfinished].some(each => each.mayRunOn(connection));
+  stopReading(connection: Duplex): boolean {
+    return this.connections.stopReading(connection);
   }
 
   /** Ends the requests that a planned stop cannot wait for. */
@@ -33,20 +60,55 @@
     for (const exchange of this.unfinished) exchange.endForStop();
   }
 
-  /**
-   * Handles one request.
-   * @param req - The request.
-   * @param res - The response to the caller.
-   */
-  handle(req: IncomingMessage, res: ServerResponse): void {
+  /** Observes the callers' reading and updates the metrics of what is held. */
+  sweep(): void {
+    this.connections.sweep();
+    const {metrics, bodyBuffers, responseBuffers} = this.options;
+    metrics.heldBytes.set({kind: 'bodies'}, bodyBuffers.usedBytes);
+    metrics.heldBytes.set({kind: 'responses'}, responseBuffers.usedBytes);
+    metrics.pausedConnections.set(this.connections.pausedConnections);
+  }
+
+  private isIdempotent({headers, url}: IncomingMessage): boolean {
+    const {routes} = this.options.view;
+    const route = routes.find(headers.host ?? '', url ?? '');
+    return !route || isIdempotent(route.kind);
+  }
+
+  private start(request: PipelinedRequest): void {
+    if (request.isRefused) {
+      this.refuse(request.req, request.res);
+      return;
+    }
     this.openCount++;
     this.options.metrics.openRequests.set(this.openCount);
-    const exchange = new RequestExchange(req, res, this.options);
+    const exchange = new RequestExchange(request, this.options);
     this.unfinished.add(exchange);
-    res.once('close', () => this.unfinished.delete(exchange));
+    request.handleSettled = () => {
+      this.unfinished.delete(exchange);
+      exchange.handleSettled();
+    };
     void exchange.run().finally(() => {
       this.openCount--;
       this.options.metrics.openRequests.set(this.openCount);
     });
   }
+
+  /** Refuses a request at little cost: without a log line of its own. */
+  private refuse(req: IncomingMessage, res: ServerResponse): void {
+    const {metrics, names} = this.options;
+    metrics.requests.inc({
+      service: '',
+      status: 503,
+      decided_by: Decision.TooManyRequests,
+    });
+    const id = req.headers[names.requestId];
+    writeFailure(res, {
+      status: 503,
+      requestId:
+        typeof id === 'string' ? {name: names.requestId, value: id} : undefined,
+      retryAfterMs: REFUSED_RETRY_AFTER_MS,
+      closesConnection: !req.complete,
+    });
+  }
 }
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import v8 from 'node:v8';
 import type {EventLogger, TimerService} from '@primrosestage/common';
 import {
   ControlView,
@@ -6,6 +7,7 @@
   EndpointNotices,
   type MemberInfo,
   MemberTable,
+  planResources,
   type StopSchedule,
 } from '@primrosestage/steering';
 import type {Registry} from 'prom-client';
@@ -29,12 +31,16 @@
 import {GossipSocket} from './control/gossip_socket.js';
 import {NoticeTracker} from './place/notice_tracker.js';
 import {createPeerRouter, PeerExchange} from './control/peer_exchange.js';
+import {CALLER_LISTENER} from './listen/caller_connections.js';
+import {guardConnections} from './listen/connection_guard.js';
+import {LimitReport} from './listen/limit_report.js';
 import {QUIET_PERIOD_MS, runPlannedStop} from './listen/planned_stop.js';
 import {
   createDirectoryServer,
   createMetricsServer,
   createReadinessServer,
 } from './listen/http_servers.js';
+import {ResponseBuffers} from './send/response_buffers.js';
 import {RetryBudgets} from './send/retry_budgets.js';
 import {RequestHandler} from './listen/request_handler.js';
 import {RequestLog} from './listen/request_log.js';
@@ -105,7 +111,12 @@
   };
   const metrics = createDirectMetrics(options.registry);
   const view = new ControlView(settings.bounds.drainMs);
-  const agent = new EndpointAgent();
+  const plan = planResources(
+    settings.machine,
+    v8.getHeapStatistics().heap_size_limit,
+  );
+  const limitReport = new LimitReport(logger, metrics, timers);
+  const agent = new EndpointAgent(undefined, plan.maxEndpointConnections);
   let stopSchedule: StopSchedule | undefined;
   let servingSince: number | undefined;
   const isReady = () => !stopSchedule && servingSince !== undefined;
@@ -143,7 +154,18 @@
     {permits, notices},
     timers,
   );
-  const handler = new RequestHandler({
+  const callerServer = http.createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    requestTimeout: 0,
+  });
+  guardConnections(callerServer, {
+    listener: CALLER_LISTENER,
+    maxConnections: plan.maxCallerConnections,
+    report: limitReport,
+  });
+  const handler = new RequestHandler(callerServer, {
+    plan,
+    report: limitReport,
     view,
     selector,
     limitTracker,
@@ -151,7 +173,11 @@
     noticeTracker,
     retryBudgets: new RetryBudgets(settings.bounds, members, timers),
     agent,
-    bodyBuffers: new BodyBuffers(),
+    bodyBuffers: new BodyBuffers({
+      maxBytes: plan.maxBodyBytes,
+      reservedBytes: plan.reservedBodyBytes,
+    }),
+    responseBuffers: new ResponseBuffers(plan.maxResponseBytes),
     startQueue: new RequestStartQueue(timers),
     timers,
     names,
@@ -161,14 +187,10 @@
     startSpan: options.startSpan,
     random: options.random,
   });
-  const callerServer = http.createServer(
-    {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0},
-    (req, res) => handler.handle(req, res),
-  );
   callerServer.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
   callerServer.on('clientError', (err: NodeJS.ErrnoException, connection) => {
     logger.info('caller connection failed', {reason: err.code});
-    rejectInvalidRequest(err, connection, handler.mayRunOn(connection));
+    rejectInvalidRequest(err, connection, handler.stopReading(connection));
   });
 
   const apply = createChangeHandler({
@@ -256,13 +278,32 @@
     timers,
     closeIdleMs: QUIET_PERIOD_MS,
   });
-  for (const server of [
-    readinessServer,
-    directoryServer,
-    controlServer,
-    metricsServer,
-  ]) {
+  const auxiliaryServers = {
+    readiness: {
+      server: readinessServer,
+      maxConnections: plan.maxAuxiliaryConnections,
+    },
+    directory: {
+      server: directoryServer,
+      maxConnections: plan.maxDirectoryConnections,
+    },
+    control: {
+      server: controlServer,
+      maxConnections: plan.maxControlConnections,
+    },
+    metrics: {
+      server: metricsServer,
+      maxConnections: plan.maxAuxiliaryConnections,
+    },
+  };
+  for (const [listener, guarded] of Object.entries(auxiliaryServers)) {
+    const {server, maxConnections} = guarded;
     server.keepAliveTimeout = AUXILIARY_IDLE_TIMEOUT_MS;
+    guardConnections(server, {
+      listener,
+      maxConnections,
+      report: limitReport,
+    });
   }
   await Promise.all([
     listen(readinessServer, settings.readinessAddress),
@@ -282,6 +323,7 @@
         logger.info('instance forgotten', {peer: id});
       }
       selector.sweep();
+      handler.sweep();
       limitTracker.prune(view.endpointTable);
       noticeTracker.prune(view.endpointTable);
       permits.prune();
@@ -321,6 +363,7 @@
       for (const subscription of subscriptions) {
         await subscription[Symbol.asyncDispose]();
       }
+      await limitReport[Symbol.asyncDispose]();
       await gossip[Symbol.asyncDispose]();
       permits[Symbol.dispose]();
       await peerExchange[Symbol.asyncDispose]();
@@ -328,10 +371,7 @@
       agent.destroy();
       for (const server of [
         callerServer,
-        readinessServer,
-        directoryServer,
-        controlServer,
-        metricsServer,
+        ...Object.values(auxiliaryServers).map(({server}) => server),
       ]) {
         server.closeAllConnections();
         if (server.listening) server.close();
--- a/packages/instance/src/direct/send/attempt.ts
+++ b/packages/instance/src/direct/send/attempt.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import type {ResponseReservation} from './response_buffers.js';
 
 /** Outcome of one attempt at an endpoint. */
 export enum AttemptOutcome {
@@ -33,6 +34,8 @@
   chunks: Buffer[];
   /** Stream of the remaining body if the response is too long to be buffered. */
   bodyStream?: IncomingMessage;
+  /** Memory of the received chunks, if it is counted. */
+  reservation?: ResponseReservation;
 }
 
 /** Result of an attempt. */
@@ -64,4 +67,5 @@
   response,
 }: Pick<AttemptResult, 'response'>): void {
   response?.bodyStream?.destroy();
+  response?.reservation?.[Symbol.dispose]();
 }
--- a/packages/instance/src/direct/send/endpoint_agent.ts
+++ b/packages/instance/src/direct/send/endpoint_agent.ts
@@ -42,12 +42,17 @@
 export class EndpointAgent extends GuardedAgent {
   private readonly records = new WeakMap<Socket, ConnectionRecord>();
   private connectionCount = 0;
+  private openConnections = 0;
 
   /**
    * Creates an empty pool.
    * @param maxCarriedIds - Most request ids that a connection carries before it is closed.
+   * @param maxConnections - Number of connections above which none is kept idle.
    */
-  constructor(private readonly maxCarriedIds = MAX_CARRIED_IDS) {
+  constructor(
+    private readonly maxCarriedIds = MAX_CARRIED_IDS,
+    private readonly maxConnections = Infinity,
+  ) {
     super({keepAlive: true, scheduling: 'lifo', maxFreeSockets: 64});
   }
 
@@ -82,6 +87,8 @@
   ): ReturnType<http.Agent['createConnection']> {
     const socket = super.createConnection(...args);
     socket?.prependListener('end', handleEnd);
+    this.openConnections++;
+    socket?.once('close', () => this.openConnections--);
     return socket;
   }
 
@@ -96,6 +103,7 @@
   }
 
   protected override configureIdle(socket: Socket): boolean {
+    if (this.openConnections > this.maxConnections) return false;
     const idleMs = getIdleTimeoutMs(socket);
     if (idleMs <= 0 || this.getRecord(socket).ids.isFull) return false;
     socket.setTimeout(idleMs);
--- a/packages/instance/src/direct/send/send_attempt.ts
+++ b/packages/instance/src/direct/send/send_attempt.ts
@@ -18,12 +18,15 @@
   judgeResponseHead,
   MISDIRECTED_STATUS,
 } from './judge_response.js';
+import type {ResponseBuffers, ResponseReservation} from './response_buffers.js';
 import type {WireNames} from '../wire_names.js';
 
 /** Largest response body that is buffered until complete, in bytes; longer ones are streamed. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 /** Most chunks of a response that are buffered; even a small chunk has a memory overhead. */
 const MAX_BUFFERED_CHUNKS = 4_096;
+/** Bytes of a streamed response that are held while its caller does not read. */
+const STREAMED_BYTES = 64 * 1024;
 /**
  * Most bytes that may be received without any body data. Response heads, interim responses, chunk
  * sizes and trailers can otherwise be sent without end.
@@ -52,6 +55,8 @@
 /** Dependencies of attempts. */
 export interface AttemptContext {
   agent: EndpointAgent;
+  /** Memory for the responses of all requests. */
+  responseBuffers: ResponseBuffers;
   timers: TimerService;
   names: WireNames;
 }
@@ -99,6 +104,7 @@
   private readonly timeout: Disposable;
   private connectTimeout?: Disposable;
   private bytesWithoutBody = 0;
+  private readonly reservation: ResponseReservation;
   private readonly countBytes = (chunk: Buffer): void => {
     this.bytesWithoutBody += chunk.length;
     if (this.bytesWithoutBody <= MAX_BYTES_WITHOUT_BODY) return;
@@ -111,6 +117,7 @@
   ) {
     const {timers, agent} = context;
     this.startedAt = timers.now();
+    this.reservation = context.responseBuffers.open();
     this.result = new Promise(resolve => {
       this.resolve = resolve;
     });
@@ -204,24 +211,31 @@
 
   private receiveBody(res: IncomingMessage): void {
     const chunks: Buffer[] = [];
+    const {reservation} = this;
     let size = 0;
     const onData = (chunk: Buffer) => {
+      if (this.isDone) return;
       chunks.push(chunk);
       size += chunk.length;
       this.bytesWithoutBody = 0;
       const isBuffered =
-        size <= MAX_BUFFERED_BYTES && chunks.length <= MAX_BUFFERED_CHUNKS;
-      if (isBuffered || this.isDone) return;
+        size <= MAX_BUFFERED_BYTES &&
+        chunks.length <= MAX_BUFFERED_CHUNKS &&
+        reservation.tryAdd(chunk.length);
+      if (isBuffered) return;
+      reservation.add(chunk.length + STREAMED_BYTES);
       res.off('data', onData);
       res.pause();
-      this.end(AttemptOutcome.Answered, '', createResponse(res, chunks, res));
+      const response = createResponse(res, {chunks, reservation}, res);
+      this.end(AttemptOutcome.Answered, '', response);
     };
     res.on('data', onData);
     res.on('end', () => {
       if (!isResponseComplete(res)) {
         this.end(AttemptOutcome.Broken, 'answer truncated');
       } else {
-        this.end(AttemptOutcome.Answered, '', createResponse(res, chunks));
+        const response = createResponse(res, {chunks, reservation});
+        this.end(AttemptOutcome.Answered, '', response);
       }
     });
     res.on('aborted', () =>
@@ -249,6 +263,7 @@
   ): void {
     if (this.isDone) return;
     this.isDone = true;
+    if (!response) this.reservation[Symbol.dispose]();
     this.timeout[Symbol.dispose]();
     this.connectTimeout?.[Symbol.dispose]();
     this.req.socket?.off('data', this.countBytes);
@@ -305,7 +320,7 @@
 
 function createResponse(
   res: IncomingMessage,
-  chunks: Buffer[],
+  received: Pick<EndpointResponse, 'chunks' | 'reservation'>,
   bodyStream?: IncomingMessage,
 ): EndpointResponse {
   return {
@@ -313,7 +328,7 @@
     statusMessage: res.statusMessage ?? '',
     rawHeaders: res.rawHeaders,
     isSelfDelimited: isSelfDelimited(res),
-    chunks,
+    ...received,
     bodyStream,
   };
 }
--- a/packages/instance/src/direct/send/start_attempt.ts
+++ b/packages/instance/src/direct/send/start_attempt.ts
@@ -17,6 +17,7 @@
 import type {HopSpan, StartSpan} from '../../telemetry/hop_span.js';
 import {AttemptOutcome} from './attempt.js';
 import type {EndpointAgent} from './endpoint_agent.js';
+import type {ResponseBuffers} from './response_buffers.js';
 import {
   BeginResult,
   type EndpointSelector,
@@ -58,6 +59,8 @@
   limitTracker: LimitTracker;
   permits: RatePermits;
   agent: EndpointAgent;
+  /** Memory for the responses of all requests. */
+  responseBuffers: ResponseBuffers;
   timers: TimerService;
   names: WireNames;
   /** Starts spans; undefined if tracing is off. */
--- a/packages/instance/src/http/connection_tracker.ts
+++ b/packages/instance/src/http/connection_tracker.ts
@@ -1,4 +1,4 @@
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import net, {type Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {TimerService} from '@primrosestage/common';
@@ -27,6 +27,8 @@
 interface ConnectionUse {
   openRequests: number;
   lastUsedAt: number;
+  /** The response that is to close the connection while stopping. */
+  closing?: ServerResponse;
 }
 
 /** Tracks the open connections of a server and closes them without interrupting requests. */
@@ -54,7 +56,7 @@
       const use = this.open.get(req.socket);
       if (!use) return;
       use.openRequests++;
-      if (this.isDraining) res.setHeader('connection', 'close');
+      if (this.isDraining) closeWith(res, use);
       else if (keepAliveSeconds !== undefined) {
         res.setHeader('keep-alive', `timeout=${keepAliveSeconds}`);
       }
@@ -78,7 +80,7 @@
     return (this.open.get(connection)?.openRequests ?? 0) > 0;
   }
 
-  /** Adds `connection: close` to all further answers. */
+  /** Closes each connection with the response to the last request on it, if any arrives. */
   startDraining(): void {
     this.isDraining = true;
   }
@@ -124,3 +126,15 @@
     return this.open.size === 0;
   }
 }
+
+/**
+ * Makes a response close its connection in place of the one before it, whose caller has pipelined
+ * this request: a response that closes the connection takes those behind it from the caller.
+ */
+function closeWith(res: ServerResponse, use: ConnectionUse): void {
+  const {closing} = use;
+  if (closing && !closing.headersSent) closing.shouldKeepAlive = true;
+  if (!res.shouldKeepAlive) return;
+  res.shouldKeepAlive = false;
+  use.closing = res;
+}
--- a/packages/instance/test/direct/endpoint_agent.test.ts
+++ b/packages/instance/test/direct/endpoint_agent.test.ts
@@ -11,6 +11,7 @@
 import {sendAttempt} from '../../src/direct/send/send_attempt.js';
 import {EndpointStub, renderHead} from './endpoint_stub.js';
 import {HOST, waitFor} from './fleet.js';
+import {ResponseBuffers} from '../../src/direct/send/response_buffers.js';
 import {NAMES} from './names.js';
 
 /** Length of a body that does not fit into the buffers of the kernel, in bytes. */
@@ -61,7 +62,12 @@
         timeoutMs: 1_000,
         connectTimeoutMs: 1_000,
       },
-      {agent, timers, names: NAMES},
+      {
+        agent,
+        timers,
+        responseBuffers: new ResponseBuffers(Infinity),
+        names: NAMES,
+      },
     );
   };
 
--- a/packages/instance/test/direct/endpoint_agent_model.test.ts
+++ b/packages/instance/test/direct/endpoint_agent_model.test.ts
@@ -4,6 +4,7 @@
 import {RealTimerService} from '@primrosestage/common';
 import fc from 'fast-check';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {ResponseBuffers} from '../../src/direct/send/response_buffers.js';
 import {EndpointAgent} from '../../src/direct/send/endpoint_agent.js';
 import {type Attempt, sendAttempt} from '../../src/direct/send/send_attempt.js';
 import {EndpointStub} from './endpoint_stub.js';
@@ -178,7 +179,12 @@
         timeoutMs: 30_000,
         connectTimeoutMs: 5_000,
       },
-      {agent: this.agent, timers: this.timers, names: NAMES},
+      {
+        agent: this.agent,
+        timers: this.timers,
+        responseBuffers: new ResponseBuffers(Infinity),
+        names: NAMES,
+      },
     );
   }
 
--- a/packages/instance/test/direct/misdirected_requests.test.ts
+++ b/packages/instance/test/direct/misdirected_requests.test.ts
@@ -1,5 +1,6 @@
 import {RealTimerService} from '@primrosestage/common';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {ResponseBuffers} from '../../src/direct/send/response_buffers.js';
 import {AttemptOutcome} from '../../src/direct/send/attempt.js';
 import {EndpointAgent} from '../../src/direct/send/endpoint_agent.js';
 import {sendAttempt} from '../../src/direct/send/send_attempt.js';
@@ -48,7 +49,12 @@
       timeoutMs: 1_000,
       connectTimeoutMs: 1_000,
     };
-    return sendAttempt(request, {agent, timers, names: NAMES}).result;
+    return sendAttempt(request, {
+      agent,
+      timers,
+      responseBuffers: new ResponseBuffers(Infinity),
+      names: NAMES,
+    }).result;
   };
 
   // The load and the limit of the successor counted for the endpoint that was gone.
--- a/packages/instance/test/direct/reset_responses.test.ts
+++ b/packages/instance/test/direct/reset_responses.test.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
 import {RealTimerService} from '@primrosestage/common';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {ResponseBuffers} from '../../src/direct/send/response_buffers.js';
 import {AttemptOutcome} from '../../src/direct/send/attempt.js';
 import {EndpointAgent} from '../../src/direct/send/endpoint_agent.js';
 import {sendAttempt} from '../../src/direct/send/send_attempt.js';
@@ -133,7 +134,12 @@
         timeoutMs: 5_000,
         connectTimeoutMs: 1_000,
       },
-      {agent, timers: new RealTimerService(), names: NAMES},
+      {
+        agent,
+        timers: new RealTimerService(),
+        responseBuffers: new ResponseBuffers(Infinity),
+        names: NAMES,
+      },
     ).result;
   };
 
