Merge limits on what callers make an instance hold

The demand for an object is estimated from the instances to which callers are directed, which the merge of the directory's choice made fewer than those that serve.

--- a/packages/instance/src/direct/place/object_placement.ts
+++ b/packages/instance/src/direct/place/object_placement.ts
@@ -1,5 +1,6 @@
 import type {TimerService} from '@primrosestage/common';
 import {
+  chooseListedInstances,
   chooseRegionPreference,
   type ControlView,
   DemandLevel,
@@ -70,7 +71,7 @@
   private readonly placements = new Map<string, ServicePlacement>();
   private readonly openRequests = new Map<string, number>();
   private readonly saturatedServices = new Set<string>();
-  /** Instances of this region that serve callers. */
+  /** Instances of this region to which callers are directed. */
   private instanceCount = 1;
   private readonly demands = new Map<string, DemandLevel>();
 
@@ -99,9 +100,10 @@
    */
   updateDemand(open: ReadonlyMap<string, number>): void {
     const now = this.timers.now();
-    this.instanceCount = this.members
-      .getServing(now)
-      .filter(({region}) => region === this.settings.region).length;
+    const {region: ownRegion} = this.settings;
+    this.instanceCount = chooseListedInstances(
+      this.members.getServing(now).filter(({region}) => region === ownRegion),
+    ).length;
     const services = new Set([...open.keys(), ...this.openRequests.keys()]);
     for (const service of services) {
       this.updateServiceDemand(service, open.get(service) ?? 0);
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -14,6 +14,17 @@
 export {ServiceTime} from './service_time.js';
 export {AverageLoad} from './average_load.js';
 export {WorkFactor} from './work_factor.js';
+export {planResources, type ResourcePlan} from './plan_resources.js';
+export {
+  CloseReason,
+  ConnectionLedger,
+  type ConnectionVictim,
+} from './connection_ledger.js';
+export {
+  selectBusiest,
+  selectUnread,
+  type ConnectionLoad,
+} from './select_connection.js';
 export {RequestKind, isIdempotent} from './request_kind.js';
 export type {
   CallerLimits,
--- a/packages/steering/src/direct/object_demand.ts
+++ b/packages/steering/src/direct/object_demand.ts
@@ -24,7 +24,7 @@
 
 /** What relates the requests at one instance to the slots that they fill in a region. */
 export interface DemandScale {
-  /** Number of instances of the region that serve callers. */
+  /** Number of instances of the region to which callers are directed. */
   instances: number;
   /** Service time of a request for a cached object, in milliseconds. */
   serviceMs: number;
