--- a/packages/instance/src/direct/limits/quota_gate.ts
+++ b/packages/instance/src/direct/limits/quota_gate.ts
@@ -290,7 +290,11 @@
   private decide(account: ClientAccount, result: QuotaResult): QuotaOutcome {
     const {isGranted, retryAfterMs = 0, giveBack} = result;
     this.use.count(account, isGranted ? QuotaEvent.Granted : QuotaEvent.Denied);
-    return {isGranted, retryAfterMs, giveBack};
+    return {
+      isGranted,
+      retryAfterMs,
+      giveBack: () => giveBack(this.options.timers.now()),
+    };
   }
 
   private wait(group: Group, account: ClientAccount): PendingOutcome {
--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -41,6 +41,7 @@
     this.reader = new PacedReader(
       socket,
       () => this.mayRead(),
+      () => this.isReceivingBody,
       () => context.handleReading(this),
     );
     socket.once('close', () => this.settleAll());
@@ -131,10 +132,11 @@
 
   private mayRead(): boolean {
     if (this.isEnding || this.isClosing) return false;
-    return (
-      this.open.length < this.context.maxPipelined ||
-      this.open.at(-1)?.req.complete === false
-    );
+    return this.open.length < this.context.maxPipelined || this.isReceivingBody;
+  }
+
+  private get isReceivingBody(): boolean {
+    return this.open.at(-1)?.req.complete === false;
   }
 
   /**
--- a/packages/instance/src/direct/listen/paced_reader.ts
+++ b/packages/instance/src/direct/listen/paced_reader.ts
@@ -5,6 +5,11 @@
  * to 64 KiB at once and parses all requests in them, which can be 2,600.
  */
 const PARSE_BYTES = 2 * 1024;
+/**
+ * The same while a body is received, which 2 KiB at a time would make slow. Requests that follow the
+ * body in the same part are at most those of one read of Node.js.
+ */
+const PARSE_BODY_BYTES = 64 * 1024;
 /**
  * Bytes that wait to be parsed above which the connection is not read. Up to there it is read, so that
  * the end of the connection is noticed.
@@ -27,11 +32,13 @@
    * Takes the place of the parser as the reader of a connection.
    * @param socket - A connection that an HTTP server has just accepted.
    * @param mayRead - Returns whether a further request is wanted.
+   * @param isReceivingBody - Returns whether the body of a request has not arrived whole.
    * @param handleChange - Called when reading has stopped or goes on.
    */
   constructor(
     private readonly socket: Socket,
     private readonly mayRead: () => boolean,
+    private readonly isReceivingBody: () => boolean,
     private readonly handleChange: () => void,
   ) {
     this.parsers = socket.listeners('data');
@@ -97,11 +104,10 @@
     while (this.pending && !socket.destroyed) {
       if (this.isHeld || socket.isPaused()) return;
       const {pending} = this;
+      const bytes = this.isReceivingBody() ? PARSE_BODY_BYTES : PARSE_BYTES;
       this.pending =
-        pending.length > PARSE_BYTES
-          ? pending.subarray(PARSE_BYTES)
-          : undefined;
-      const part = pending.subarray(0, PARSE_BYTES);
+        pending.length > bytes ? pending.subarray(bytes) : undefined;
+      const part = pending.subarray(0, bytes);
       for (const parser of this.parsers) parser.call(socket, part);
       this.update();
     }
--- a/packages/steering/src/direct/quota_credit.ts
+++ b/packages/steering/src/direct/quota_credit.ts
@@ -40,8 +40,11 @@
   isGranted: boolean;
   /** Time after which the request may be repeated; undefined if it should wait for a reply. */
   retryAfterMs?: number;
-  /** Returns the credit of a request that has certainly not run. */
-  giveBack: () => void;
+  /**
+   * Returns the credit of a request that has certainly not run.
+   * @param now - Monotonic time in milliseconds.
+   */
+  giveBack: (now: number) => void;
 }
 
 /** Configures the credit of an instance. */
@@ -200,10 +203,14 @@
     const {epoch} = account;
     return {
       isGranted: true,
-      giveBack: () => {
-        if (account.epoch === epoch && account.held < account.plan.lendLimit) {
-          account.held++;
-        }
+      giveBack: at => {
+        if (account.epoch !== epoch) return;
+        if (account.held >= account.plan.lendLimit) return;
+        account.held++;
+        // Its use may have been reported already, and the coordinator takes back only what it knows
+        // to be held. It is kept until it has been stated again, also for a repeat of the request.
+        account.keepUntil = at + KEEP_MS;
+        account.isUnreported = true;
       },
     };
   }
