Review cases 7 and 8: requests lost to memory and to held pipelines

Cause (7): buffers of refused and broken off uploads no longer count, but stay in memory until the garbage collector runs. Case: a crowd uploads to a machine of 202 MB beside ordinary callers.

Cause (8): the reader of a connection stops within the head of a pipelined request, for which the parser's timeout of heads then runs. Case: callers pipeline safe requests while a few endpoints are slow.

--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -313,8 +313,18 @@
   waiting = [];
   seq = 0;
 
-  constructor({id, service, zone, slots = 6, queue = 18, workMs = 20, answer}) {
+  constructor(options) {
+    const {
+      id,
+      service,
+      zone,
+      slots = 6,
+      queue = 18,
+      workMs = 20,
+      answer,
+    } = options;
     Object.assign(this, {id, service, zone, slots, queue, workMs});
+    this.discardsBodies = options.discardsBodies === true;
     this.answer = answer ?? ((req, res) => this.answerText(res, 'ok'));
     this.born = Date.now();
   }
@@ -350,7 +360,10 @@
     }
     this.setLoad(res);
     const chunks = [];
-    req.on('data', chunk => chunks.push(chunk));
+    req.on('data', chunk => {
+      // A large body would only take the memory of the stand-in.
+      if (!this.discardsBodies) chunks.push(chunk);
+    });
     if (expected !== undefined && expected !== this.id) {
       res.setHeader('primrosestage-instance-id', this.id);
       this.refuse(res, 421);
@@ -609,6 +622,7 @@
     const req = http.request(
       {...target, agent: options.agent, method, path: requestPath, headers},
       res => {
+        result.isKeptConnection = req.reusedSocket;
         result.status = res.statusCode;
         result.stamp = res.headers['primrosestage-server-stamp'];
         result.headers = res.headers;
@@ -628,10 +642,12 @@
     );
     const timer = setTimeout(() => req.destroy(), deadlineMs + 500);
     req.on('error', err => {
+      result.isKeptConnection = req.reusedSocket;
       result.error ??= err.code ?? err.message;
       finish();
     });
-    req.end(options.body);
+    if (options.writeBody) options.writeBody(req);
+    else req.end(options.body);
   });
 }
 
