Review case 8: busy connections are closed when too many requests are in progress

Case: callers with 8 safe requests at a time on kept connections; two of four instances are killed and come back 2 s later. The two others, to which nothing happens, reset connections on which endpoints run all requests, instead of refusing new requests with 503.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,12 +1,8 @@
-/** Callers pipeline safe requests while a few endpoints are slow. */
-import {Buffer} from 'node:buffer';
-import net from 'node:net';
+/** Callers pipeline safe requests while half of the instances are killed at the same moment. */
 import path from 'node:path';
-import {clearTimeout, setTimeout} from 'node:timers';
 import {fileURLToPath} from 'node:url';
 import {
   createConfiguration,
-  createRequestId,
   Endpoint,
   Fleet,
   isTroubled,
@@ -15,133 +11,49 @@
   sleep,
   Store,
 } from '../lib-2/harness.mjs';
+import {PipeliningCaller, recordAnswers} from '../lib-2/pipelining_caller.mjs';
 
 const FOLDER = path.dirname(fileURLToPath(import.meta.url));
-const HOST = 'tracker.example';
-const ENDPOINTS = 40;
-const WORK_MS = 1_500;
-/** Share and factor of the slow endpoints, at most those of srv_slow in the site file. */
-const SLOW_SHARE = 0.15;
-const SLOW_FACTOR = 5;
-const CALLERS = 20;
-const PIPELINED = 32;
-const DEADLINE_MS = 8_200;
-const RUN_MS = 92_000;
+const HOST = 'hydrometre.example';
+/** The smallest machines of vigie-crue-grown. */
+const MACHINE = {'memory-mb': 202, 'max-fds': 2069};
+const ZONES = ['addis-a', 'addis-b', 'bahirdar-a', 'bahirdar-b'];
+/** Half of the instances; herd_kill of the site file has a share of 0.55. */
+const KILLED = 2;
+const ENDPOINTS = 100;
+/** Time of a run and deadline of the sheet's gauge level reads. */
+const WORK_MS = 749;
+const DEADLINE_MS = 4_257;
+const CALLERS = 128;
+const PIPELINED = 8;
+const RUN_MS = 20_000;
+const KILL_AT_MS = 6_000;
+/** Time for which the killed instances are down, as in herd_kill of the site file. */
+const DOWN_MS = 2_000;
 
-/** A caller that sends further safe requests before the first one has been answered. */
-class PipeliningCaller {
-  lost = [];
-  answers = new Map();
-  answered = 0;
-  waiting = [];
-  buffer = Buffer.alloc(0);
-
-  constructor(target, name) {
-    this.target = target;
-    this.name = name;
-  }
-
-  async run(endAt) {
-    while (now() < endAt) {
-      await this.connect();
-      while (this.isOpen && now() < endAt) {
-        await this.exchange(1);
-        if (this.isOpen) await this.exchange(PIPELINED);
-      }
-      this.socket.destroy();
-    }
-  }
-
-  async connect() {
-    this.socket = net.connect(this.target);
-    this.buffer = Buffer.alloc(0);
-    await new Promise((resolve, reject) => {
-      this.socket.once('connect', resolve);
-      this.socket.once('error', reject);
-    });
-    this.isOpen = true;
-    const end = () => this.handleEnd();
-    this.socket.on('error', end);
-    this.socket.on('close', end);
-    this.socket.on('data', chunk => this.receive(chunk));
-  }
-
-  /** Sends requests at once and waits for their answers, or for the end of the connection. */
-  async exchange(count) {
-    const texts = [];
-    for (let i = 0; i < count; i++) {
-      const id = createRequestId();
-      const object = Math.floor(Math.random() * 1_000);
-      this.waiting.push({id, sentAt: now()});
-      texts.push(
-        `GET /status/${object} HTTP/1.1\r\nHost: ${HOST}\r\n` +
-          `Primrosestage-Request-Id: ${id}\r\n` +
-          `Cookie: Primrosestage-Affinity-Key=${object}\r\n` +
-          `Primrosestage-Deadline-Ms: ${DEADLINE_MS}\r\n\r\n`,
-      );
-    }
-    this.socket.write(texts.join(''));
-    await new Promise(resolve => {
-      this.wake = resolve;
-      this.timer = setTimeout(() => {
-        this.hasGivenUp = true;
-        this.socket.destroy();
-      }, DEADLINE_MS);
-    });
-    clearTimeout(this.timer);
-  }
-
-  receive(chunk) {
-    this.buffer = Buffer.concat([this.buffer, chunk]);
-    for (;;) {
-      const headEnd = this.buffer.indexOf('\r\n\r\n');
-      if (headEnd < 0) return;
-      const head = this.buffer.subarray(0, headEnd).toString('latin1');
-      const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
-      if (this.buffer.length < headEnd + 4 + length) return;
-      this.buffer = this.buffer.subarray(headEnd + 4 + length);
-      const {sentAt} = this.waiting.shift();
-      const status = head.slice(9, 12);
-      const ms = Math.round((now() - sentAt) / 1_000) * 1_000;
-      const key = `${status} in ${ms} ms`;
-      this.answers.set(key, (this.answers.get(key) ?? 0) + 1);
-      this.answered++;
-      if (/connection: close/i.test(head)) this.isClosing = true;
-      if (this.waiting.length === 0) this.wake?.();
-    }
-  }
-
-  handleEnd() {
-    if (!this.isOpen) return;
-    this.isOpen = false;
-    if (!this.hasGivenUp && !this.isClosing) {
-      const endedAt = now();
-      this.lost.push(
-        ...this.waiting.map(each => ({...each, endedAt, caller: this.name})),
-      );
-    }
-    this.isClosing = false;
-    this.hasGivenUp = false;
-    this.waiting = [];
-    this.wake?.();
-  }
-}
+const formatHead = id => {
+  const object = Math.floor(Math.random() * 164);
+  return (
+    `GET /niveaux/${object} HTTP/1.1\r\nHost: ${HOST}\r\n` +
+    `Primrosestage-Request-Id: ${id}\r\n` +
+    `Cookie: Primrosestage-Affinity-Key=${object}\r\n` +
+    `Primrosestage-Deadline-Ms: ${DEADLINE_MS}\r\n\r\n`
+  );
+};
 
 await runCase(FOLDER, async ({record, onEnd}) => {
   const store = await new Store().start();
   onEnd(() => store.stop());
   const endpoints = [];
   for (let i = 0; i < ENDPOINTS; i++) {
-    const isSlow = isTroubled && i < ENDPOINTS * SLOW_SHARE;
     const endpoint = await new Endpoint({
-      id: `i-tracker-${i}`,
-      service: 'tracker',
-      zone: i % 2 ? 'addis-a' : 'addis-b',
+      id: `i-hydrometre-${i}`,
+      service: 'hydrometre',
+      zone: ZONES[i % ZONES.length],
       slots: 12,
       queue: 24,
-      workMs: isSlow ? WORK_MS * SLOW_FACTOR : WORK_MS,
+      workMs: WORK_MS,
     }).start();
-    endpoint.isSlow = isSlow;
     onEnd(() => endpoint.stop());
     endpoint.register(store);
     endpoints.push(endpoint);
@@ -151,63 +63,90 @@
     createConfiguration({
       routes: [
         {
-          name: 'status-read',
+          name: 'niveaux',
           host: HOST,
-          prefix: '/status/',
+          prefix: '/niveaux/',
           kind: 'safe',
-          'goal-s': 4,
-          service: 'tracker',
-          attempts: 1,
+          'timeout-s': 4,
+          'goal-s': 0.6,
+          service: 'hydrometre',
         },
       ],
-      services: [{name: 'tracker'}],
+      services: [{name: 'hydrometre', 'max-conns': 2800}],
     }),
   );
-  const fleet = new Fleet(store, ['addis-a', 'addis-b']);
+  const fleet = new Fleet(store, ZONES, MACHINE);
   onEnd(() => fleet.stop());
   fleet.startAll();
   if (!(await fleet.waitAllReady())) throw new TypeError('not ready');
-  await sleep(1_000);
+  await sleep(2_000);
 
-  const endAt = now() + RUN_MS;
+  const alive = new Set(fleet.instances);
+  const startedAt = now();
+  const endAt = startedAt + RUN_MS;
   const callers = [];
   for (let i = 0; i < CALLERS; i++) {
+    const own = fleet.instances[i % ZONES.length];
+    const getTarget = () => {
+      if (alive.has(own)) return own.front;
+      const others = [...alive];
+      return others[Math.floor(i / ZONES.length) % others.length].front;
+    };
     callers.push(
-      new PipeliningCaller(fleet.instances[i % 2].front, `caller ${i}`),
+      new PipeliningCaller({
+        name: `caller ${i}`,
+        getTarget,
+        formatHead,
+        batches: [PIPELINED],
+        deadlineMs: DEADLINE_MS,
+      }),
     );
   }
-  await Promise.all(
-    callers.map(async (caller, i) => {
-      await sleep(i * 300);
-      await caller.run(endAt);
-    }),
-  );
-  const runs = new Map();
-  for (const endpoint of endpoints) {
-    for (const {requestId} of endpoint.runs) runs.set(requestId, endpoint);
+  const runs = callers.map(async (caller, i) => {
+    await sleep(i * 30);
+    await caller.run(endAt);
+  });
+  await sleep(KILL_AT_MS);
+  const survivors = fleet.instances.slice(KILLED);
+  const killed = isTroubled ? fleet.instances.slice(0, KILLED) : [];
+  const killedAt = now();
+  for (const instance of killed) {
+    alive.delete(instance);
+    instance.child.kill('SIGKILL');
+    record.write(`${instance.id} is killed`);
+  }
+  if (isTroubled) await sleep(DOWN_MS);
+  for (const instance of killed) {
+    await instance.exited;
+    fleet.start(instance);
+    if (await fleet.waitReady(instance)) alive.add(instance);
+    record.write(`${instance.id} is back`);
   }
-  const lost = callers.flatMap(caller => caller.lost);
-  const answered = callers.reduce((sum, caller) => sum + caller.answered, 0);
-  let onSound = 0;
-  for (const {id, caller, sentAt, endedAt} of lost) {
-    const endpoint = runs.get(id);
-    if (endpoint && !endpoint.isSlow) onSound++;
+  await Promise.all(runs);
+
+  const liveTargets = new Set(survivors.map(({front}) => front));
+  const started = new Set(
+    endpoints.flatMap(({runs: all}) => all.map(({requestId}) => requestId)),
+  );
+  let broken = 0;
+  for (const {id, name, target, sentAt, endedAt} of callers.flatMap(
+    caller => caller.lost,
+  )) {
+    const isSurvivor = liveTargets.has(target);
+    const isPassedOn = started.has(id);
+    if (isSurvivor && isPassedOn) broken++;
     record.write(
-      `${id} of ${caller}: connection closed by the instance ${Math.round(endedAt - sentAt)} ms ` +
-        `after it was sent, passed on to: ${endpoint ? endpoint.id : 'none'}` +
-        `${endpoint?.isSlow ? ' (slow)' : ''}`,
+      `${id} of ${name}: ${isSurvivor ? 'an instance that lives' : 'a killed instance'} closed the ` +
+        `connection ${Math.round(endedAt - sentAt)} ms after it was sent, ` +
+        `${Math.round(endedAt - killedAt)} ms after the kill; passed on: ${isPassedOn}`,
     );
   }
-  const answers = new Map();
-  for (const caller of callers) {
-    for (const [key, count] of caller.answers) {
-      answers.set(key, (answers.get(key) ?? 0) + count);
+  recordAnswers(record, callers);
+  for (const {log} of survivors) {
+    for (const line of log.join('').split('\n')) {
+      if (line.includes('"limits reached"')) record.write(line);
     }
   }
-  for (const key of [...answers.keys()].sort()) {
-    record.write(`${key}: ${answers.get(key)}`);
-  }
-  record.write(`answered ${answered}, lost ${lost.length}`);
-  record.write(`lost though passed on to a sound endpoint: ${onSound}`);
-  return onSound > 3;
+  record.write(`lost at instances that live, though passed on: ${broken}`);
+  return broken > 3;
 });
