Give a started instance no share before the others count it

Each cold endpoint got up to 21 requests in a second, where 15.8 are allowed.

Cause: limits over all instances are divided by those that an instance knows. A started one took its membership as known after its first exchange, also with one that had just started and knew few, and only the first of each region was registered in the store. With 4 or 5 of 7 known each took 3 requests a second. The limit on connections to an endpoint was divided by the known ones even before any exchange.

Change: an exchange says for how long the other one has counted this instance; 2.5 s end the wait at once, as after the restart of one. Where all have just started, it ends 2.5 s after the last one joined, 30 s at most (MembershipDiscovery). All instances register, and a listing with the registration of an earlier process of its own ends the wait at once, so that after a kill of all each divides by all from the first listing. A registered instance counts for 10 minutes. The same wait holds for connections, retry budgets, quotas and coordinated limits, which use the same divisor.

Why it restores the bound: each share that is used divides by all that may use one, in any order of starts, since a started instance uses none before the others count it. Not for instances that the store does not answer while a region is cut off (docs/PROOFS.md).

Ruled out: the wait alone, which keeps cold endpoints without requests for 2.5 s after each restart of all; the registrations alone, which do not hold while the store is away.

Cost where there is no fault: two calls to the store per instance and 240 s (one more instance of each region than before does them at its start).

--- a/packages/instance/src/direct/control/peer_exchange.ts
+++ b/packages/instance/src/direct/control/peer_exchange.ts
@@ -96,8 +96,11 @@
    * @returns The state that it lacks.
    */
   receive(message: PeerMessage): PeerMessage {
-    this.applyMessage(message, message.sender.id);
-    return this.createMessage(message);
+    const {members, timers} = this.options;
+    const {id} = message.sender;
+    this.applyMessage(message, id);
+    const countedMs = members.getCountedMs(id, timers.now());
+    return {...this.createMessage(message), countedMs};
   }
 
   /**
@@ -172,7 +175,9 @@
         await this.getClient(address).direct.exchange.mutate(message);
       metrics.peerCalls.inc({result: 'ok'});
       this.applyMessage(reply, address);
-      if (includesMembers) members.markMembershipKnown();
+      if (includesMembers) {
+        members.recordMembersReceived(reply.countedMs ?? 0, timers.now());
+      }
       recordPeerRevision(reply.revision);
     } catch (err) {
       metrics.peerCalls.inc({result: 'failed'});
--- a/packages/instance/src/direct/control/peer_message.ts
+++ b/packages/instance/src/direct/control/peer_message.ts
@@ -14,6 +14,8 @@
   heartbeats: Heartbeats;
   /** Announcements that the receiver lacks. */
   members: MemberInfo[];
+  /** In a response: time for which its sender has counted the receiver, in milliseconds. */
+  countedMs?: number;
   /** Rate limits of endpoints; earlier versions send none. */
   limits?: SharedLimit[];
   /** Digests of the announcements that the sender has, if it requests those that it lacks. */
--- a/packages/instance/src/direct/place/endpoint_selector.ts
+++ b/packages/instance/src/direct/place/endpoint_selector.ts
@@ -473,7 +473,7 @@
     const service = this.getService(endpoint.entry.service);
     return getConnectionQuota(
       service?.maxConnections ?? 0,
-      this.members.getCount(),
+      this.members.getLimitDivisor(this.timers.now()),
     );
   }
 
--- a/packages/steering/src/direct/connection_quota.ts
+++ b/packages/steering/src/direct/connection_quota.ts
@@ -3,7 +3,7 @@
  * quotas of all instances stay within the endpoint's limit without coordination, unless there are
  * more instances than connections.
  * @param maxConnections - Connections that the endpoint accepts in total; 0 if unlimited.
- * @param instances - Upper bound of the number of live instances.
+ * @param instances - Upper bound of the number of live instances; Infinity if it is not known.
  */
 export function getConnectionQuota(
   maxConnections: number,
--- a/packages/steering/src/direct/member.ts
+++ b/packages/steering/src/direct/member.ts
@@ -7,6 +7,10 @@
 /** Another instance, as this one knows it. */
 export interface Member {
   info: MemberInfo;
+  /** Monotonic time since which the instance counts for divided limits. */
+  countedSince: number;
+  /** Whether only its registration is known. */
+  isOnlyRegistered: boolean;
   /** Monotonic time at which a new heartbeat was last received. */
   lastHeartbeatAt: number;
   /** Monotonic time at which the last change of the announcement was received. */
@@ -29,6 +33,8 @@
 export function createMember(info: MemberInfo, now: number): Member {
   return {
     info: {...info},
+    countedSince: now,
+    isOnlyRegistered: false,
     lastHeartbeatAt: now,
     announcementChangedAt: now,
     openRequestsAt: now,
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -7,6 +7,7 @@
   STALE_AFTER_MS,
 } from './member.js';
 import type {Heartbeats, MemberInfo} from './member_info.js';
+import {MembershipDiscovery} from './membership_discovery.js';
 import {RegionDemand} from './region_demand.js';
 
 /**
@@ -46,7 +47,7 @@
   private readonly members = new Map<string, Member>();
   private ownBornAtFloor = 0;
   private versionCount = 0;
-  private membershipUnknownUntil = -Infinity;
+  private readonly discovery = new MembershipDiscovery();
   private region?: string;
 
   /**
@@ -89,7 +90,9 @@
       if (known && info.bornAt < known.info.bornAt) continue;
       if (known?.info.bornAt !== info.bornAt) {
         joined.push(info.id);
-        this.members.set(info.id, createMember(info, now));
+        if (!known) this.discovery.recordJoin(now);
+        const countedSince = known?.countedSince ?? now;
+        this.members.set(info.id, {...createMember(info, now), countedSince});
         this.versionCount++;
         continue;
       }
@@ -98,6 +101,7 @@
       if (info.version > known.info.version) known.announcementChangedAt = now;
       if (isNewer(info, known.info)) {
         known.info = {...info, heartbeat};
+        known.isOnlyRegistered = false;
         known.openRequestsAt = now;
         known.digest = digestAnnouncement(info);
       } else known.info.heartbeat = heartbeat;
@@ -124,14 +128,21 @@
   }
 
   /**
-   * Adds instances from their registrations, which give addresses but are no sign of liveness.
+   * Adds instances from their registrations, which are no sign of liveness. Each may be running and
+   * only be cut off from this one, so that it counts for divided limits.
    * @param infos - Registrations, possibly outdated.
    * @param now - Monotonic time in milliseconds.
    */
   addRegistered(infos: readonly MemberInfo[], now: number): void {
-    const selfId = this.self().id;
+    const self = this.self();
     for (const info of infos) {
-      if (info.id === selfId || this.members.has(info.id)) continue;
+      if (info.id === self.id) {
+        // All instances that have started since then have read the registration as well.
+        const ageMs = Math.max(0, self.bornAt - info.bornAt);
+        this.discovery.recordReply(ageMs, now);
+        continue;
+      }
+      if (this.members.has(info.id)) continue;
       const registered = {
         ...info,
         isServing: false,
@@ -142,6 +153,7 @@
         ...createMember(registered, now),
         lastHeartbeatAt: now - STALE_AFTER_MS,
         announcementChangedAt: -Infinity,
+        isOnlyRegistered: true,
       });
       this.versionCount++;
     }
@@ -154,10 +166,10 @@
    */
   expire(now: number): string[] {
     const expired: string[] = [];
-    for (const [id, {info, lastHeartbeatAt}] of this.members) {
-      const limitMs = info.isServing
-        ? FORGET_SERVING_AFTER_MS
-        : FORGET_AFTER_MS;
+    for (const [id, {info, isOnlyRegistered, lastHeartbeatAt}] of this
+      .members) {
+      const mayBeServing = info.isServing || isOnlyRegistered;
+      const limitMs = mayBeServing ? FORGET_SERVING_AFTER_MS : FORGET_AFTER_MS;
       if (now - lastHeartbeatAt < limitMs) continue;
       this.members.delete(id);
       this.versionCount++;
@@ -293,15 +305,34 @@
 
   /**
    * Marks the number of instances as unknown, because live ones may not have been discovered yet.
-   * @param until - Monotonic time from which the known instances are considered complete.
+   * @param until - Monotonic time from which the known instances are considered complete in any case.
    */
   markMembershipUnknown(until: number): void {
-    this.membershipUnknownUntil = until;
+    this.discovery.start(until);
   }
 
-  /** Records that another instance has sent the members it knows, which ends the unknown state. */
+  /** Marks the known instances as complete. */
   markMembershipKnown(): void {
-    this.membershipUnknownUntil = -Infinity;
+    this.discovery.end();
+  }
+
+  /**
+   * Records that another instance has sent the members it knows.
+   * @param countedMs - Time for which the other instance has counted this one, in milliseconds.
+   * @param now - Monotonic time in milliseconds.
+   */
+  recordMembersReceived(countedMs: number, now: number): void {
+    this.discovery.recordReply(countedMs, now);
+  }
+
+  /**
+   * Returns the time for which another instance has counted for divided limits, in milliseconds,
+   * over all of its processes.
+   * @param id - Id of the instance.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getCountedMs(id: string, now: number): number {
+    return now - (this.members.get(id)?.countedSince ?? now);
   }
 
   /**
@@ -310,7 +341,7 @@
    * @returns The number of instances; Infinity while it is unknown.
    */
   getLimitDivisor(now: number): number {
-    return now < this.membershipUnknownUntil ? Infinity : this.getCount();
+    return this.discovery.isComplete(now) ? this.getCount() : Infinity;
   }
 
   /** Returns the upper bound of the number of live instances, including this one. */
