Delimit responses so that a killed instance shows that they are cut

Callers got status 200, the stamp, 2.1 of 3.0 MB and an orderly end, which is how such a response ends.

Cause: they were passed on without a length. Only a reset told a cut one from a whole one, and the kernel closes the connections of a killed process in an orderly way.

Change: a collected response gets its length; a longer one is streamed with the length that its endpoint stated, or in chunks, whose last one follows only after the endpoint's orderly end. A caller of HTTP/1.0 takes no chunks and gets 502 for a streamed response without a length. Responses without a length no longer close the caller's connection, nor become 502 where other requests are behind them.

Why it restores the promise: the end of no response depends on the end of its connection, whatever ends that.

--- a/packages/instance/src/direct/decision.ts
+++ b/packages/instance/src/direct/decision.ts
@@ -17,6 +17,8 @@
   NoCapacity = 'no-room',
   Refused = 'refused-by-endpoints',
   ConnectionBroken = 'connection-broken',
+  /** The length of the response is not known, and its caller of HTTP/1.0 takes no chunks. */
+  LengthUnknown = 'length-unknown',
   TimedOut = 'timeout',
   /** The request might not have been finished before the end of a planned stop. */
   Stopping = 'stopping',
--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -100,11 +100,6 @@
     return this.open.at(-1) === request;
   }
 
-  hasStartedBehind(request: PipelinedRequest): boolean {
-    const index = this.open.indexOf(request);
-    return this.open.some((each, i) => i > index && each.isStarted);
-  }
-
   /** Records that a response awaits its caller. */
   recordHeld(request: PipelinedRequest): void {
     if (!this.open.includes(request)) {
--- a/packages/instance/src/direct/listen/pipelined_request.ts
+++ b/packages/instance/src/direct/listen/pipelined_request.ts
@@ -31,11 +31,6 @@
     return this.connection.isLast(this);
   }
 
-  /** Whether a request behind it has been started. */
-  get hasStartedBehind(): boolean {
-    return this.connection.hasStartedBehind(this);
-  }
-
   /** Whether its response, which has been begun, closes the connection. */
   get closesConnection(): boolean {
     return this.res.headersSent && !this.res.shouldKeepAlive;
--- a/packages/instance/src/direct/listen/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -29,7 +29,7 @@
 import {RetryingSender} from '../send/retrying_sender.js';
 import {UnforwardableRequestError} from '../send/unforwardable_request_error.js';
 import {RESPONSE_GRACE_MS, type OpenAttempt} from '../send/start_attempt.js';
-import {endsOnClose, writeResponse} from '../answer/write_response.js';
+import {showsTruncation, writeResponse} from '../answer/write_response.js';
 import type {PipelinedRequest} from './pipelined_request.js';
 
 /** Deadline of a request without a deadline header, in milliseconds. */
@@ -91,7 +91,7 @@
 
   /**
    * Ends the request at the end of a planned stop. A response that is still being streamed is
-   * aborted: an orderly close would mark one without a length as complete.
+   * aborted, so that its caller does not wait for the rest.
    */
   endForStop(): void {
     this.bodyStream?.destroy();
@@ -289,10 +289,9 @@
   private forwardResponse({response, from}: ReceivedResponse): void {
     this.sender?.stop();
     const isHead = this.req.method === 'HEAD';
-    if (endsOnClose(response, isHead) && this.request.hasStartedBehind) {
-      // Closing the connection would take the responses of the requests behind from the caller.
+    if (!showsTruncation(response, this.res, isHead)) {
       discardResponse({response});
-      this.finish(502, Decision.ConnectionBroken);
+      this.finish(502, Decision.LengthUnknown);
       return;
     }
     if (this.res.destroyed) discardResponse({response});
--- a/packages/instance/src/direct/send/attempt.ts
+++ b/packages/instance/src/direct/send/attempt.ts
@@ -25,11 +25,6 @@
   statusMessage: string;
   /** Alternating header names and values. */
   rawHeaders: string[];
-  /**
-   * Whether the response has a content length or chunked encoding. If not, it ends on close, which
-   * does not prove that it is complete.
-   */
-  isSelfDelimited: boolean;
   /** Received body chunks; the whole body unless `bodyStream` is set. */
   chunks: Buffer[];
   /** Stream of the remaining body if the response is too long to be buffered. */
--- a/packages/instance/src/direct/send/send_attempt.ts
+++ b/packages/instance/src/direct/send/send_attempt.ts
@@ -11,7 +11,6 @@
   type ConnectionUse,
   type EndpointAgent,
   isResponseComplete,
-  isSelfDelimited,
 } from './endpoint_agent.js';
 import {
   HeadKind,
@@ -327,7 +326,6 @@
     status: res.statusCode ?? 0,
     statusMessage: res.statusMessage ?? '',
     rawHeaders: res.rawHeaders,
-    isSelfDelimited: isSelfDelimited(res),
     ...received,
     bodyStream,
   };
