Refuse new requests instead of resetting connections with running ones

Cause: with too many requests in progress, or too many connections that are not read, the connection with most requests was reset to make room, whatever its requests had come to.

Change: a connection may have as many requests in progress as there is room for in total, an eighth of which is kept for first requests (mayAdmitRequest), so that many busy connections do not keep out others. Without room it is not read further, and what has been read is refused with 503. Of too many unread connections the busiest is drained: its requests are answered, and the last response closes it. At most 512 bytes are parsed before a connection is looked at again, 2 KiB before, which bounds what is refused behind running requests; the busiest connection is reset only beyond three refused ones for each that may be in progress. A refused request without a body keeps its connection; it was closed if the parser had not yet reported the end of the head.

Why it restores the promise: what has been passed on is never given up for what has not.

Failed before: the two new tests of pipelining.test.ts.

Ruled out: refusing all requests at the limit, which leaves the room to the callers that pipeline most (resource_limits.test.ts).

--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -13,9 +13,11 @@
   now(): number;
   /** Starts a request. */
   start(request: PipelinedRequest): void;
+  /** Returns whether a connection may have another request in progress. */
+  hasRoom(connection: CallerConnection): boolean;
   /** Called when a request has arrived, and when its response has ended or its connection closed. */
   handleOpened(connection: CallerConnection, request: PipelinedRequest): void;
-  handleSettled(connection: CallerConnection): void;
+  handleSettled(connection: CallerConnection, request: PipelinedRequest): void;
   /** Called when reading has stopped or goes on. */
   handleReading(connection: CallerConnection): void;
   handleHeld(connection: CallerConnection): void;
@@ -27,6 +29,7 @@
   private readonly open: PipelinedRequest[] = [];
   private readonly reader: PacedReader;
   private isEnding = false;
+  private isDraining = false;
   private sentBytes = 0;
 
   /**
@@ -52,6 +55,11 @@
     return this.open.length;
   }
 
+  /** The number of them that were not refused. */
+  get admittedRequests(): number {
+    return this.open.filter(({isRefused}) => !isRefused).length;
+  }
+
   get unreadBytes(): number {
     return this.open.reduce(
       (sum, {reservation}) => sum + (reservation?.bytes ?? 0),
@@ -77,6 +85,7 @@
     }
     const {context} = this;
     const request = new PipelinedRequest(req, res, context.now(), this);
+    request.isRefused = !context.hasRoom(this);
     this.open.push(request);
     res.once('close', () => this.settle(request));
     context.handleOpened(this, request);
@@ -89,6 +98,15 @@
     this.reader.update();
   }
 
+  /** Reads no further request, and closes the connection behind the responses to those it has. */
+  drain(): void {
+    this.isDraining = true;
+    this.stopReading();
+    this.reader.discard();
+    const last = this.open.at(-1);
+    if (last && !last.res.headersSent) last.res.shouldKeepAlive = false;
+  }
+
   /** Resets the connection; its requests no longer count. */
   close(): void {
     this.isEnding = true;
@@ -127,7 +145,10 @@
 
   private mayRead(): boolean {
     if (this.isEnding || this.isClosing) return false;
-    return this.open.length < this.context.maxPipelined || this.isReceivingBody;
+    const {length} = this.open;
+    if (length === 0 || this.isReceivingBody) return true;
+    // A refusal of a further request would only wait for the responses before it.
+    return length < this.context.maxPipelined && this.context.hasRoom(this);
   }
 
   private get isReceivingBody(): boolean {
@@ -156,8 +177,9 @@
     if (index < 0) return;
     this.open.splice(index, 1);
     request.settle();
-    this.context.handleSettled(this);
+    this.context.handleSettled(this, request);
     if (this.socket.destroyed) return;
+    if (this.isDraining && this.open.length === 0) this.socket.end();
     this.startWaiting();
   }
 
--- a/packages/instance/src/direct/listen/caller_connections.ts
+++ b/packages/instance/src/direct/listen/caller_connections.ts
@@ -4,6 +4,7 @@
 import type {TimerService} from '@primrosestage/common';
 import {
   CloseReason,
+  mayAdmitRequest,
   type ResourcePlan,
   selectBusiest,
   selectUnread,
@@ -29,8 +30,9 @@
 }
 
 /**
- * Tracks the requests in progress on all connections of callers, and closes connections that hold
- * too much.
+ * Tracks the requests in progress on all connections of callers. While there are too many, further
+ * ones are refused or not read; a connection whose requests endpoints may be running is reset only
+ * as a last resort.
  */
 export class CallerConnections {
   private readonly connections = new WeakMap<Duplex, CallerConnection>();
@@ -38,7 +40,8 @@
   private readonly paused = new Set<CallerConnection>();
   private readonly holding = new Set<CallerConnection>();
   private readonly context: ConnectionContext;
-  private openRequests = 0;
+  private admittedRequests = 0;
+  private refusedRequests = 0;
 
   /**
    * Starts tracking.
@@ -55,9 +58,11 @@
       isIdempotent,
       start,
       now: () => timers.now(),
+      hasRoom: connection => this.hasRoom(connection),
       handleOpened: (connection, request) =>
         this.handleOpened(connection, request),
-      handleSettled: connection => this.handleSettled(connection),
+      handleSettled: (connection, request) =>
+        this.handleSettled(connection, request),
       handleReading: connection => this.handleReading(connection),
       handleHeld: connection => this.holding.add(connection),
     };
@@ -102,23 +107,38 @@
     if (this.options.responseBuffers.isNearLimit) this.relievePressure();
   }
 
+  private hasRoom(connection: CallerConnection): boolean {
+    return mayAdmitRequest(
+      {
+        onConnection: connection.admittedRequests,
+        total: this.admittedRequests,
+      },
+      this.options.plan.maxOpenRequests,
+    );
+  }
+
   private handleOpened(
     connection: CallerConnection,
-    request: PipelinedRequest,
+    {isRefused}: PipelinedRequest,
   ): void {
     this.busy.add(connection);
-    this.openRequests++;
-    if (this.openRequests <= this.options.plan.maxOpenRequests) return;
+    if (!isRefused) {
+      this.admittedRequests++;
+      return;
+    }
+    this.refusedRequests++;
+    this.options.report.countRefused();
+    if (this.refusedRequests <= this.options.plan.maxRefusedRequests) return;
     const busiest = selectBusiest(this.busy);
     if (busiest) this.close(busiest, CloseReason.Requests);
-    else {
-      request.isRefused = true;
-      this.options.report.countRefused();
-    }
   }
 
-  private handleSettled(connection: CallerConnection): void {
-    this.openRequests--;
+  private handleSettled(
+    connection: CallerConnection,
+    {isRefused}: PipelinedRequest,
+  ): void {
+    if (isRefused) this.refusedRequests--;
+    else this.admittedRequests--;
     if (connection.requests > 0) return;
     this.busy.delete(connection);
     this.holding.delete(connection);
@@ -131,8 +151,9 @@
     }
     this.paused.add(connection);
     if (this.paused.size <= this.options.plan.maxPausedConnections) return;
-    const busiest = selectBusiest(this.paused);
-    if (busiest) this.close(busiest, CloseReason.Paused);
+    const [longestPaused] = this.paused;
+    const selected = selectBusiest(this.paused) ?? longestPaused;
+    if (selected) this.drain(selected);
   }
 
   private relievePressure(): void {
@@ -145,6 +166,13 @@
     if (unread) this.close(unread, CloseReason.Unread);
   }
 
+  /** Releases what a paused connection holds; its requests in progress are still answered. */
+  private drain(connection: CallerConnection): void {
+    this.options.report.countClosed(CALLER_LISTENER, CloseReason.Paused);
+    connection.drain();
+    this.paused.delete(connection);
+  }
+
   private close(connection: CallerConnection, reason: CloseReason): void {
     this.options.report.countClosed(CALLER_LISTENER, reason);
     connection.close();
--- a/packages/instance/src/direct/listen/paced_reader.ts
+++ b/packages/instance/src/direct/listen/paced_reader.ts
@@ -4,7 +4,7 @@
  * Most bytes that are parsed before the requests of a connection are counted again. Node.js reads up
  * to 64 KiB at once and parses all requests in them, which can be 2,600.
  */
-const PARSE_BYTES = 2 * 1024;
+const PARSE_BYTES = 512;
 /**
  * The same while a body is received, which 2 KiB at a time would make slow. Requests that follow the
  * body in the same part are at most those of one read of Node.js.
@@ -24,6 +24,7 @@
   private pending?: Buffer;
   private isHeld = false;
   private isParsing = false;
+  private isDiscarding = false;
   /** Whether this reader has paused the connection; Node.js does so too, for its own reasons. */
   private hasPaused = false;
   private readonly parsers: ReturnType<Socket['listeners']>;
@@ -65,6 +66,18 @@
     } else this.parse();
   }
 
+  /**
+   * Drops what has not been parsed and what arrives from now on. The connection is still read, so
+   * that its end is noticed.
+   */
+  discard(): void {
+    this.isDiscarding = true;
+    this.pending = undefined;
+    if (!this.hasPaused) return;
+    this.hasPaused = false;
+    this.socket.resume();
+  }
+
   private pauseIfFull(): void {
     const {length = 0} = this.pending ?? {};
     if (length >= MAX_PENDING_BYTES) this.pause();
@@ -77,6 +90,7 @@
   }
 
   private receive(chunk: Buffer): void {
+    if (this.isDiscarding) return;
     this.pending = this.pending ? Buffer.concat([this.pending, chunk]) : chunk;
     if (this.isHeld) this.pauseIfFull();
     else this.parse();
--- a/packages/instance/src/direct/listen/read_body.ts
+++ b/packages/instance/src/direct/listen/read_body.ts
@@ -24,6 +24,15 @@
   reservation: BodyReservation;
 }
 
+/**
+ * Returns whether a request has a body, by its headers.
+ * @param req - The request.
+ */
+export function hasBody({headers}: IncomingMessage): boolean {
+  const length = headers['content-length'] ?? '0';
+  return headers['transfer-encoding'] !== undefined || length !== '0';
+}
+
 /**
  * Buffers the whole body of a request, so that the request can be retried.
  * @param req - The request.
@@ -38,8 +47,7 @@
 ): Promise<Buffer | undefined | BodyFault> {
   const {maxBytes, reservation} = limits;
   const header = req.headers['content-length'];
-  const isChunked = req.headers['transfer-encoding'] !== undefined;
-  if (!isChunked && (header === undefined || header === '0')) {
+  if (!hasBody(req)) {
     req.resume();
     return Promise.resolve(header === undefined ? undefined : Buffer.alloc(0));
   }
--- a/packages/instance/src/direct/listen/request_handler.ts
+++ b/packages/instance/src/direct/listen/request_handler.ts
@@ -7,6 +7,7 @@
 import type {RequestExchangeOptions} from './exchange_options.js';
 import type {LimitReport} from './limit_report.js';
 import type {PipelinedRequest} from './pipelined_request.js';
+import {hasBody} from './read_body.js';
 import {RequestExchange} from './request_exchange.js';
 
 /** Time after which a caller whose request was refused for a limit may retry, in milliseconds. */
@@ -108,7 +109,7 @@
       requestId:
         typeof id === 'string' ? {name: names.requestId, value: id} : undefined,
       retryAfterMs: REFUSED_RETRY_AFTER_MS,
-      closesConnection: !req.complete,
+      closesConnection: hasBody(req) && !req.complete,
     });
   }
 }
--- a/packages/instance/test/direct/pipelining.test.ts
+++ b/packages/instance/test/direct/pipelining.test.ts
@@ -4,6 +4,7 @@
 import {
   BOUNDS,
   createRoute,
+  send,
   sleep,
   type TestInstance,
   waitFor,
@@ -129,6 +130,82 @@
     await stopped;
   });
 
+  /** Lets all requests that run respond until a condition is met. */
+  const respondUntil = (what: string, isMet: () => boolean) =>
+    waitFor(
+      what,
+      () => {
+        for (const respond of held.values()) respond();
+        held.clear();
+        return isMet();
+      },
+      TIMEOUT_MS,
+    );
+
+  const areAllRunAnswered = (callers: PipeliningCaller[]) => {
+    const answered = callers.flatMap(({responses}) => responses);
+    return stub.ran.every(id => answered.includes(`200 ${id}`));
+  };
+
+  /** Sends requests with the ids `NAME-0`, `NAME-1` and so on. */
+  const sendHeld = (caller: PipeliningCaller, name: string, count: number) =>
+    caller.send(
+      ...Array.from({length: count}, (_, i): [string, string, string] => [
+        'GET',
+        '/held',
+        `${name}-${i}`,
+      ]),
+    );
+
+  it('guards against closing connections whose requests run because too many are in progress', async () => {
+    const first = await start({machine: {...MACHINE, maxDescriptors: 300}});
+    const callers = [first];
+    while (callers.length < 6) callers.push(new PipeliningCaller(instance));
+    callers.forEach((caller, i) => sendHeld(caller, `r${i}`, 8));
+    await waitFor('many run', () => stub.ran.length >= 12);
+    await sleep(100);
+    // 22 at most may be in progress, of which a part is kept for callers with one request.
+    expect(stub.ran.length).toBeLessThan(22);
+    expect((await send(instance, {id: 'single'})).status).toBe(200);
+    await respondUntil('all are answered', () =>
+      callers.every(({responses}) => responses.length === 8),
+    );
+    expect(callers.filter(({isClosed}) => isClosed)).toEqual([]);
+    callers.forEach(({responses}, i) => {
+      const ids = Array.from({length: 8}, (_, j) => `r${i}-${j}`);
+      expect(responses.map(response => response.slice(4))).toEqual(ids);
+    });
+    stub.ran.splice(stub.ran.indexOf('single'), 1);
+    expect(areAllRunAnswered(callers)).toBe(true);
+    for (const caller of callers) caller.close();
+  });
+
+  it('guards against resetting connections whose requests run because too many are not read', async () => {
+    const memoryBytes = 20 * 1024 * 1024;
+    const first = await start({machine: {...MACHINE, memoryBytes}});
+    const callers = [first];
+    while (callers.length < 6) callers.push(new PipeliningCaller(instance));
+    // One after the other, so that the requests of the first ones run.
+    for (const [i, caller] of callers.entries()) {
+      sendHeld(caller, `r${i}`, 100);
+      await sleep(100);
+    }
+    // Three connections may stay unread; the others end behind what they have in progress.
+    await respondUntil(
+      'three are closed',
+      () => callers.filter(({isClosed}) => isClosed).length >= 3,
+    );
+    await respondUntil('all that run are answered', () =>
+      areAllRunAnswered(callers),
+    );
+    // None is announced to be closed before its last response.
+    for (const {responses, closingResponses} of callers) {
+      const last = responses.length - 1;
+      expect(closingResponses.filter(index => index !== last)).toEqual([]);
+    }
+    for (const caller of callers) caller.close();
+  });
+
   it('guards against starting requests of a caller that left while it was not read', async () => {
     const caller = await start();
     const ids = Array.from({length: 100}, (_, i) => `r${i}`);
--- a/packages/steering/src/direct/connection_ledger.ts
+++ b/packages/steering/src/direct/connection_ledger.ts
@@ -10,9 +10,9 @@
   Idle = 'idle',
   /** Its listener had too many connections, and most were from its address. */
   Address = 'address',
-  /** It had the most of too many requests in progress. */
+  /** It had the most requests while too many refused ones awaited their turn. */
   Requests = 'requests',
-  /** It had the most requests of too many connections that were not read. */
+  /** It had the most requests of too many connections that were not read; these are answered. */
   Paused = 'paused',
   /** Its caller did not read its responses. */
   Unread = 'unread',
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -20,6 +20,7 @@
   ConnectionLedger,
   type ConnectionVictim,
 } from './connection_ledger.js';
+export {mayAdmitRequest, type RequestLoad} from './admit_request.js';
 export {
   selectBusiest,
   selectUnread,
--- a/packages/steering/src/direct/plan_resources.ts
+++ b/packages/steering/src/direct/plan_resources.ts
@@ -32,6 +32,8 @@
 const PAUSED_CONNECTION_BYTES = 256 * 1024;
 /** Most requests of a connection in progress. */
 const MAX_PIPELINED_REQUESTS = 16;
+/** Refused requests that may await their turn for each request in progress; they hold little. */
+const REFUSED_PER_OPEN_REQUEST = 3;
 /** Memory for bodies where the machine is not known, as on a machine of `FULL_MEMORY_BYTES`. */
 const DEFAULT_BODY_LIMITS = {
   maxBodyBytes: FULL_BODY_BYTES,
@@ -52,6 +54,8 @@
   maxEndpointConnections: number;
   /** Most requests of callers in progress, over all connections. */
   maxOpenRequests: number;
+  /** Most refused requests that await the responses before them. */
+  maxRefusedRequests: number;
   /** Most requests of one connection in progress. */
   maxPipelinedRequests: number;
   /** Most connections that are not read because of their pipelined requests. */
@@ -84,6 +88,7 @@
       maxAuxiliaryConnections: Infinity,
       maxEndpointConnections: Infinity,
       maxOpenRequests: Infinity,
+      maxRefusedRequests: Infinity,
       maxPipelinedRequests: Infinity,
       maxPausedConnections: Infinity,
       ...DEFAULT_BODY_LIMITS,
@@ -96,6 +101,11 @@
   const heapShare = heapBytes * HEAP_PART;
   const limit = (...limits: number[]) =>
     Math.max(1, Math.floor(Math.min(...limits)));
+  const maxOpenRequests = limit(
+    sockets * OPEN_REQUEST_PART,
+    (memoryBytes * OPEN_REQUEST_MEMORY_PART) / OPEN_REQUEST_BYTES,
+    heapShare / OPEN_REQUEST_BYTES,
+  );
   return {
     maxCallerConnections: limit(
       sockets * CALLER_CONNECTION_PART,
@@ -106,11 +116,8 @@
     maxControlConnections: limit(sockets * CONTROL_CONNECTION_PART),
     maxAuxiliaryConnections: limit(sockets * AUXILIARY_CONNECTION_PART),
     maxEndpointConnections: limit(sockets * ENDPOINT_CONNECTION_PART),
-    maxOpenRequests: limit(
-      sockets * OPEN_REQUEST_PART,
-      (memoryBytes * OPEN_REQUEST_MEMORY_PART) / OPEN_REQUEST_BYTES,
-      heapShare / OPEN_REQUEST_BYTES,
-    ),
+    maxOpenRequests,
+    maxRefusedRequests: maxOpenRequests * REFUSED_PER_OPEN_REQUEST,
     maxPipelinedRequests: MAX_PIPELINED_REQUESTS,
     maxPausedConnections: limit(
       (memoryBytes * PAUSED_MEMORY_PART) / PAUSED_CONNECTION_BYTES,
--- a/packages/steering/src/direct/select_connection.ts
+++ b/packages/steering/src/direct/select_connection.ts
@@ -3,7 +3,7 @@
 
 /** State of a connection that has requests in progress. */
 export interface ConnectionLoad {
-  /** Requests in progress, those included that have not been started. */
+  /** Requests that await the end of their response, those included that have not been started. */
   requests: number;
   /** Bytes of responses that its caller has not read. */
   unreadBytes: number;
@@ -12,8 +12,8 @@
 }
 
 /**
- * Selects the connection to close when there are too many requests in progress.
- * @param connections - The connections with requests in progress.
+ * Selects the connection to close when there are too many requests or paused connections.
+ * @param connections - The connections with requests that await their response.
  * @returns The one with most of them, or undefined if none has more than one.
  */
 export function selectBusiest<T extends ConnectionLoad>(
--- a/packages/steering/test/direct/resource_limits.test.ts
+++ b/packages/steering/test/direct/resource_limits.test.ts
@@ -2,6 +2,7 @@
 import {
   CloseReason,
   ConnectionLedger,
+  mayAdmitRequest,
   planResources,
   selectBusiest,
   selectUnread,
@@ -36,6 +37,7 @@
         limits.maxCallerConnections * 33 * 1024 +
         auxiliary * 15 * 1024 +
         limits.maxOpenRequests * 30 * 1024 +
+        limits.maxRefusedRequests * 6 * 1024 +
         limits.maxPausedConnections * 256 * 1024;
       expect(heldBytes + 45 * MIB).toBeLessThan(memoryMb * MIB);
       const sockets =
@@ -69,6 +71,41 @@
   });
 });
 
+describe('mayAdmitRequest', () => {
+  /** Lets connections start as many requests as they may, and returns the number of each. */
+  const fill = (connections: number, maxRequests: number) => {
+    const counts = new Array<number>(connections).fill(0);
+    let total = 0;
+    for (let round = 0; round < maxRequests; round++) {
+      counts.forEach((onConnection, i) => {
+        if (!mayAdmitRequest({onConnection, total}, maxRequests)) return;
+        counts[i] = onConnection + 1;
+        total++;
+      });
+    }
+    return {counts, total};
+  };
+
+  it.each([1, 3, 20, 400])(
+    'guards against refusing a first request because of %d busy connections',
+    connections => {
+      const {counts, total} = fill(connections, 411);
+      expect(total).toBeLessThanOrEqual(411);
+      if (connections < 400) {
+        expect(mayAdmitRequest({onConnection: 0, total}, 411)).toBe(true);
+      }
+      // All get about the same part.
+      expect(Math.max(...counts) - Math.min(...counts)).toBeLessThanOrEqual(1);
+      expect(Math.min(...counts)).toBeGreaterThanOrEqual(1);
+    },
+  );
+
+  it('refuses every request at the limit', () => {
+    expect(mayAdmitRequest({onConnection: 0, total: 411}, 411)).toBe(false);
+    expect(mayAdmitRequest({onConnection: 9, total: 5}, Infinity)).toBe(true);
+  });
+});
+
 describe('ConnectionLedger', () => {
   it('selects the longest idle connection before active ones', () => {
     const ledger = new ConnectionLedger<string>();
