Keep no endpoint that has left for longer than the drain time

Cause: the removal of an endpoint after an outage of the registry may be a lapse of a live one and keeps it for a grace period. Any failed call, also a watch that was cut, counted as an outage; the grace period began with the reading of the removal and anew at each instance that heard of it, also at one that had read it without an outage; and its end was noticed 250 ms late at most. With the delays between watches the sum was above the drain time.

Change (RegistryOutage): a failed watch is followed by a read, and only if that fails is the registry lost. Where a pending watch may have hidden an outage, a read of the last 2 s or another follower shows that there was none. An entry is kept until 2.3 s after the outage, and not longer than the drain time less 0.6 s. Lapses are passed on with the rest of the grace period, whose end has a timer. An instance that reads the same removal without an outage removes the endpoint at once. An instance that stops following forgets its outage.

Why it restores the promise: 0.35 s to the reading, the grace period of at most the drain time less 0.6 s, 0.12 s between instances and 0.13 s for the request stay within the drain time, at whichever instance and after whichever way of taking a removal for a lapse.

Cost: the grace period after a true outage is 1.4 s at a drain time of 2 s (1.7 s before) and 1.9 s at 2.5 s (2.125 s before), and ends 2.3 s after the outage; an endpoint that takes longer to register again is out of use until it has.

--- a/packages/instance/src/direct/control/control_sync.ts
+++ b/packages/instance/src/direct/control/control_sync.ts
@@ -47,6 +47,13 @@
 /** Time given to a started instance to discover others through its seeds, in milliseconds. */
 const PEER_DISCOVERY_DELAY_MS = 700;
 const REGISTRATION_CHECK_INTERVAL_MS = 500;
+/** Time for which a watch must have been pending to count as one that the registry accepts. */
+const ACCEPTED_WATCH_MS = 1_000;
+/**
+ * Shortest outage in which the registration of a live endpoint can lapse, in milliseconds: less than
+ * two of the intervals at which endpoints write.
+ */
+const MIN_LAPSE_OUTAGE_MS = 2_000;
 /** Longest delay of a registration that no other instance depends on, in milliseconds. */
 const REGISTRATION_SPREAD_MS = 3_000;
 /** Delay of a registration that replaces the one of an earlier process, in milliseconds. */
@@ -90,6 +97,10 @@
    * neither that the registry is available nor that it is not.
    */
   private isConfirmationDue = false;
+  /** Consecutive watches that have failed although the registry answered a read before. */
+  private failedWatches = 0;
+  /** Monotonic time at which the registry last answered this instance, in milliseconds. */
+  private answeredAt = -Infinity;
   private isReopening = false;
   private isFollower = false;
   /** Monotonic time at which this instance registers if it does not have to at once. */
@@ -104,12 +115,12 @@
   private readonly stallDetector: StalledWatchDetector;
 
   constructor(private readonly options: ControlSyncOptions) {
-    const {source, members, timers, logger, isSystemStart} = options;
+    const {members, timers, logger, isSystemStart} = options;
     this.isDiscoveringPeers = isSystemStart;
     this.election = new FollowerElection(members);
     this.stallDetector = new StalledWatchDetector({
       getPosition: () => (this.watchAbort ? this.position : undefined),
-      readRevision: () => source.store.readRevision(),
+      readRevision: () => this.readRevision(),
       shouldReadRevision: () =>
         this.isFollowing && this.election.isFirstFollower(timers.now()),
       reopen: () => {
@@ -201,7 +212,8 @@
           this.isReopening = false;
           continue;
         }
-        this.markRegistryLost(err);
+        if (this.isWatchCut()) this.isConfirmationDue = true;
+        else this.markRegistryLost(err);
         await this.options.timers.sleep(backoffMs, signal);
         backoffMs = Math.min(this.getMaxBackoffMs(), backoffMs * 2);
       }
@@ -247,18 +259,22 @@
     }
     if (this.redundantSince === Infinity) this.redundantSince = now;
     if (now - this.redundantSince >= STOP_FOLLOWING_AFTER_MS) {
-      if (this.isFollower) logger.info('no longer following registry');
+      if (this.isFollower) {
+        logger.info('no longer following registry');
+        // Another instance follows it, so that an outage has ended for all.
+        this.markRegistryAvailable();
+      }
       this.isFollower = false;
-      this.isRegistryLost = false;
     }
     return this.isFollower;
   }
 
   private async list(): Promise<number> {
-    const {source} = this.options;
+    const {source, timers} = this.options;
     const listed = await source.store.list(source.prefix);
     this.markRegistryAvailable();
     this.isFollower = true;
+    this.answeredAt = timers.now();
     this.apply(listed, true);
     this.handleEra(getEra(listed.revision));
     return listed.revision;
@@ -275,12 +291,43 @@
 
   private async confirmAndWatch(after: number): Promise<number> {
     if (this.isConfirmationDue) {
-      await this.options.source.store.readRevision();
+      const mayHaveLapsed = this.failedWatches > 0 && this.mayHideOutage();
+      await this.readRevision();
+      if (mayHaveLapsed) {
+        this.options.view.endpointTable.markRegistryUnavailable();
+      }
       this.markRegistryAvailable();
     }
     return this.watch(after);
   }
 
+  private async readRevision(): Promise<number> {
+    const {source, timers} = this.options;
+    const revision = await source.store.readRevision();
+    this.answeredAt = timers.now();
+    return revision;
+  }
+
+  /** Says whether only a watch has failed, which shows nothing of the registry; a read does. */
+  private isWatchCut(): boolean {
+    const isWatch = this.position !== undefined && !this.isConfirmationDue;
+    return isWatch && this.failedWatches <= 1;
+  }
+
+  /**
+   * Says whether the registry may have been unavailable, unnoticed by a pending watch, for so long
+   * that registrations have lapsed. The first follower of all regions reads from it every second
+   * and no longer follows if that fails.
+   */
+  private mayHideOutage(): boolean {
+    const {members, timers} = this.options;
+    const now = timers.now();
+    if (now - this.answeredAt < MIN_LAPSE_OUTAGE_MS) return false;
+    return !members.getLive(now).some(({id, isFollowing}) => {
+      return isFollowing && id !== members.getSelf().id;
+    });
+  }
+
   private async watch(after: number): Promise<number> {
     const {source, timers} = this.options;
     const watchAbort = new AbortController();
@@ -294,9 +341,17 @@
       );
       const isImmediate = timers.now() - startedAt < IMMEDIATE_WATCH_MS;
       this.immediateWatches = isImmediate ? this.immediateWatches + 1 : 0;
+      this.failedWatches = 0;
+      this.answeredAt = timers.now();
       this.markRegistryAvailable();
       this.apply(changed, false);
       return Math.max(after, changed.revision);
+    } catch (err) {
+      if (!watchAbort.signal.aborted) {
+        const wasAccepted = timers.now() - startedAt >= ACCEPTED_WATCH_MS;
+        this.failedWatches = wasAccepted ? 1 : this.failedWatches + 1;
+      }
+      throw err;
     } finally {
       this.watchAbort = undefined;
     }
--- a/packages/instance/src/direct/control/create_change_handler.ts
+++ b/packages/instance/src/direct/control/create_change_handler.ts
@@ -3,6 +3,7 @@
 import {
   type ControlChanges,
   type ControlView,
+  EndpointEffect,
   getEra,
   type RouteConfiguration,
   type ViewEffects,
@@ -28,6 +29,8 @@
   broadcast: (since: number) => void;
   /** Broadcasts what this instance holds against the registry's older copy. */
   broadcastCorrections: () => void;
+  /** Called after changes with which the grace period of an endpoint has begun. */
+  handleLapse: () => void;
   /** Called after each change with which the view is complete. */
   handleComplete: () => void;
 }
@@ -50,6 +53,7 @@
     const effects = view.apply(changes, timers.now());
     logEffects(effects, {view, from, now: timers.now()}, logger);
     countEffects(effects, metrics);
+    if (hasLapse(effects)) options.handleLapse();
     if (wasComplete && getEra(view.revision) > getEra(since)) {
       logNewEra(view, {since, from}, logger);
     }
@@ -104,6 +108,10 @@
   if (length > 0) metrics.controlChanges.inc({kind: 'evacuation'}, length);
 }
 
+function hasLapse({endpoints}: ViewEffects): boolean {
+  return endpoints.some(({effect}) => effect === EndpointEffect.Lapsed);
+}
+
 function hasEffects(effects: ViewEffects): boolean {
   return (
     effects.configuration !== undefined ||
--- a/packages/instance/src/direct/control/gossip.ts
+++ b/packages/instance/src/direct/control/gossip.ts
@@ -23,6 +23,7 @@
 import type {PeerExchange} from './peer_exchange.js';
 import type {PermitMessage} from '../limits/permit_message.js';
 import type {QuotaMessage} from '../limits/quota_message.js';
+import {shortenGrace} from './shorten_grace.js';
 import {splitChanges} from './split_changes.js';
 
 /** Time between two rounds, in milliseconds. */
@@ -119,8 +120,9 @@
    * @param since - Revision up to which the view was complete before.
    */
   broadcastChanges(since: number): void {
-    const {view} = this.options;
-    const parts = splitChanges({since, ...view.getChangesAfter(since)});
+    const {view, timers} = this.options;
+    const changes = view.getChangesAfter(since, timers.now());
+    const parts = splitChanges({since, ...changes});
     for (const part of parts) this.broadcastToAllRegions(part);
   }
 
@@ -278,10 +280,11 @@
     }
     if (message.sender.id === self().id) return;
     const counterBefore = this.getStateCounter();
+    const receivedAt = this.options.timers.now();
     this.applyMessage(message);
     const includesMembers = this.startMemberPullIfDue(message);
     if (!includesMembers && !this.isBehind(message)) {
-      this.relay(message, counterBefore);
+      this.relay(message, counterBefore, receivedAt);
       return;
     }
     void this.options.exchange
@@ -289,7 +292,7 @@
         peerState: message,
         includesMembers,
       })
-      .then(() => this.relay(message, counterBefore));
+      .then(() => this.relay(message, counterBefore, receivedAt));
   }
 
   /** Returns a number that rises with each change of control state that this instance learns. */
@@ -342,11 +345,18 @@
   }
 
   /** Followers of several regions broadcast the same change; only the first copy is forwarded. */
-  private relay(message: GossipMessage, before: number): void {
+  private relay(
+    message: GossipMessage,
+    before: number,
+    receivedAt: number,
+  ): void {
     const {reach, changes, sender} = message;
-    const isRemote = sender.region !== this.options.self().region;
+    const {self, timers} = this.options;
+    const isRemote = sender.region !== self().region;
     if (isRemote && changes && this.getStateCounter() === before) return;
-    if (reach > 0) this.broadcastToRegion(changes, reach);
+    if (reach === 0) return;
+    const heldMs = timers.now() - receivedAt;
+    this.broadcastToRegion(changes && shortenGrace(changes, heldMs), reach);
   }
 
   /** Sends a message to the next instances of the broadcast tree over the region's ring. */
--- a/packages/instance/src/direct/control/peer_exchange.ts
+++ b/packages/instance/src/direct/control/peer_exchange.ts
@@ -25,6 +25,7 @@
   toWireConfiguration,
   type PeerMessage,
 } from './peer_message.js';
+import {shortenGrace} from './shorten_grace.js';
 import {isSharedLimit} from '../limits/permit_message.js';
 
 /**
@@ -170,11 +171,17 @@
     if (includesMembers) {
       message.announcementDigests = this.dissemination.getDigests(timers.now());
     }
+    const sentAt = timers.now();
     try {
       const reply =
         await this.getClient(address).direct.exchange.mutate(message);
       metrics.peerCalls.inc({result: 'ok'});
-      this.applyMessage(reply, address);
+      const {changes} = reply;
+      const elapsedMs = timers.now() - sentAt;
+      this.applyMessage(
+        {...reply, changes: changes && shortenGrace(changes, elapsedMs)},
+        address,
+      );
       if (includesMembers) {
         members.recordMembersReceived(reply.countedMs ?? 0, timers.now());
       }
@@ -208,7 +215,7 @@
     const laterProcess = this.dissemination.getLaterProcess(other.sender);
     if (laterProcess) message.members.push(laterProcess);
     if (view.revision > other.revision) {
-      message.changes = view.getChangesAfter(other.revision);
+      message.changes = view.getChangesAfter(other.revision, timers.now());
     } else if (view.revision === other.revision) {
       // An instance that started in the present era has not learned these otherwise.
       message.changes = view.getCorrections();
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -42,6 +42,7 @@
   createReadinessServer,
 } from './listen/http_servers.js';
 import {UtilizationMeter} from './control/utilization_meter.js';
+import {ViewExpiry} from './control/view_expiry.js';
 import {ResponseBuffers} from './send/response_buffers.js';
 import {RetryBudgets} from './send/retry_budgets.js';
 import {RequestHandler} from './listen/request_handler.js';
@@ -210,6 +211,7 @@
     rejectInvalidRequest(err, connection, handler.stopReading(connection));
   });
 
+  const viewExpiry = new ViewExpiry({view, timers, logger});
   const apply = createChangeHandler({
     view,
     callerServer,
@@ -218,6 +220,7 @@
     metrics,
     broadcast: since => gossip.broadcastChanges(since),
     broadcastCorrections: () => gossip.broadcastCorrections(),
+    handleLapse: () => viewExpiry.schedule(),
     handleComplete: () => void startServing(),
   });
   let hasStartedServing = false;
@@ -334,15 +337,8 @@
   ]);
   const subscriptions = [
     timers.every(SWEEP_INTERVAL_MS, () => {
-      const now = timers.now();
-      const expired = view.expire(now);
-      for (const id of expired.endpoints) {
-        logger.info('endpoint changed', {endpoint: id, effect: 'expired'});
-      }
-      for (const change of expired.evacuations) {
-        logger.info('evacuation changed', {...change, from: 'grace period'});
-      }
-      for (const id of members.expire(now)) {
+      viewExpiry.run();
+      for (const id of members.expire(timers.now())) {
         logger.info('instance forgotten', {peer: id});
       }
       selector.sweep();
@@ -392,6 +388,7 @@
       for (const subscription of subscriptions) {
         await subscription[Symbol.asyncDispose]();
       }
+      viewExpiry[Symbol.dispose]();
       await limitReport[Symbol.asyncDispose]();
       await gossip[Symbol.asyncDispose]();
       permits[Symbol.dispose]();
--- a/packages/instance/test/direct/control.test.ts
+++ b/packages/instance/test/direct/control.test.ts
@@ -368,6 +368,29 @@
     );
   }, 20_000);
 
+  it('guards against a removal behind a watch that was cut, which is taken for a lapse', async () => {
+    const registry = new MemoryRegistry();
+    const stub = await fleet.startEndpoint('e1');
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, stub);
+    const first = await fleet.start(registry, 104);
+    await waitUntilServing(first);
+    const second = await fleet.start(registry, 105, {
+      seedAddresses: [first.settings.controlAddress],
+    });
+    await waitUntilServing(second);
+    await waitFor('the second no longer follows', () =>
+      second.lines.some(({event}) => event.startsWith('no longer following')),
+    );
+    registry.cutWatches();
+    await sleep(300);
+    registry.set('endpoints/e1');
+    await sleep(400);
+    for (const instance of [first, second]) {
+      expect((await send(instance)).status).toBe(503);
+    }
+  }, 20_000);
+
   // In a quiet registry, the outage lasted up to the next change, which then counted as a lapse.
   it('guards against an outage that lasts until the next change', async () => {
     const registry = new MemoryRegistry();
--- a/packages/instance/test/direct/memory_registry.ts
+++ b/packages/instance/test/direct/memory_registry.ts
@@ -21,6 +21,8 @@
   /** Number of watches that were started. */
   watchCount = 0;
   private revision = 1;
+  /** Number of times at which the pending watches were cut. */
+  private cutCount = 0;
   private readonly items = new Map<string, RegistryItem>();
   private history: RegistryItem[] = [];
   private waiters = new Set<() => void>();
@@ -45,6 +47,12 @@
     return this.items.has(key);
   }
 
+  /** Makes the pending watches fail, while all other calls work. */
+  cutWatches(): void {
+    this.cutCount++;
+    this.wakeWatches();
+  }
+
   /** Makes the pending watches never return, while new ones work. */
   stallPendingWatches(): void {
     this.waiters.clear();
@@ -72,7 +80,9 @@
     signal: AbortSignal,
   ): Promise<RegistryItems> {
     this.watchCount++;
+    const {cutCount} = this;
     for (;;) {
+      if (this.cutCount > cutCount) throw createError(RegistryFault.NoResponse);
       while (this.isSilent && !signal.aborted) await this.waitForChange(signal);
       this.throwInjectedFault();
       if (signal.aborted) throw createError(RegistryFault.NoResponse);
--- a/packages/steering/src/direct/control_view.ts
+++ b/packages/steering/src/direct/control_view.ts
@@ -1,11 +1,8 @@
 import {AccountTable} from './account_table.js';
-import {
-  EndpointEffect,
-  EndpointTable,
-  getLapseGraceMs,
-} from './endpoint_table.js';
+import {EndpointEffect, EndpointTable} from './endpoint_table.js';
 import type {EndpointChange} from './endpoint_entry.js';
 import {type EvacuationChange, EvacuationTable} from './evacuation_table.js';
+import {getLapseGraceMs} from './registry_outage.js';
 import {getEra} from './revision.js';
 import type {RouteConfiguration} from './route.js';
 import {RouteTable} from './route_table.js';
@@ -184,14 +181,15 @@
   /**
    * Returns the changes that another instance lacks.
    * @param revision - Revision up to which the view of the other instance is complete.
+   * @param now - Monotonic time in milliseconds.
    */
-  getChangesAfter(revision: number): ControlChanges {
+  getChangesAfter(revision: number, now: number): ControlChanges {
     const isFull = revision < this.listedRevision;
     const since = isFull ? -1 : revision;
     return {
       revision: this.syncedRevision,
       isFull: isFull && this.isComplete,
-      endpoints: this.endpointTable.getChangesAfter(since),
+      endpoints: this.endpointTable.getChangesAfter(since, now),
       evacuations: this.evacuations.getChangesAfter(since),
     };
   }
--- a/packages/steering/src/direct/endpoint_entry.ts
+++ b/packages/steering/src/direct/endpoint_entry.ts
@@ -33,6 +33,8 @@
    * have been unable to renew its registration.
    */
   isLapse?: boolean;
+  /** In a lapse that another instance has read: rest of the grace period, in milliseconds. */
+  lapseMs?: number;
   /**
    * Whether the change comes from a listing, which may show an older copy of the registry, rather
    * than from a write that was observed.
--- a/packages/steering/src/direct/endpoint_table.ts
+++ b/packages/steering/src/direct/endpoint_table.ts
@@ -4,24 +4,9 @@
   EndpointState,
 } from './endpoint_entry.js';
 import {ProcessHistory, Standing} from './process_history.js';
+import {getLapseGraceMs, RegistryOutage} from './registry_outage.js';
 import {getEra} from './revision.js';
 
-/**
- * Time within which a live endpoint whose registration lapsed registers again, in milliseconds:
- * about two seconds after the registry is back.
- */
-const REREGISTRATION_MS = 2_300;
-/** Maximum grace period of a lapsed entry, as a fraction of the drain time. */
-const LAPSE_GRACE_FRACTION = 0.85;
-
-/**
- * Returns the time for which an entry that lapsed stays in force, in milliseconds.
- * @param drainMs - Time after which a leaving endpoint must get no requests, in milliseconds.
- */
-export function getLapseGraceMs(drainMs: number): number {
-  return Math.min(REREGISTRATION_MS, drainMs * LAPSE_GRACE_FRACTION);
-}
-
 /** An endpoint that this instance knows. */
 export interface KnownEndpoint {
   readonly entry: EndpointEntry;
@@ -58,8 +43,8 @@
   private readonly byService = new Map<string, KnownEndpoint[]>();
   private readonly slotsByService = new Map<string, number>();
   private readonly lapseGraceMs: number;
-  private outageEndedAt = -Infinity;
-  private isRegistryUnavailable = false;
+  private readonly outage: RegistryOutage;
+  private nextExpiry = Infinity;
   private highestRevision = 0;
   private versionCount = 0;
 
@@ -69,6 +54,7 @@
    */
   constructor(drainMs: number) {
     this.lapseGraceMs = getLapseGraceMs(drainMs);
+    this.outage = new RegistryOutage(drainMs);
   }
 
   /** Highest revision of all applied changes. */
@@ -81,6 +67,11 @@
     return this.versionCount;
   }
 
+  /** Monotonic time in milliseconds of the next end of a grace period; Infinity if there is none. */
+  get nextExpiryAt(): number {
+    return this.nextExpiry;
+  }
+
   /** Number of usable endpoints. */
   get size(): number {
     return this.endpoints.size;
@@ -90,7 +81,7 @@
    * Records that the registry does not answer. The last known endpoints stay in use.
    */
   markRegistryUnavailable(): void {
-    this.isRegistryUnavailable = true;
+    this.outage.begin();
   }
 
   /**
@@ -98,9 +89,7 @@
    * @param now - Monotonic time in milliseconds.
    */
   markRegistryAvailable(now: number): void {
-    if (!this.isRegistryUnavailable) return;
-    this.isRegistryUnavailable = false;
-    this.outageEndedAt = now;
+    this.outage.end(now);
   }
 
   /**
@@ -117,7 +106,11 @@
     isFromRegistry = false,
   ): EndpointEffect {
     const last = this.lastChanges.get(change.id);
-    if (last && last.revision >= change.revision) return EndpointEffect.None;
+    if (last && last.revision >= change.revision) {
+      return isFromRegistry
+        ? this.refuteLapse(last, change, now)
+        : EndpointEffect.None;
+    }
     const standing = this.processes.judge(change);
     if (standing !== Standing.Current) {
       return this.correct(change, standing, now);
@@ -131,16 +124,15 @@
         if (!change.isLapse) this.processes.recordDeparture(change);
         return EndpointEffect.None;
       }
-      const isLapse =
-        change.isLapse === true ||
-        (isFromRegistry && this.isLapsePossible(now));
-      if (change.isRemoved && isLapse) {
+      const lapseEnd = this.getLapseEnd(change, now, isFromRegistry);
+      if (change.isRemoved && lapseEnd !== undefined && lapseEnd > now) {
         // Peers that receive the change from here must treat it as a lapse too.
         this.lastChanges.set(change.id, {...change, isLapse: true});
-        before.graceEndsAt = now + this.lapseGraceMs;
+        this.setGraceEnd(before, lapseEnd);
         return EndpointEffect.Lapsed;
       }
-      this.processes.recordDeparture(change);
+      // A lapse whose grace period has ended elsewhere says nothing about the process.
+      if (!change.isLapse) this.processes.recordDeparture(change);
       this.endpoints.delete(change.id);
       return EndpointEffect.Left;
     }
@@ -200,9 +192,13 @@
    * @returns Ids of the removed entries.
    */
   expire(now: number): string[] {
+    if (now < this.nextExpiry) return [];
     const expired: string[] = [];
+    this.nextExpiry = Infinity;
     for (const [id, {graceEndsAt}] of this.endpoints) {
-      if (graceEndsAt !== undefined && graceEndsAt <= now) expired.push(id);
+      if (graceEndsAt === undefined) continue;
+      if (graceEndsAt <= now) expired.push(id);
+      else this.nextExpiry = Math.min(this.nextExpiry, graceEndsAt);
     }
     for (const id of expired) this.endpoints.delete(id);
     if (expired.length > 0) this.invalidateCaches();
@@ -259,11 +255,15 @@
   /**
    * Returns the last change of each endpoint that has changed after a revision.
    * @param revision - Revision that the reader already has.
+   * @param now - Monotonic time in milliseconds.
    */
-  getChangesAfter(revision: number): EndpointChange[] {
-    return [...this.lastChanges.values()].filter(
-      change => change.revision > revision,
-    );
+  getChangesAfter(revision: number, now: number): EndpointChange[] {
+    const changes: EndpointChange[] = [];
+    for (const change of this.lastChanges.values()) {
+      if (change.revision <= revision) continue;
+      changes.push(change.isLapse ? this.stateGrace(change, now) : change);
+    }
+    return changes;
   }
 
   /** Returns the changes that replace what the registry's older copy shows. */
@@ -300,7 +300,7 @@
       return EndpointEffect.Left;
     }
     // The later process is not registered in the copy and has to register again.
-    before.graceEndsAt ??= now + this.lapseGraceMs;
+    this.setGraceEnd(before, before.graceEndsAt ?? now + this.lapseGraceMs);
     return EndpointEffect.Lapsed;
   }
 
@@ -318,9 +318,46 @@
     this.slotsByService.clear();
   }
 
-  private isLapsePossible(now: number): boolean {
-    return (
-      this.isRegistryUnavailable || now < this.outageEndedAt + this.lapseGraceMs
-    );
+  /** Returns until when an endpoint is kept after its removal; undefined if it has left. */
+  private getLapseEnd(
+    {isLapse, lapseMs = this.lapseGraceMs}: EndpointChange,
+    now: number,
+    isFromRegistry: boolean,
+  ): number | undefined {
+    if (isLapse) return now + Math.min(lapseMs, this.lapseGraceMs);
+    return isFromRegistry ? this.outage.getLapseEnd(now) : undefined;
+  }
+
+  /**
+   * Removes an endpoint at once that another instance takes for lapsed, if this one has read the
+   * same removal itself and has seen no outage.
+   */
+  private refuteLapse(
+    last: EndpointChange,
+    change: EndpointChange,
+    now: number,
+  ): EndpointEffect {
+    const isSame = last.revision === change.revision && change.isRemoved;
+    const lapsed = this.endpoints.get(change.id);
+    const isRefuted =
+      isSame && last.isLapse && this.outage.getLapseEnd(now) === undefined;
+    if (!isRefuted || lapsed?.graceEndsAt === undefined || change.isLapse) {
+      return EndpointEffect.None;
+    }
+    this.record(change);
+    this.processes.recordDeparture(change);
+    this.endpoints.delete(change.id);
+    return EndpointEffect.Left;
+  }
+
+  private setGraceEnd(endpoint: KnownEndpoint, graceEndsAt: number): void {
+    endpoint.graceEndsAt = graceEndsAt;
+    this.nextExpiry = Math.min(this.nextExpiry, graceEndsAt);
+  }
+
+  /** Adds the rest of the grace period, so that it ends at the same time at other instances. */
+  private stateGrace(change: EndpointChange, now: number): EndpointChange {
+    const graceEndsAt = this.endpoints.get(change.id)?.graceEndsAt ?? now;
+    return {...change, lapseMs: Math.max(0, graceEndsAt - now)};
   }
 }
--- a/packages/steering/test/direct/control_view.test.ts
+++ b/packages/steering/test/direct/control_view.test.ts
@@ -151,7 +151,7 @@
           createChanges({endpoints: history, revision: history.length}),
           0,
         );
-        second.apply(first.getChangesAfter(second.revision), 0);
+        second.apply(first.getChangesAfter(second.revision, 0), 0);
         expect(getUsable(second)).toEqual(getUsable(first));
         expect(second.revision).toBe(first.revision);
       }),
--- a/packages/steering/test/direct/eras.test.ts
+++ b/packages/steering/test/direct/eras.test.ts
@@ -95,7 +95,7 @@
   const pull = (from: ControlView, to: ControlView, now: number) => {
     const isBehind = from.revision > to.revision;
     const changes = isBehind
-      ? from.getChangesAfter(to.revision)
+      ? from.getChangesAfter(to.revision, now)
       : from.getCorrections();
     if (changes) to.apply(JSON.parse(JSON.stringify(changes)), now);
   };
