--- a/packages/instance/src/direct/control/control_sync.ts
+++ b/packages/instance/src/direct/control/control_sync.ts
@@ -6,7 +6,6 @@
 import {
   RegistryError,
   RegistryFault,
-  type RegistryItem,
   type RegistryItems,
 } from '@primrosestage/control';
 import {
@@ -14,12 +13,13 @@
   type ControlView,
   FollowerElection,
   getEra,
-  hash32,
   type MemberInfo,
   type MemberTable,
 } from '@primrosestage/steering';
-import type {ControlSource, DecodedItem} from './control_source.js';
+import type {ControlSource} from './control_source.js';
+import {decodeItems} from './decode_items.js';
 import type {DirectMetrics} from '../direct_metrics.js';
+import {Registration} from './registration.js';
 import {StalledWatchDetector} from './stalled_watch_detector.js';
 
 /** First and longest backoff after a failed call, in milliseconds. */
@@ -41,12 +41,8 @@
 const ROLE_CHECK_INTERVAL_MS = 100;
 /** Time for which another instance must follow before this one stops, in milliseconds. */
 const STOP_FOLLOWING_AFTER_MS = 1_000;
-/** Lifetime of this instance's registration, in milliseconds. */
-const REGISTRATION_TTL_MS = 600_000;
-const REGISTRATION_INTERVAL_MS = 240_000;
 /** Time given to a started instance to discover others through its seeds, in milliseconds. */
 const PEER_DISCOVERY_DELAY_MS = 700;
-const REGISTRATION_CHECK_INTERVAL_MS = 500;
 /** Time for which a watch must have been pending to count as one that the registry accepts. */
 const ACCEPTED_WATCH_MS = 1_000;
 /**
@@ -54,13 +50,6 @@
  * two of the intervals at which endpoints write.
  */
 const MIN_LAPSE_OUTAGE_MS = 2_000;
-/** Longest delay of a registration that no other instance depends on, in milliseconds. */
-const REGISTRATION_SPREAD_MS = 3_000;
-/** Delay of a registration that replaces the one of an earlier process, in milliseconds. */
-const RENEWAL_DELAY_MS = 60_000;
-/** Longest backoff of such a registration while the registry is unavailable, in milliseconds. */
-const MAX_REGISTRATION_BACKOFF_MS = 10_000;
-
 /** Configures the synchronization with the registry. */
 export interface ControlSyncOptions {
   source: ControlSource;
@@ -87,8 +76,6 @@
   private position?: number;
   /** Era of the last listing. */
   private era?: number;
-  /** Ends the wait for the next registration, since a later era lacks the last one. */
-  private registrationWait = new AbortController();
   /** Delays the first watch at a system start, so that not every instance opens one. */
   private isDiscoveringPeers: boolean;
   private isRegistryLost = false;
@@ -103,21 +90,24 @@
   private answeredAt = -Infinity;
   private isReopening = false;
   private isFollower = false;
-  /** Monotonic time at which this instance registers if it does not have to at once. */
-  private registrationDueAt = Infinity;
   /** Time since which another instance follows the registry in place of this one. */
   private redundantSince = Infinity;
   /** Consecutive watches that returned at once. */
   private immediateWatches = 0;
   private roleChecks?: AsyncDisposable;
-  private readonly loops: Array<Promise<void>> = [];
+  private loop?: Promise<void>;
   private readonly election: FollowerElection;
   private readonly stallDetector: StalledWatchDetector;
+  private readonly registration: Registration;
 
   constructor(private readonly options: ControlSyncOptions) {
     const {members, timers, logger, isSystemStart} = options;
     this.isDiscoveringPeers = isSystemStart;
     this.election = new FollowerElection(members);
+    this.registration = new Registration({
+      ...options,
+      election: this.election,
+    });
     this.stallDetector = new StalledWatchDetector({
       getPosition: () => (this.watchAbort ? this.position : undefined),
       readRevision: () => this.readRevision(),
@@ -146,7 +136,8 @@
 
   /** Starts following the registry and registering this instance. */
   start(): void {
-    this.loops.push(this.follow(), this.register());
+    this.loop = this.follow();
+    this.registration.start();
     this.roleChecks = this.options.timers.every(ROLE_CHECK_INTERVAL_MS, () => {
       if (this.watchAbort && !this.updateRole()) this.endWatch();
     });
@@ -166,8 +157,8 @@
     await this.roleChecks?.[Symbol.asyncDispose]();
     this.abort.abort();
     this.watchAbort?.abort();
-    this.registrationWait.abort();
-    await Promise.all(this.loops);
+    await this.registration[Symbol.asyncDispose]();
+    await this.loop;
   }
 
   /** Aborts the pending watch without treating the registry as lost. */
@@ -284,9 +275,7 @@
   private handleEra(era: number): void {
     const isNew = this.era !== undefined && this.era !== era;
     this.era = era;
-    if (!isNew) return;
-    this.registrationWait.abort();
-    this.registrationWait = new AbortController();
+    if (isNew) this.registration.restart();
   }
 
   private async confirmAndWatch(after: number): Promise<number> {
@@ -357,47 +346,14 @@
     }
   }
 
-  private apply({items, revision}: RegistryItems, isFull: boolean): void {
-    const {members, self, timers, logger} = this.options;
-    const changes: ControlChanges = {
-      revision,
-      isFull,
-      isFromRegistry: true,
-      endpoints: [],
-      evacuations: [],
-    };
-    const registrations: MemberInfo[] = [];
-    for (const item of items) {
-      const decoded = this.decode(item);
-      if (!decoded) continue;
-      if (decoded.fault !== undefined) {
-        logger.warn('registry item ignored', {
-          key: item.key,
-          revision: item.revision,
-          fault: decoded.fault,
-        });
-      }
-      if (decoded.configuration) changes.configuration = decoded.configuration;
-      if (decoded.endpoint) changes.endpoints.push(decoded.endpoint);
-      if (decoded.evacuation) changes.evacuations.push(decoded.evacuation);
-      if (decoded.member) registrations.push(decoded.member);
-    }
+  private apply(read: RegistryItems, isFull: boolean): void {
+    const {members, timers} = this.options;
+    const {changes, registrations} = decodeItems(read, isFull, this.options);
     members.addRegistered(registrations, timers.now());
-    if (isFull && registrations.some(({id}) => id === self().id)) {
-      this.registrationDueAt = timers.now() + RENEWAL_DELAY_MS;
-    }
+    if (isFull) this.registration.recordListing(registrations);
     this.options.apply(changes, 'registry');
   }
 
-  /** An item that cannot be decoded must not keep this instance from following the others. */
-  private decode(item: RegistryItem): DecodedItem | undefined {
-    try {
-      return this.options.source.decode(item);
-    } catch (err) {
-      return {fault: getErrorMessage(err)};
-    }
-  }
-
   private markRegistryLost(err: unknown): void {
     const {view, logger} = this.options;
     view.endpointTable.markRegistryUnavailable();
@@ -420,55 +376,6 @@
     this.isConfirmationDue = false;
     view.endpointTable.markRegistryAvailable(timers.now());
   }
-
-  /**
-   * Says whether this instance should register. All instances do, so that after a restart of all of
-   * them each counts the others before it has heard of them. The first of each region registers at
-   * once, so that groups of instances that do not know each other find each other through the
-   * registry. An instance that knows no other counts as the first of its region.
-   */
-  private isRegistrationDue(): boolean {
-    const now = this.options.timers.now();
-    return now >= this.registrationDueAt || this.election.shouldFollow(now);
-  }
-
-  /** Says how long to wait after a failed registration. */
-  private getRegistrationBackoffMs(): number {
-    const isFirst = this.election.shouldFollow(this.options.timers.now());
-    return isFirst ? MAX_BACKOFF_MS : MAX_REGISTRATION_BACKOFF_MS;
-  }
-
-  private async register(): Promise<void> {
-    const {source, self, timers, logger} = this.options;
-    const {signal} = this.abort;
-    await timers.sleep(PEER_DISCOVERY_DELAY_MS, signal);
-    const spreadMs = (hash32(self().id) / 2 ** 32) * REGISTRATION_SPREAD_MS;
-    if (this.registrationDueAt === Infinity) {
-      this.registrationDueAt = timers.now() + spreadMs;
-    }
-    while (!signal.aborted) {
-      if (!this.isRegistrationDue()) {
-        await timers.sleep(REGISTRATION_CHECK_INTERVAL_MS, signal);
-        continue;
-      }
-      let delayMs = REGISTRATION_INTERVAL_MS;
-      // Taken before the write, whose era may end before its response.
-      const waitSignal = this.registrationWait.signal;
-      try {
-        const info = self();
-        await source.store.put({
-          key: source.getMemberKey(info.id),
-          value: Buffer.from(JSON.stringify(info)),
-          ttlMs: REGISTRATION_TTL_MS,
-        });
-        logger.info('registered', {key: source.getMemberKey(info.id)});
-      } catch (err) {
-        logger.warn('registration failed', {reason: getErrorMessage(err)});
-        delayMs = this.getRegistrationBackoffMs();
-      }
-      await timers.sleep(delayMs, waitSignal);
-    }
-  }
 }
 
 function getFault(err: unknown): RegistryFault | undefined {
