Do not count a held head as a timeout of its caller

Cause: an instance stops reading a connection that has all requests in progress that it may have, also within a head. The parser's timeout runs from the begin of the head and ended the connection.

Change: the timeout of a head does not count while the connection is not read. The rest of such a head has no timeout of its own.

Why it restores the promise: a connection ends for its caller's fault only.

--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -67,6 +67,11 @@
     );
   }
 
+  /** Whether no further request is read from it at present. */
+  get isHeld(): boolean {
+    return this.reader.isStopped && !this.socket.destroyed;
+  }
+
   /** Whether it is not read because of its pipelined requests. */
   get isPaused(): boolean {
     return this.reader.isStopped && !this.isEnding && !this.socket.destroyed;
--- a/packages/instance/src/direct/listen/caller_connections.ts
+++ b/packages/instance/src/direct/listen/caller_connections.ts
@@ -98,6 +98,14 @@
     return found?.mayRun === true;
   }
 
+  /**
+   * Returns whether a connection is not read at present, since no further request is wanted.
+   * @param connection - The connection.
+   */
+  isHeld(connection: Duplex): boolean {
+    return this.connections.get(connection)?.isHeld === true;
+  }
+
   /** Observes which callers read, and closes those that do not while memory is short. */
   sweep(): void {
     for (const connection of this.holding) {
--- a/packages/instance/src/direct/listen/request_handler.ts
+++ b/packages/instance/src/direct/listen/request_handler.ts
@@ -56,6 +56,14 @@
     return this.connections.stopReading(connection);
   }
 
+  /**
+   * Returns whether a connection is not read at present.
+   * @param connection - The connection of a caller.
+   */
+  isHeld(connection: Duplex): boolean {
+    return this.connections.isHeld(connection);
+  }
+
   /** Ends the requests that a planned stop cannot wait for. */
   endUnfinished(): void {
     for (const exchange of this.unfinished) exchange.endForStop();
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -13,7 +13,6 @@
 import type {Registry} from 'prom-client';
 import {ConnectionTracker} from '../http/connection_tracker.js';
 import {parseAddress} from '../http/parse_address.js';
-import {rejectInvalidRequest} from '../http/reject_invalid_request.js';
 import {createRpcHandler} from '../rpc/index.js';
 import type {StartSpan} from '../telemetry/hop_span.js';
 import {Announcer} from './control/announcer.js';
@@ -33,6 +32,7 @@
 import {NoticeTracker} from './place/notice_tracker.js';
 import {createPeerRouter, PeerExchange} from './control/peer_exchange.js';
 import {CALLER_LISTENER} from './listen/caller_connections.js';
+import {handleClientErrors} from './listen/client_errors.js';
 import {guardConnections} from './listen/connection_guard.js';
 import {LimitReport} from './listen/limit_report.js';
 import {QUIET_PERIOD_MS, runPlannedStop} from './listen/planned_stop.js';
@@ -206,11 +206,7 @@
     random: options.random,
   });
   callerServer.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
-  callerServer.on('clientError', (err: NodeJS.ErrnoException, connection) => {
-    logger.info('caller connection failed', {reason: err.code});
-    rejectInvalidRequest(err, connection, handler.stopReading(connection));
-  });
-
+  handleClientErrors(callerServer, handler, logger);
   const viewExpiry = new ViewExpiry({view, timers, logger});
   const apply = createChangeHandler({
     view,
