Let a started instance ask whether running ones have forgotten it

Change: the registration of an earlier process shortens the wait to 1 s, and a running instance that says that it has counted this one for less than 2.5 s lengthens it again.

Failed before: "guards against a share that others do not count because they have forgotten this instance".

--- a/packages/instance/src/direct/control/peer_exchange.ts
+++ b/packages/instance/src/direct/control/peer_exchange.ts
@@ -100,8 +100,8 @@
     const {members, timers} = this.options;
     const {id} = message.sender;
     this.applyMessage(message, id);
-    const countedMs = members.getCountedMs(id, timers.now());
-    return {...this.createMessage(message), countedMs};
+    const membership = members.createMembershipReply(id, timers.now());
+    return {...this.createMessage(message), membership};
   }
 
   /**
@@ -182,8 +182,8 @@
         {...reply, changes: changes && shortenGrace(changes, elapsedMs)},
         address,
       );
-      if (includesMembers) {
-        members.recordMembersReceived(reply.countedMs ?? 0, timers.now());
+      if (includesMembers && reply.membership) {
+        members.recordMembersReceived(reply.membership, timers.now());
       }
       recordPeerRevision(reply.revision);
     } catch (err) {
--- a/packages/instance/src/direct/control/peer_message.ts
+++ b/packages/instance/src/direct/control/peer_message.ts
@@ -3,6 +3,7 @@
   ControlChanges,
   Heartbeats,
   MemberInfo,
+  MembershipReply,
   RouteConfiguration,
   SharedLimit,
 } from '@primrosestage/steering';
@@ -14,8 +15,8 @@
   heartbeats: Heartbeats;
   /** Announcements that the receiver lacks. */
   members: MemberInfo[];
-  /** In a response: time for which its sender has counted the receiver, in milliseconds. */
-  countedMs?: number;
+  /** In a response: what its sender says of the membership. */
+  membership?: MembershipReply;
   /** Rate limits of endpoints; earlier versions send none. */
   limits?: SharedLimit[];
   /** Digests of the announcements that the sender has, if it requests those that it lacks. */
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -104,6 +104,7 @@
   MemberInfo,
 } from './member_info.js';
 export {MemberTable} from './member_table.js';
+export type {MembershipReply} from './membership_discovery.js';
 export {FollowerElection} from './follower_election.js';
 export {MemberDissemination} from './member_dissemination.js';
 export {pickRandom, splitBroadcast, type BroadcastBranch} from './overlay.js';
--- a/packages/steering/src/direct/member_table.ts
+++ b/packages/steering/src/direct/member_table.ts
@@ -7,7 +7,10 @@
   STALE_AFTER_MS,
 } from './member.js';
 import type {Heartbeats, MemberInfo} from './member_info.js';
-import {MembershipDiscovery} from './membership_discovery.js';
+import {
+  MembershipDiscovery,
+  type MembershipReply,
+} from './membership_discovery.js';
 import {RegionDemand} from './region_demand.js';
 
 /**
@@ -137,9 +140,7 @@
     const self = this.self();
     for (const info of infos) {
       if (info.id === self.id) {
-        // All instances that have started since then have read the registration as well.
-        const ageMs = Math.max(0, self.bornAt - info.bornAt);
-        this.discovery.recordReply(ageMs, now);
+        this.discovery.recordRegistration(self.bornAt - info.bornAt, now);
         continue;
       }
       if (this.members.has(info.id)) continue;
@@ -318,21 +319,24 @@
 
   /**
    * Records that another instance has sent the members it knows.
-   * @param countedMs - Time for which the other instance has counted this one, in milliseconds.
+   * @param reply - What the other instance says of the membership.
    * @param now - Monotonic time in milliseconds.
    */
-  recordMembersReceived(countedMs: number, now: number): void {
-    this.discovery.recordReply(countedMs, now);
+  recordMembersReceived(reply: MembershipReply, now: number): void {
+    this.discovery.recordReply(reply, now);
   }
 
   /**
-   * Returns the time for which another instance has counted for divided limits, in milliseconds,
-   * over all of its processes.
-   * @param id - Id of the instance.
+   * Returns what this instance says of the membership to another one. The time for which that one
+   * has counted for divided limits includes its earlier processes.
+   * @param id - Id of the other instance.
    * @param now - Monotonic time in milliseconds.
    */
-  getCountedMs(id: string, now: number): number {
-    return now - (this.members.get(id)?.countedSince ?? now);
+  createMembershipReply(id: string, now: number): MembershipReply {
+    return {
+      countedMs: now - (this.members.get(id)?.countedSince ?? now),
+      isComplete: this.discovery.isComplete(now),
+    };
   }
 
   /**
--- a/packages/steering/test/direct/membership_discovery.test.ts
+++ b/packages/steering/test/direct/membership_discovery.test.ts
@@ -67,9 +67,9 @@
 
   private pull(target: Peer, now: number): void {
     target.table.merge([this.info], now);
-    const countedMs = target.table.getCountedMs(this.id, now);
+    const reply = target.table.createMembershipReply(this.id, now);
     this.table.merge(target.table.getLive(now), now);
-    this.table.recordMembersReceived(countedMs, now);
+    this.table.recordMembersReceived(reply, now);
     this.hasReply = true;
   }
 }
@@ -150,25 +150,34 @@
   it('ends the wait at once if another instance has counted this one for long', () => {
     const table = createStarted();
     table.merge([createInfo()], 0);
-    table.recordMembersReceived(2_500, 0);
+    table.recordMembersReceived({countedMs: 2_500, isComplete: true}, 0);
     expect(table.getLimitDivisor(0)).toBe(2);
   });
 
   it('waits until others have heard of this instance, and again if another one joins', () => {
     const table = createStarted();
     table.merge([createInfo()], 0);
-    table.recordMembersReceived(500, 1_000);
+    table.recordMembersReceived({countedMs: 500, isComplete: false}, 1_000);
     expect(table.getLimitDivisor(2_999)).toBe(Infinity);
     table.merge([createInfo({id: 'c'})], 2_900);
     expect(table.getLimitDivisor(5_399)).toBe(Infinity);
     expect(table.getLimitDivisor(5_400)).toBe(3);
   });
 
-  it('does not wait if the registration of an earlier process shows that all count this instance', () => {
+  it('waits for a second if an earlier process of this instance is registered with the others', () => {
     const table = createStarted();
     const registered = ['a', 'b', 'c'].map(id => createInfo({id}));
     table.addRegistered(registered, 0);
-    expect(table.getLimitDivisor(0)).toBe(3);
+    expect(table.getLimitDivisor(999)).toBe(Infinity);
+    expect(table.getLimitDivisor(1_000)).toBe(3);
+  });
+
+  it('guards against a share that others do not count because they have forgotten this instance', () => {
+    const table = createStarted();
+    table.addRegistered([createInfo({id: 'a'}), createInfo()], 0);
+    table.recordMembersReceived({countedMs: 100, isComplete: true}, 600);
+    expect(table.getLimitDivisor(2_999)).toBe(Infinity);
+    expect(table.getLimitDivisor(3_000)).toBe(2);
   });
 
   it('counts a registered instance for as long as one that may be cut off', () => {
