--- a/packages/instance/src/direct/control/control_sync.ts
+++ b/packages/instance/src/direct/control/control_sync.ts
@@ -43,13 +43,14 @@
 const STOP_FOLLOWING_AFTER_MS = 1_000;
 /** Time given to a started instance to discover others through its seeds, in milliseconds. */
 const PEER_DISCOVERY_DELAY_MS = 700;
-/** Time for which a watch must have been pending to count as one that the registry accepts. */
+/** Duration from which a watch counts as one that the registry has accepted, in milliseconds. */
 const ACCEPTED_WATCH_MS = 1_000;
 /**
  * Shortest outage in which the registration of a live endpoint can lapse, in milliseconds: less than
  * two of the intervals at which endpoints write.
  */
 const MIN_LAPSE_OUTAGE_MS = 2_000;
+
 /** Configures the synchronization with the registry. */
 export interface ControlSyncOptions {
   source: ControlSource;
@@ -312,9 +313,10 @@
     const {members, timers} = this.options;
     const now = timers.now();
     if (now - this.answeredAt < MIN_LAPSE_OUTAGE_MS) return false;
-    return !members.getLive(now).some(({id, isFollowing}) => {
-      return isFollowing && id !== members.getSelf().id;
-    });
+    const {id} = members.getSelf();
+    return !members
+      .getLive(now)
+      .some(other => other.isFollowing && other.id !== id);
   }
 
   private async watch(after: number): Promise<number> {
--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -26,6 +26,8 @@
 /** The connection of a caller with its requests in progress, which may be pipelined. */
 export class CallerConnection implements ConnectionLoad {
   progressAt = 0;
+  /** Number of requests that await the end of their response and were not refused. */
+  admittedRequests = 0;
   private readonly open: PipelinedRequest[] = [];
   private readonly reader: PacedReader;
   private isEnding = false;
@@ -55,11 +57,6 @@
     return this.open.length;
   }
 
-  /** The number of them that were not refused. */
-  get admittedRequests(): number {
-    return this.open.filter(({isRefused}) => !isRefused).length;
-  }
-
   get unreadBytes(): number {
     return this.open.reduce(
       (sum, {reservation}) => sum + (reservation?.bytes ?? 0),
@@ -91,6 +88,7 @@
     const {context} = this;
     const request = new PipelinedRequest(req, res, context.now(), this);
     request.isRefused = !context.hasRoom(this);
+    if (!request.isRefused) this.admittedRequests++;
     this.open.push(request);
     res.once('close', () => this.settle(request));
     context.handleOpened(this, request);
@@ -181,6 +179,7 @@
     const index = this.open.indexOf(request);
     if (index < 0) return;
     this.open.splice(index, 1);
+    if (!request.isRefused) this.admittedRequests--;
     request.settle();
     this.context.handleSettled(this, request);
     if (this.socket.destroyed) return;
