--- a/packages/instance/test/direct/pipelining.test.ts
+++ b/packages/instance/test/direct/pipelining.test.ts
@@ -188,7 +188,9 @@
     // One after the other, so that the requests of the first ones run.
     for (const [i, caller] of callers.entries()) {
       sendHeld(caller, `r${i}`, 100);
-      await sleep(100);
+      await waitFor('its first request runs', () =>
+        stub.ran.includes(`r${i}-0`),
+      );
     }
     // Three connections may stay unread; the others end behind what they have in progress.
     await respondUntil(
