Leave started instances several connections to an endpoint

While the number of instances is unknown, the limit on connections to an endpoint was divided by infinity, which left one, and a request needs a connection of its own.

Change: the limit is divided by 64 meanwhile (getConnectionQuota). An endpoint that accepts 330 connections leaves five to each instance.

--- a/packages/steering/src/direct/connection_quota.ts
+++ b/packages/steering/src/direct/connection_quota.ts
@@ -1,3 +1,9 @@
+/**
+ * Instances that are assumed while their number is not known. A request needs a connection of its
+ * own, so that an instance needs more than one to serve its callers.
+ */
+const ASSUMED_INSTANCES = 64;
+
 /**
  * Returns how many connections one instance may have open to an endpoint, at least one. The
  * quotas of all instances stay within the endpoint's limit without coordination, unless there are
@@ -10,5 +16,6 @@
   instances: number,
 ): number {
   if (maxConnections <= 0) return Infinity;
-  return Math.max(1, Math.floor(maxConnections / Math.max(1, instances)));
+  const divisor = Number.isFinite(instances) ? instances : ASSUMED_INSTANCES;
+  return Math.max(1, Math.floor(maxConnections / Math.max(1, divisor)));
 }
--- a/packages/steering/test/direct/bounds.test.ts
+++ b/packages/steering/test/direct/bounds.test.ts
@@ -66,6 +66,11 @@
     );
     expect(getConnectionQuota(0, 7)).toBe(Infinity);
   });
+
+  it('leaves several connections while the number of instances is unknown (guards against refusals after a start)', () => {
+    expect(getConnectionQuota(330, Infinity)).toBe(5);
+    expect(getConnectionQuota(20, Infinity)).toBe(1);
+  });
 });
 
 describe('ColdRateLimiter', () => {
