Observe event loop delays and accepted connections

Cause: not known. Nothing told a stalled event loop, a process that ended and a listener that takes nothing apart. No logic is changed.

--- a/packages/instance/src/direct/direct_metrics.ts
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -5,6 +5,9 @@
   0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2.5, 5,
 ];
 
+/** Upper bounds of the buckets of event loop delays, in seconds. */
+const DELAY_BUCKETS_S = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4];
+
 /** Prometheus metrics of an instance. */
 export interface DirectMetrics {
   requests: Counter<'service' | 'status' | 'decided_by'>;
@@ -23,8 +26,10 @@
   placements: Counter<'service' | 'endpoint' | 'cache'>;
   popularObjects: Gauge<'service'>;
   configurationVersion: Gauge;
+  eventLoopDelaySeconds: Histogram;
   openRequests: Gauge;
   connections: Gauge<'listener'>;
+  acceptedConnections: Counter<'listener'>;
   closedConnections: Counter<'listener' | 'reason'>;
   pausedConnections: Gauge;
   heldBytes: Gauge<'kind'>;
@@ -134,6 +139,12 @@
       help: 'Version of the configuration in force.',
       registers,
     }),
+    eventLoopDelaySeconds: new Histogram({
+      name: 'primrose_direct_event_loop_delay_seconds',
+      help: 'Delay of a periodic timer, during which nothing is accepted or answered.',
+      buckets: DELAY_BUCKETS_S,
+      registers,
+    }),
     openRequests: new Gauge({
       name: 'primrose_direct_open_requests',
       help: 'Requests that are not answered to the end.',
@@ -145,6 +156,12 @@
       labelNames: ['listener'],
       registers,
     }),
+    acceptedConnections: new Counter({
+      name: 'primrose_direct_accepted_connections_total',
+      help: 'Connections that were accepted, by listener.',
+      labelNames: ['listener'],
+      registers,
+    }),
     closedConnections: new Counter({
       name: 'primrose_direct_closed_connections_total',
       help: 'Connections closed because of a limit, by listener and reason.',
--- a/packages/instance/src/direct/listen/connection_guard.ts
+++ b/packages/instance/src/direct/listen/connection_guard.ts
@@ -32,6 +32,7 @@
     else if (count === change) ledger.markActive(socket);
   };
   server.on('connection', (socket: Socket) => {
+    report.countAccepted(listener);
     if (ledger.size >= maxConnections) {
       const victim = ledger.selectVictim();
       if (victim) {
--- a/packages/instance/src/direct/listen/limit_report.ts
+++ b/packages/instance/src/direct/listen/limit_report.ts
@@ -8,6 +8,7 @@
 /** Counts and logs what was closed or refused because of the limits of the machine. */
 export class LimitReport implements AsyncDisposable {
   private readonly counts = new Map<string, number>();
+  private readonly accepted = new Map<string, number>();
   private readonly subscription: AsyncDisposable;
 
   /**
@@ -35,6 +36,17 @@
     this.count('refused');
   }
 
+  /** Counts a connection that a listener has accepted. */
+  countAccepted(listener: string): void {
+    this.metrics.acceptedConnections.inc({listener});
+    this.accepted.set(listener, this.getAccepted(listener) + 1);
+  }
+
+  /** Returns the number of connections that a listener has accepted since the start. */
+  getAccepted(listener: string): number {
+    return this.accepted.get(listener) ?? 0;
+  }
+
   /** Sets the number of open connections of a listener. */
   setConnections(listener: string, connections: number): void {
     this.metrics.connections.set({listener}, connections);
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -27,6 +27,7 @@
 import {EndpointAgent} from './send/endpoint_agent.js';
 import {EndpointSelector} from './place/endpoint_selector.js';
 import {logLateExchanges} from './control/exchange_log.js';
+import {EventLoopMonitor} from './event_loop_monitor.js';
 import {Gossip} from './control/gossip.js';
 import {GossipSocket} from './control/gossip_socket.js';
 import {NoticeTracker} from './place/notice_tracker.js';
@@ -341,6 +342,12 @@
       utilizationMeter.sample();
       for (const [service, count] of selector.popularObjectCounts) {
         metrics.popularObjects.set({service}, count);
+    new EventLoopMonitor({
+      timers,
+      logger,
+      metrics,
+      getAcceptedConnections: () => limitReport.getAccepted(CALLER_LISTENER),
+    }),
       }
       handler.sweep();
       limitTracker.prune(view.endpointTable);
