Observe configurations that are late

Cause: not known. Datagrams that state a newer version left no line, so that a version that was not heard of could not be told from one that was not received. Change: 'configuration is late' each second while a newer version is known and not in force, 'was late' once it is, and a gauge of the lag. No logic is changed.

--- a/packages/instance/src/direct/control/gossip.ts
+++ b/packages/instance/src/direct/control/gossip.ts
@@ -12,6 +12,7 @@
   splitBroadcast,
 } from '@primrosestage/steering';
 import type {DirectMetrics} from '../direct_metrics.js';
+import type {ConfigurationLag} from './configuration_lag.js';
 import {
   type Datagram,
   decodeDatagram,
@@ -79,6 +80,7 @@
   receiveQuota: (message: QuotaMessage) => void;
   /** Records how far another instance has followed the registry. */
   recordPeerRevision: (revision: number) => void;
+  configurationLag: ConfigurationLag;
 }
 
 /**
@@ -311,6 +313,8 @@
     }
     view.advanceRevision(message.changedRevision, message.revision);
     this.options.recordPeerRevision(message.revision);
+    const {configurationVersion} = message;
+    this.options.configurationLag.recordSeen(configurationVersion, sender.id);
   }
 
   /** Says whether the sender has control state that this instance lacks. */
--- a/packages/instance/src/direct/direct_metrics.ts
+++ b/packages/instance/src/direct/direct_metrics.ts
@@ -26,6 +26,7 @@
   placements: Counter<'service' | 'endpoint' | 'cache'>;
   popularObjects: Gauge<'service'>;
   configurationVersion: Gauge;
+  configurationLagSeconds: Gauge;
   eventLoopDelaySeconds: Histogram;
   openRequests: Gauge;
   connections: Gauge<'listener'>;
@@ -139,6 +140,11 @@
       help: 'Version of the configuration in force.',
       registers,
     }),
+    configurationLagSeconds: new Gauge({
+      name: 'primrose_direct_configuration_lag_seconds',
+      help: 'Time for which another instance has been known to have a newer configuration.',
+      registers,
+    }),
     eventLoopDelaySeconds: new Histogram({
       name: 'primrose_direct_event_loop_delay_seconds',
       help: 'Delay of a periodic timer, during which nothing is accepted or answered.',
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -22,12 +22,13 @@
 import {createLimitControl} from './limits/create_limit_control.js';
 import {ControlSync} from './control/control_sync.js';
 import {QuotaGate} from './limits/quota_gate.js';
+import {ConfigurationLag} from './control/configuration_lag.js';
 import {createDirectMetrics} from './direct_metrics.js';
 import type {DirectSettings} from './direct_settings.js';
 import {EndpointAgent} from './send/endpoint_agent.js';
 import {EndpointSelector} from './place/endpoint_selector.js';
-import {logLateExchanges} from './control/exchange_log.js';
 import {EventLoopMonitor} from './event_loop_monitor.js';
+import {logLateExchanges} from './control/exchange_log.js';
 import {Gossip} from './control/gossip.js';
 import {GossipSocket} from './control/gossip_socket.js';
 import {NoticeTracker} from './place/notice_tracker.js';
@@ -244,6 +245,13 @@
     metrics,
     apply,
   });
+  const configurationLag = new ConfigurationLag({
+    getVersion: () => view.configuration?.version ?? 0,
+    isFollowing: () => sync.isFollowing,
+    timers,
+    logger,
+    metrics,
+  });
   const peerExchange: PeerExchange = new PeerExchange({
     view,
     members,
@@ -276,6 +284,7 @@
     receivePermit: message => limitControl.receive(message),
     receiveQuota: message => quotas.receive(message),
     recordPeerRevision: revision => sync.recordPeerRevision(revision),
+    configurationLag,
   });
   const readinessServer = createReadinessServer(isReady);
   const directoryServer = createDirectoryServer({
@@ -333,8 +342,15 @@
       : undefined,
   ]);
   const subscriptions = [
+    new EventLoopMonitor({
+      timers,
+      logger,
+      metrics,
+      getAcceptedConnections: () => limitReport.getAccepted(CALLER_LISTENER),
+    }),
     timers.every(SWEEP_INTERVAL_MS, () => {
       viewExpiry.run();
+      configurationLag.update();
       for (const id of members.expire(timers.now())) {
         logger.info('instance forgotten', {peer: id});
       }
@@ -342,12 +358,6 @@
       utilizationMeter.sample();
       for (const [service, count] of selector.popularObjectCounts) {
         metrics.popularObjects.set({service}, count);
-    new EventLoopMonitor({
-      timers,
-      logger,
-      metrics,
-      getAcceptedConnections: () => limitReport.getAccepted(CALLER_LISTENER),
-    }),
       }
       handler.sweep();
       limitTracker.prune(view.endpointTable);
