Leave bodies unread on the listeners that expect none

What callers saw: nothing yet. Cause: the directory, readiness and metrics listeners answered at once, but Node.js read the body behind the response to its end: a body in chunks of one byte without an end costs processor time for as long as its caller stays. Change: a connection whose request has a body is not read any more and closes behind the response. Conclusion: these listeners read heads only.

--- a/packages/instance/src/direct/listen/http_servers.ts
+++ b/packages/instance/src/direct/listen/http_servers.ts
@@ -3,6 +3,7 @@
 import type {MemberTable} from '@primrosestage/steering';
 import type {Registry} from 'prom-client';
 import {chooseInstances} from './choose_instances.js';
+import {hasBody} from './read_body.js';
 import type {DirectMetrics} from '../direct_metrics.js';
 import type {DirectSettings} from '../direct_settings.js';
 import type {ServicePaths} from '../wire_names.js';
@@ -26,6 +27,19 @@
   readCallerLocation: (url: URL) => {zone: string; region: string};
 }
 
+/**
+ * Closes the connection of a request with a body behind its response. The servers on which this is
+ * used expect none, and Node.js would read it to its end, however long and costly it is.
+ * @param server - A server whose requests have no bodies.
+ */
+export function leaveBodies(server: http.Server): void {
+  server.prependListener('request', (req, res) => {
+    if (!hasBody(req)) return;
+    res.shouldKeepAlive = false;
+    req.socket.pause();
+  });
+}
+
 /**
  * Creates the server that tells callers which instances to use.
  * @param options - The known instances and the format.
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -44,6 +44,7 @@
   createReadinessServer,
 } from './listen/http_servers.js';
 import {UtilizationMeter} from './control/utilization_meter.js';
+  leaveBodies,
 import {ViewExpiry} from './control/view_expiry.js';
 import {ResponseBuffers} from './send/response_buffers.js';
 import {RetryBudgets} from './send/retry_budgets.js';
@@ -334,6 +335,9 @@
     });
   }
   await Promise.all([
+  for (const server of [readinessServer, directoryServer, metricsServer]) {
+    leaveBodies(server);
+  }
     listen(readinessServer, settings.readinessAddress),
     listen(directoryServer, settings.directoryAddress),
     listen(controlServer, settings.controlAddress),
