Keep given-up buffers within the memory of the machine

What callers saw: processes ended, out of memory, when many chunked bodies stopped just short of their end or went above the limit. Cause: the account of body memory counted what live requests had reserved, not what the process held. Each body in chunks grew through buffers of 4 KiB, 64 KiB, 1 MiB and the limit, and each read of a connection has a buffer of its own; what was replaced, refused or parsed stayed until a garbage collection that Node.js starts at 64 MB and more outside the heap, and fragmented memory. Class: memory that is released in the account before it is free. Change: bodies of unknown length are collected in segments of 64 KiB without copies; those of refused bodies are used again. Buffers that are given up are counted, and garbage is collected each 0.03 of the machine's memory. Bytes that wait to be parsed will count for the same limit. Cost for a request without fault: one counter; a full collection each 6 to 18 MB that are read. Ruled out: counting alone with the buffers as they were (412 MB, trial: memory that was freed in pieces of up to 16 MiB did not return); segments of bodies that were sent used again, since an endpoint may still be reading them.

--- a/packages/instance/src/direct/listen/read_body.ts
+++ b/packages/instance/src/direct/listen/read_body.ts
@@ -1,13 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {RequestBody} from '../send/request_body.js';
+import {BodyParts} from './body_parts.js';
+import type {BodySegments} from './body_segments.js';
 import type {BodyReservation} from './body_buffers.js';
 
-/**
- * Sizes of the buffers for a body of unknown length, in bytes; a longer one gets the largest buffer.
- * Pages that are not written take no memory, whereas each replaced buffer takes some until it is
- * collected.
- */
-const BUFFER_BYTES = [4 * 1024, 64 * 1024, 1024 * 1024];
-
 /** Reason for which a request body could not be read. */
 export enum BodyFault {
   TooLarge = 'too-large',
@@ -22,6 +18,8 @@
   maxBytes: number;
   /** Memory for the body, which the caller of `readBody` disposes of. */
   reservation: BodyReservation;
+  /** Lends the buffers of a body of unknown length. */
+  segments: BodySegments;
 }
 
 /**
@@ -33,6 +31,18 @@
   return headers['transfer-encoding'] !== undefined || length !== '0';
 }
 
+/**
+ * Returns whether the rest of a request's body can be read and dropped at little cost, so that its
+ * connection can be kept. Without a stated length, neither its end nor the cost of its chunks is
+ * known.
+ * @param req - A request whose body may not have arrived whole.
+ * @param maxBytes - Largest body that is accepted, in bytes.
+ */
+export function canSkipBody(req: IncomingMessage, maxBytes: number): boolean {
+  if (req.complete || !hasBody(req)) return true;
+  return Number(req.headers['content-length'] ?? Infinity) <= maxBytes;
+}
+
 /**
  * Buffers the whole body of a request, so that the request can be retried.
  * @param req - The request.
@@ -44,51 +54,79 @@
   req: IncomingMessage,
   res: ServerResponse,
   limits: BodyLimits,
-): Promise<Buffer | undefined | BodyFault> {
+): Promise<RequestBody | undefined | BodyFault> {
   const {maxBytes, reservation} = limits;
   const header = req.headers['content-length'];
   if (!hasBody(req)) {
     req.resume();
-    return Promise.resolve(header === undefined ? undefined : Buffer.alloc(0));
+    const isEmpty = header !== undefined;
+    return Promise.resolve(isEmpty ? {parts: [], length: 0} : undefined);
   }
   const length = Number(header ?? 0);
   if (length > maxBytes) return Promise.resolve(BodyFault.TooLarge);
   if (!reservation.growTo(length)) return Promise.resolve(BodyFault.NoMemory);
-  const knownLength = header === undefined ? undefined : length;
-  return receiveBody(req, res, knownLength, limits);
+  return header === undefined
+    ? receiveChunked(req, res, limits)
+    : receiveWhole(req, res, length);
 }
 
-function receiveBody(
+/** Receives a body of a stated length, which Node.js enforces. */
+async function receiveWhole(
   req: IncomingMessage,
   res: ServerResponse,
-  length: number | undefined,
-  limits: BodyLimits,
-): Promise<Buffer | BodyFault> {
-  const {maxBytes, reservation} = limits;
+  length: number,
+): Promise<RequestBody | BodyFault> {
+  const buffer = Buffer.allocUnsafe(length);
+  let size = 0;
+  const append = (chunk: Buffer) => {
+    size += chunk.copy(buffer, size);
+    return undefined;
+  };
+  const fault = await receive(req, res, append);
+  return fault ?? {parts: [buffer], length: size};
+}
+
+/** Receives a body of unknown length, for which memory is reserved as it grows. */
+async function receiveChunked(
+  req: IncomingMessage,
+  res: ServerResponse,
+  {maxBytes, reservation, segments}: BodyLimits,
+): Promise<RequestBody | BodyFault> {
+  const body = new BodyParts(segments);
+  const append = (chunk: Buffer) => {
+    const size = body.length + chunk.length;
+    if (size > maxBytes) return BodyFault.TooLarge;
+    if (!reservation.growTo(size)) return BodyFault.NoMemory;
+    body.append(chunk);
+    return undefined;
+  };
+  const fault = await receive(req, res, append);
+  if (fault === undefined) return body.finish();
+  body.release();
+  return fault;
+}
+
+/**
+ * Passes the chunks of a body on until its end, or until one is not accepted; the rest is dropped.
+ * @returns Why the body could not be read; undefined if it has arrived whole.
+ */
+function receive(
+  req: IncomingMessage,
+  res: ServerResponse,
+  append: (chunk: Buffer) => BodyFault | undefined,
+): Promise<BodyFault | undefined> {
   return new Promise(resolve => {
-    let buffer: Buffer | undefined = Buffer.allocUnsafe(
-      length ?? getCapacity(0, limits),
-    );
-    let size = 0;
-    const end = (result: Buffer | BodyFault) => {
-      buffer = undefined;
-      resolve(result);
+    let isDone = false;
+    const end = (fault?: BodyFault) => {
+      isDone = true;
+      resolve(fault);
     };
     req.on('data', (chunk: Buffer) => {
-      // The rest of a body that is not accepted is read and dropped.
-      if (!buffer) return;
-      const newSize = size + chunk.length;
-      if (newSize > maxBytes) end(BodyFault.TooLarge);
-      else if (!reservation.growTo(newSize)) end(BodyFault.NoMemory);
-      else {
-        buffer = growTo(buffer, size, newSize, limits);
-        chunk.copy(buffer, size);
-        size = newSize;
-      }
-    });
-    req.on('end', () => {
-      if (buffer) end(buffer.subarray(0, size));
+      if (isDone) return;
+      const fault = append(chunk);
+      if (fault !== undefined) end(fault);
     });
+    req.on('end', () => end());
     const abort = () => end(BodyFault.Aborted);
     req.on('aborted', abort);
     req.on('error', abort);
@@ -96,25 +134,3 @@
     res.on('close', abort);
   });
 }
-
-/** Returns a buffer with the first `size` bytes of the given one and room for `newSize` bytes. */
-function growTo(
-  buffer: Buffer,
-  size: number,
-  newSize: number,
-  limits: BodyLimits,
-): Buffer {
-  if (newSize <= buffer.length) return buffer;
-  const grown = Buffer.allocUnsafe(getCapacity(newSize, limits));
-  buffer.copy(grown, 0, 0, size);
-  return grown;
-}
-
-function getCapacity(
-  bytes: number,
-  {maxBytes, reservation}: BodyLimits,
-): number {
-  const largest = Math.min(maxBytes, reservation.maxBytes);
-  const capacity = BUFFER_BYTES.find(each => each >= bytes) ?? largest;
-  return Math.min(capacity, largest);
-}
--- a/packages/instance/src/direct/listen/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -23,7 +23,8 @@
 import type {RequestExchangeOptions} from './exchange_options.js';
 import {discardHeaders, writeFailure} from '../answer/failure_response.js';
 import {monitorStream} from '../answer/monitor_stream.js';
-import {BodyFault, readBody} from './read_body.js';
+import {BodyFault, canSkipBody, readBody} from './read_body.js';
+import type {RequestBody} from '../send/request_body.js';
 import type {ReceivedResponse} from '../send/response_holder.js';
 import type {PendingOutcome, QuotaOutcome} from '../limits/quota_gate.js';
 import {RetryingSender} from '../send/retrying_sender.js';
@@ -160,6 +161,7 @@
       const body = await readBody(this.req, this.res, {
         maxBytes: maxBodyBytes,
         reservation,
+        segments: this.options.bodySegments,
       });
       await this.forwardBody(route, body, timeoutAt);
     } finally {
@@ -187,7 +189,7 @@
 
   private async forwardBody(
     route: Route,
-    body: Buffer | undefined | BodyFault,
+    body: RequestBody | undefined | BodyFault,
     timeoutAt: number,
   ): Promise<void> {
     const {selector} = this.options;
--- a/packages/instance/src/direct/listen/request_handler.ts
+++ b/packages/instance/src/direct/listen/request_handler.ts
@@ -72,7 +72,8 @@
   /** Observes the callers' reading and updates the metrics of what is held. */
   sweep(): void {
     this.connections.sweep();
-    const {metrics, bodyBuffers, responseBuffers} = this.options;
+    const {metrics, bodyBuffers, bodySegments, responseBuffers} = this.options;
+    bodySegments.trim();
     metrics.heldBytes.set({kind: 'bodies'}, bodyBuffers.usedBytes);
     metrics.heldBytes.set({kind: 'responses'}, responseBuffers.usedBytes);
     metrics.pausedConnections.set(this.connections.pausedConnections);
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -17,6 +17,8 @@
 import type {StartSpan} from '../telemetry/hop_span.js';
 import {Announcer} from './control/announcer.js';
 import {BodyBuffers} from './listen/body_buffers.js';
+import {BodySegments} from './listen/body_segments.js';
+import {createGarbageCollector, DiscardedBuffers} from './discarded_buffers.js';
 import type {ControlSource} from './control/control_source.js';
 import {createChangeHandler} from './control/create_change_handler.js';
 import {createLimitControl} from './limits/create_limit_control.js';
@@ -42,9 +44,9 @@
   createDirectoryServer,
   createMetricsServer,
   createReadinessServer,
+  leaveBodies,
 } from './listen/http_servers.js';
 import {UtilizationMeter} from './control/utilization_meter.js';
-  leaveBodies,
 import {ViewExpiry} from './control/view_expiry.js';
 import {ResponseBuffers} from './send/response_buffers.js';
 import {RetryBudgets} from './send/retry_budgets.js';
@@ -183,6 +185,15 @@
     maxConnections: plan.maxCallerConnections,
     report: limitReport,
   });
+  const bodyBuffers = new BodyBuffers({
+    maxBytes: plan.maxBodyBytes,
+    reservedBytes: plan.reservedBodyBytes,
+  });
+  const discardedBuffers = new DiscardedBuffers(
+    plan.maxUncollectedBytes,
+    createGarbageCollector(),
+  );
+  bodyBuffers.handleReleased = bytes => discardedBuffers.add(bytes);
   const handler = new RequestHandler(callerServer, {
     plan,
     report: limitReport,
@@ -194,10 +205,9 @@
     retryBudgets: new RetryBudgets(settings.bounds, members, timers),
     agent,
     quotas,
-    bodyBuffers: new BodyBuffers({
-      maxBytes: plan.maxBodyBytes,
-      reservedBytes: plan.reservedBodyBytes,
-    }),
+    bodyBuffers,
+    bodySegments: new BodySegments(),
+    discardedBuffers,
     responseBuffers: new ResponseBuffers(plan.maxResponseBytes),
     startQueue: new RequestStartQueue(timers),
     timers,
@@ -325,6 +335,9 @@
       maxConnections: plan.maxAuxiliaryConnections,
     },
   };
+  for (const server of [readinessServer, directoryServer, metricsServer]) {
+    leaveBodies(server);
+  }
   for (const [listener, guarded] of Object.entries(auxiliaryServers)) {
     const {server, maxConnections} = guarded;
     server.keepAliveTimeout = AUXILIARY_IDLE_TIMEOUT_MS;
@@ -335,9 +348,6 @@
     });
   }
   await Promise.all([
-  for (const server of [readinessServer, directoryServer, metricsServer]) {
-    leaveBodies(server);
-  }
     listen(readinessServer, settings.readinessAddress),
     listen(directoryServer, settings.directoryAddress),
     listen(controlServer, settings.controlAddress),
--- a/packages/instance/src/direct/send/retrying_sender.ts
+++ b/packages/instance/src/direct/send/retrying_sender.ts
@@ -11,6 +11,7 @@
   type AttemptResult,
   discardResponse,
 } from './attempt.js';
+import type {RequestBody} from './request_body.js';
 import {AttemptRace, type FinishedAttempt} from './attempt_race.js';
 import {type AttemptRecord, createAttemptRecord} from './attempt_record.js';
 import {Decision} from '../decision.js';
@@ -28,7 +29,7 @@
 export interface SendableRequest {
   req: IncomingMessage;
   requestId: string;
-  body: Buffer | undefined;
+  body: RequestBody | undefined;
   route: Route;
   terms: SelectionTerms;
   /** Account to which the request belongs. */
--- a/packages/instance/src/direct/send/send_attempt.ts
+++ b/packages/instance/src/direct/send/send_attempt.ts
@@ -7,6 +7,7 @@
   type AttemptResult,
   type EndpointResponse,
 } from './attempt.js';
+import type {DiscardedBuffers} from '../discarded_buffers.js';
 import {
   type ConnectionUse,
   type EndpointAgent,
@@ -17,6 +18,7 @@
   judgeResponseHead,
   MISDIRECTED_STATUS,
 } from './judge_response.js';
+import {endWithBody, type RequestBody} from './request_body.js';
 import type {ResponseBuffers, ResponseReservation} from './response_buffers.js';
 import type {WireNames} from '../wire_names.js';
 
@@ -43,7 +45,7 @@
   path: string;
   /** Header names and values. */
   headers: http.OutgoingHttpHeaders;
-  body?: Buffer;
+  body?: RequestBody;
   requestId: string;
   /** Time after which the attempt fails without a response, in milliseconds. */
   timeoutMs: number;
@@ -56,6 +58,8 @@
   agent: EndpointAgent;
   /** Memory for the responses of all requests. */
   responseBuffers: ResponseBuffers;
+  /** Buffers read from connections, which await garbage collection. */
+  discardedBuffers: DiscardedBuffers;
   timers: TimerService;
   names: WireNames;
 }
@@ -142,7 +146,7 @@
       this.end(this.getFailureOutcome(), 'connection closed'),
     );
     this.req.on('response', res => this.tryHandleResponse(res));
-    this.req.end(request.body);
+    endWithBody(this.req, request.body);
   }
 
   /** Cancels the attempt and closes its connection. */
@@ -152,6 +156,7 @@
 
   private watchConnection(socket: Socket): void {
     socket.on('data', this.countBytes);
+    this.countRead(socket);
     const {timers, agent} = this.context;
     this.connectionUse = agent.recordUse(socket, this.request.requestId);
     if (this.connectionUse.idUses > 1) {
@@ -172,6 +177,14 @@
     );
   }
 
+  /** Counts what is read up to the end of the response, which may be streamed. */
+  private countRead(socket: Socket): void {
+    const count = (chunk: Buffer) =>
+      this.context.discardedBuffers.add(chunk.length);
+    socket.on('data', count);
+    this.req.once('close', () => socket.off('data', count));
+  }
+
   /** No bytes are sent before the connection is open, so the request cannot have run until then. */
   private getFailureOutcome(): AttemptOutcome {
     return this.isConnected ? AttemptOutcome.Broken : AttemptOutcome.NotSent;
--- a/packages/instance/src/direct/send/start_attempt.ts
+++ b/packages/instance/src/direct/send/start_attempt.ts
@@ -16,6 +16,8 @@
 import {parseAddress} from '../../http/parse_address.js';
 import type {HopSpan, StartSpan} from '../../telemetry/hop_span.js';
 import {AttemptOutcome} from './attempt.js';
+import type {RequestBody} from './request_body.js';
+import type {DiscardedBuffers} from '../discarded_buffers.js';
 import type {EndpointAgent} from './endpoint_agent.js';
 import type {ResponseBuffers} from './response_buffers.js';
 import {
@@ -61,6 +63,8 @@
   agent: EndpointAgent;
   /** Memory for the responses of all requests. */
   responseBuffers: ResponseBuffers;
+  /** Buffers read from connections, which await garbage collection. */
+  discardedBuffers: DiscardedBuffers;
   timers: TimerService;
   names: WireNames;
   /** Starts spans; undefined if tracing is off. */
@@ -73,7 +77,7 @@
   requestId: string;
   /** The `traceparent` header of the request's span. */
   traceParent: string | undefined;
-  body: Buffer | undefined;
+  body: RequestBody | undefined;
   /** Account to which the request belongs. */
   account: AccountLookup | undefined;
   selection: Omit<SelectionRequest, 'remainingMs'>;
--- a/packages/instance/test/direct/endpoint_agent.test.ts
+++ b/packages/instance/test/direct/endpoint_agent.test.ts
@@ -11,6 +11,7 @@
 import {sendAttempt} from '../../src/direct/send/send_attempt.js';
 import {EndpointStub, renderHead} from './endpoint_stub.js';
 import {HOST, waitFor} from './fleet.js';
+import {DiscardedBuffers} from '../../src/direct/discarded_buffers.js';
 import {ResponseBuffers} from '../../src/direct/send/response_buffers.js';
 import {NAMES} from './names.js';
 
@@ -57,7 +58,7 @@
           [NAMES.deadlineMs]: '1000',
           'content-length': body?.length ?? 0,
         },
-        body,
+        body: body && {parts: [body], length: body.length},
         requestId,
         timeoutMs: 1_000,
         connectTimeoutMs: 1_000,
@@ -66,6 +67,7 @@
         agent,
         timers,
         responseBuffers: new ResponseBuffers(Infinity),
+        discardedBuffers: new DiscardedBuffers(Infinity, () => {}),
         names: NAMES,
       },
     );
--- a/packages/instance/test/direct/endpoint_agent_model.test.ts
+++ b/packages/instance/test/direct/endpoint_agent_model.test.ts
@@ -4,6 +4,7 @@
 import {RealTimerService} from '@primrosestage/common';
 import fc from 'fast-check';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {DiscardedBuffers} from '../../src/direct/discarded_buffers.js';
 import {ResponseBuffers} from '../../src/direct/send/response_buffers.js';
 import {EndpointAgent} from '../../src/direct/send/endpoint_agent.js';
 import {type Attempt, sendAttempt} from '../../src/direct/send/send_attempt.js';
@@ -183,6 +184,7 @@
         agent: this.agent,
         timers: this.timers,
         responseBuffers: new ResponseBuffers(Infinity),
+        discardedBuffers: new DiscardedBuffers(Infinity, () => {}),
         names: NAMES,
       },
     );
--- a/packages/instance/test/direct/misdirected_requests.test.ts
+++ b/packages/instance/test/direct/misdirected_requests.test.ts
@@ -1,5 +1,6 @@
 import {RealTimerService} from '@primrosestage/common';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {DiscardedBuffers} from '../../src/direct/discarded_buffers.js';
 import {ResponseBuffers} from '../../src/direct/send/response_buffers.js';
 import {AttemptOutcome} from '../../src/direct/send/attempt.js';
 import {EndpointAgent} from '../../src/direct/send/endpoint_agent.js';
@@ -53,6 +54,7 @@
       agent,
       timers,
       responseBuffers: new ResponseBuffers(Infinity),
+      discardedBuffers: new DiscardedBuffers(Infinity, () => {}),
       names: NAMES,
     }).result;
   };
--- a/packages/instance/test/direct/reset_responses.test.ts
+++ b/packages/instance/test/direct/reset_responses.test.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
 import {RealTimerService} from '@primrosestage/common';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {DiscardedBuffers} from '../../src/direct/discarded_buffers.js';
 import {ResponseBuffers} from '../../src/direct/send/response_buffers.js';
 import {AttemptOutcome} from '../../src/direct/send/attempt.js';
 import {EndpointAgent} from '../../src/direct/send/endpoint_agent.js';
@@ -129,7 +130,7 @@
         method: 'POST',
         path: '/',
         headers: {host, 'content-length': body.length},
-        body,
+        body: {parts: [body], length: body.length},
         requestId: 'early',
         timeoutMs: 5_000,
         connectTimeoutMs: 1_000,
@@ -138,6 +139,7 @@
         agent,
         timers: new RealTimerService(),
         responseBuffers: new ResponseBuffers(Infinity),
+        discardedBuffers: new DiscardedBuffers(Infinity, () => {}),
         names: NAMES,
       },
     ).result;
--- a/packages/steering/src/direct/plan_resources.ts
+++ b/packages/steering/src/direct/plan_resources.ts
@@ -20,6 +20,7 @@
 const OPEN_REQUEST_MEMORY_PART = 0.06;
 const PAUSED_MEMORY_PART = 0.04;
 const RESPONSE_MEMORY_PART = 0.08;
+const UNCOLLECTED_MEMORY_PART = 0.03;
 /** Part of the heap that connections, and requests in progress, may fill each. */
 const HEAP_PART = 0.25;
 /** Memory of a connection with most of a header of 16 KiB, measured (docs/CAPACITY.md). */
@@ -64,6 +65,8 @@
   maxBodyBytes: number;
   /** Part of `maxBodyBytes` that only small bodies may use. */
   reservedBodyBytes: number;
+  /** Bytes of buffers read from connections and given up at which garbage is collected. */
+  maxUncollectedBytes: number;
   /** Most bytes of responses that are held. */
   maxResponseBytes: number;
 }
@@ -92,6 +95,7 @@
       maxPipelinedRequests: Infinity,
       maxPausedConnections: Infinity,
       ...DEFAULT_BODY_LIMITS,
+      maxUncollectedBytes: Infinity,
       maxResponseBytes: Infinity,
     };
   }
@@ -124,6 +128,7 @@
     ),
     maxBodyBytes: Math.floor(FULL_BODY_BYTES * bodyFraction),
     reservedBodyBytes: Math.floor(FULL_RESERVED_BODY_BYTES * bodyFraction),
+    maxUncollectedBytes: Math.floor(memoryBytes * UNCOLLECTED_MEMORY_PART),
     maxResponseBytes: Math.floor(memoryBytes * RESPONSE_MEMORY_PART),
   };
 }
