Share the time for parsing bodies, and leave refused ones unread

What callers saw: no answer while callers sent bodies in chunks of one byte, and for tens of seconds after they had left. Cause: a body was parsed 64 KiB at once, whatever that took, on as many connections as had data in one event loop iteration; each chunk of one byte is an event of its own, some 80 million for 100 callers with 800 KB. The rest of a refused body was parsed to its end all the same. Class: work per event loop iteration that is bounded in bytes, not in time. A request that is refused before its body has arrived keeps its connection only if the length is stated and accepted; otherwise nothing more is read, and the connection closes 500 ms behind the response, so that no reset overtakes it. Cost for a request without a body: none; with one: two readings of the clock. Ruled out: a limit on the number of chunks (a request within the limits would be refused); closing all refused bodies (a test rightly keeps the connection of one with a stated length).

--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -1,16 +1,30 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {TimerService} from '@primrosestage/common';
 import type {ConnectionLoad} from '@primrosestage/steering';
+import type {BodyBuffers} from './body_buffers.js';
+import type {BodySchedule} from './body_schedule.js';
+import type {DiscardedBuffers} from '../discarded_buffers.js';
 import {PacedReader} from './paced_reader.js';
 import {PipelinedRequest} from './pipelined_request.js';
 
+/**
+ * Time for which a connection stays open behind a response whose caller may still be sending, in
+ * milliseconds. The kernel resets a connection that is closed with unread bytes, and the reset could
+ * overtake the response.
+ */
+const LINGER_MS = 500;
+
 /** What a connection needs of all connections of callers. */
 export interface ConnectionContext {
   /** Most requests of a connection in progress. */
   maxPipelined: number;
   /** Returns whether a request may run more than once. */
   isIdempotent(req: IncomingMessage): boolean;
-  now(): number;
+  timers: TimerService;
+  bodyBuffers: BodyBuffers;
+  discardedBuffers: DiscardedBuffers;
+  bodySchedule: BodySchedule;
   /** Starts a request. */
   start(request: PipelinedRequest): void;
   /** Returns whether a connection may have another request in progress. */
@@ -43,12 +57,14 @@
     readonly socket: Socket,
     private readonly context: ConnectionContext,
   ) {
-    this.reader = new PacedReader(
-      socket,
-      () => this.mayRead(),
-      () => this.isReceivingBody,
-      () => context.handleReading(this),
-    );
+    this.reader = new PacedReader(socket, {
+      mayRead: () => this.mayRead(),
+      isReceivingBody: () => this.isReceivingBody,
+      handleChange: () => context.handleReading(this),
+      handleRead: bytes => context.discardedBuffers.add(bytes),
+      handlePending: bytes => context.bodyBuffers.addPending(bytes),
+      schedule: context.bodySchedule,
+    });
     socket.once('close', () => this.settleAll());
   }
 
@@ -86,7 +102,7 @@
       return;
     }
     const {context} = this;
-    const request = new PipelinedRequest(req, res, context.now(), this);
+    const request = new PipelinedRequest(req, res, context.timers.now(), this);
     request.isRefused = !context.hasRoom(this);
     if (!request.isRefused) this.admittedRequests++;
     this.open.push(request);
@@ -110,6 +126,23 @@
     if (last && !last.res.headersSent) last.res.shouldKeepAlive = false;
   }
 
+  /**
+   * Reads no more of a body that is not wanted, and closes the connection some time behind the
+   * response to its request, which must be the last one.
+   */
+  abandonBody(): void {
+    const {socket} = this;
+    this.stopReading();
+    this.reader.abandon();
+    // Node.js closes a connection behind its last response in this way.
+    socket.destroySoon = () => {
+      socket.end();
+      const {timers} = this.context;
+      const timer = timers.after(LINGER_MS, () => socket.destroy());
+      socket.once('close', () => timer[Symbol.dispose]());
+    };
+  }
+
   /** Resets the connection; its requests no longer count. */
   close(): void {
     this.isEnding = true;
@@ -128,7 +161,7 @@
       return;
     }
     if (this.unreadBytes === request.reservation?.bytes) {
-      this.progressAt = this.context.now();
+      this.progressAt = this.context.timers.now();
     }
     this.context.handleHeld(this);
   }
@@ -138,7 +171,7 @@
     const sent = this.socket.bytesWritten - this.socket.writableLength;
     if (sent === this.sentBytes) return;
     this.sentBytes = sent;
-    this.progressAt = this.context.now();
+    this.progressAt = this.context.timers.now();
   }
 
   /** Whether a response has been begun that closes the connection. */
--- a/packages/instance/src/direct/listen/caller_connections.ts
+++ b/packages/instance/src/direct/listen/caller_connections.ts
@@ -11,6 +11,9 @@
 } from '@primrosestage/steering';
 import type {ResponseBuffers} from '../send/response_buffers.js';
 import {CallerConnection, type ConnectionContext} from './caller_connection.js';
+import type {BodyBuffers} from './body_buffers.js';
+import {BodySchedule} from './body_schedule.js';
+import type {DiscardedBuffers} from '../discarded_buffers.js';
 import type {LimitReport} from './limit_report.js';
 import type {PipelinedRequest} from './pipelined_request.js';
 
@@ -21,6 +24,9 @@
 export interface CallerConnectionsOptions {
   plan: ResourcePlan;
   responseBuffers: ResponseBuffers;
+  bodyBuffers: BodyBuffers;
+  /** Buffers that have been read and are garbage once they are parsed. */
+  discardedBuffers: DiscardedBuffers;
   report: LimitReport;
   timers: TimerService;
   /** Returns whether a request may run more than once. */
@@ -53,11 +59,15 @@
     private readonly options: CallerConnectionsOptions,
   ) {
     const {plan, timers, responseBuffers, isIdempotent, start} = options;
+    const {bodyBuffers, discardedBuffers} = options;
     this.context = {
+      timers,
+      bodyBuffers,
+      discardedBuffers,
+      bodySchedule: new BodySchedule(timers),
       maxPipelined: plan.maxPipelinedRequests,
       isIdempotent,
       start,
-      now: () => timers.now(),
       hasRoom: connection => this.hasRoom(connection),
       handleOpened: (connection, request) =>
         this.handleOpened(connection, request),
--- a/packages/instance/src/direct/listen/paced_reader.ts
+++ b/packages/instance/src/direct/listen/paced_reader.ts
@@ -1,4 +1,5 @@
 import type {Socket} from 'node:net';
+import type {BodySchedule} from './body_schedule.js';
 
 /**
  * Most bytes that are parsed before the requests of a connection are counted again. Node.js reads up
@@ -10,12 +11,32 @@
  * body in the same part are at most those of one read of Node.js.
  */
 const PARSE_BODY_BYTES = 64 * 1024;
+/** Fewest bytes of a body that are parsed at once, however much time they take. */
+const MIN_PARSE_BODY_BYTES = 1024;
+/** Time of parsing a part of a body above which the next part is shorter, in milliseconds. */
+const SLOW_PART_MS = 2;
 /**
  * Bytes that wait to be parsed above which the connection is not read. Up to there it is read, so that
  * the end of the connection is noticed.
  */
 const MAX_PENDING_BYTES = 64 * 1024;
 
+/** What a reader needs of its connection and of all others. */
+export interface PacedReaderOptions {
+  /** Returns whether a further request is wanted. */
+  mayRead: () => boolean;
+  /** Returns whether the body of a request has not arrived whole. */
+  isReceivingBody: () => boolean;
+  /** Called when reading has stopped or goes on. */
+  handleChange: () => void;
+  /** Called with the number of bytes that have been read. */
+  handleRead: (bytes: number) => void;
+  /** Called with the change of the number of bytes that wait to be parsed. */
+  handlePending: (bytes: number) => void;
+  /** The time for parsing the bodies of all connections. */
+  schedule: BodySchedule;
+}
+
 /**
  * Passes what a caller sends to the HTTP parser in small parts, and stops reading from the
  * connection when no further request is wanted.
@@ -25,27 +46,30 @@
   private isHeld = false;
   private isParsing = false;
   private isDiscarding = false;
+  private isAbandoned = false;
+  private bodyPartBytes = PARSE_BODY_BYTES;
   /** Whether this reader has paused the connection; Node.js does so too, for its own reasons. */
   private hasPaused = false;
   private readonly parsers: ReturnType<Socket['listeners']>;
+  private readonly takeTurn = () => {
+    if (!this.isHeld) this.resume();
+    this.parse();
+  };
 
   /**
    * Takes the place of the parser as the reader of a connection.
    * @param socket - A connection that an HTTP server has just accepted.
-   * @param mayRead - Returns whether a further request is wanted.
-   * @param isReceivingBody - Returns whether the body of a request has not arrived whole.
-   * @param handleChange - Called when reading has stopped or goes on.
+   * @param options - Its connection and the time that all share.
    */
   constructor(
     private readonly socket: Socket,
-    private readonly mayRead: () => boolean,
-    private readonly isReceivingBody: () => boolean,
-    private readonly handleChange: () => void,
+    private readonly options: PacedReaderOptions,
   ) {
     this.parsers = socket.listeners('data');
     socket.removeAllListeners('data');
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('resume', () => this.handleResume());
+    socket.once('close', () => this.dropPending());
   }
 
   /** Whether reading has stopped because no further request is wanted. */
@@ -55,15 +79,13 @@
 
   /** Stops or resumes reading, as wanted. */
   update(): void {
-    const isHeld = !this.mayRead();
+    const isHeld = !this.options.mayRead();
     if (isHeld === this.isHeld) return;
     this.isHeld = isHeld;
-    this.handleChange();
+    this.options.handleChange();
     if (isHeld) this.pauseIfFull();
-    else if (this.hasPaused) {
-      this.hasPaused = false;
-      this.socket.resume();
-    } else this.parse();
+    else if (this.hasPaused) this.resume();
+    else this.parse();
   }
 
   /**
@@ -72,10 +94,15 @@
    */
   discard(): void {
     this.isDiscarding = true;
-    this.pending = undefined;
-    if (!this.hasPaused) return;
-    this.hasPaused = false;
-    this.socket.resume();
+    this.dropPending();
+    this.resume();
+  }
+
+  /** Drops what has not been parsed and reads nothing more, not even the end of the connection. */
+  abandon(): void {
+    this.isAbandoned = true;
+    this.dropPending();
+    this.socket.pause();
   }
 
   private pauseIfFull(): void {
@@ -89,16 +116,37 @@
     this.socket.pause();
   }
 
+  private resume(): void {
+    if (!this.hasPaused) return;
+    this.hasPaused = false;
+    this.socket.resume();
+  }
+
   private receive(chunk: Buffer): void {
-    if (this.isDiscarding) return;
-    this.pending = this.pending ? Buffer.concat([this.pending, chunk]) : chunk;
+    this.options.handleRead(chunk.length);
+    if (this.isDiscarding || this.isAbandoned) return;
+    this.setPending(
+      this.pending ? Buffer.concat([this.pending, chunk]) : chunk,
+    );
     if (this.isHeld) this.pauseIfFull();
     else this.parse();
   }
 
+  private setPending(pending: Buffer | undefined): void {
+    const change = (pending?.length ?? 0) - (this.pending?.length ?? 0);
+    this.pending = pending;
+    this.options.handlePending(change);
+  }
+
+  private dropPending(): void {
+    this.setPending(undefined);
+    this.options.schedule.remove(this.takeTurn);
+  }
+
   /** Node.js resumes a connection to read a body or after it has sent responses. */
   private handleResume(): void {
-    if (this.isHeld) this.pauseIfFull();
+    if (this.isAbandoned) this.socket.pause();
+    else if (this.isHeld) this.pauseIfFull();
     else this.parse();
   }
 
@@ -114,16 +162,38 @@
   }
 
   private parsePending(): void {
-    const {socket} = this;
+    const {socket, options} = this;
     while (this.pending && !socket.destroyed) {
       if (this.isHeld || socket.isPaused()) return;
-      const {pending} = this;
-      const bytes = this.isReceivingBody() ? PARSE_BODY_BYTES : PARSE_BYTES;
-      this.pending =
-        pending.length > bytes ? pending.subarray(bytes) : undefined;
-      const part = pending.subarray(0, bytes);
-      for (const parser of this.parsers) parser.call(socket, part);
+      if (!options.isReceivingBody()) this.parsePart(PARSE_BYTES);
+      else if (options.schedule.hasTime) this.parseBodyPart();
+      else {
+        // What has been read already waits, and nothing more is read meanwhile.
+        this.pause();
+        options.schedule.wait(this.takeTurn);
+        return;
+      }
       this.update();
     }
   }
+
+  /** Parses a part of a body; a part is shorter the more time its bytes take. */
+  private parseBodyPart(): void {
+    const bytes = this.bodyPartBytes;
+    const ms = this.options.schedule.measure(() => this.parsePart(bytes));
+    this.bodyPartBytes =
+      ms > SLOW_PART_MS
+        ? Math.max(MIN_PARSE_BODY_BYTES, bytes / 2)
+        : Math.min(PARSE_BODY_BYTES, bytes * 2);
+  }
+
+  private parsePart(bytes: number): void {
+    const {pending, socket} = this;
+    if (!pending) return;
+    this.setPending(
+      pending.length > bytes ? pending.subarray(bytes) : undefined,
+    );
+    const part = pending.subarray(0, bytes);
+    for (const parser of this.parsers) parser.call(socket, part);
+  }
 }
--- a/packages/instance/src/direct/listen/pipelined_request.ts
+++ b/packages/instance/src/direct/listen/pipelined_request.ts
@@ -36,6 +36,11 @@
     return this.res.headersSent && !this.res.shouldKeepAlive;
   }
 
+  /** Reads no more of its body, and closes the connection behind its response. */
+  abandonBody(): void {
+    this.connection.abandonBody();
+  }
+
   /** Releases what is held for it. */
   settle(): void {
     this.reservation?.[Symbol.dispose]();
--- a/packages/instance/src/direct/listen/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -393,11 +393,13 @@
       this.retryAfterMs = this.computeRetryAfterMs(decision);
       this.quota?.giveBack();
     }
-    const isBodyAwaited = decision === Decision.TimedOut && !this.req.complete;
+    const {isLast} = this.request;
+    const leavesBody = isLast && this.leavesBody(status, decision);
     const {requestId, retryAfterMs} = this;
     const {names} = this.options;
     try {
       if (!this.res.destroyed) {
+        if (leavesBody) this.request.abandonBody();
         writeFailure(this.res, {
           status,
           requestId:
@@ -405,9 +407,7 @@
               ? undefined
               : {name: names.requestId, value: requestId},
           retryAfterMs,
-          closesConnection:
-            (status === 413 || status === 431 || isBodyAwaited) &&
-            this.request.isLast,
+          closesConnection: leavesBody || (isLast && status === 431),
         });
       }
     } catch (err) {
@@ -417,6 +417,14 @@
     this.recordCompletion(status, decision);
   }
 
+  /** Says whether the rest of the request's body is not read, so that its connection must close. */
+  private leavesBody(status: number, decision: Decision): boolean {
+    if (status === 413) return true;
+    const isAwaited = decision === Decision.TimedOut && !this.req.complete;
+    const {limits} = this.options.view.configuration ?? {};
+    return isAwaited || !canSkipBody(this.req, limits?.maxBodyBytes ?? 0);
+  }
+
   private computeRetryAfterMs(decision: Decision): number {
     const {timers, random} = this.options;
     const capacityInMs =
--- a/packages/instance/src/direct/listen/request_handler.ts
+++ b/packages/instance/src/direct/listen/request_handler.ts
@@ -1,4 +1,4 @@
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {isIdempotent, type ResourcePlan} from '@primrosestage/steering';
 import {writeFailure} from '../answer/failure_response.js';
@@ -87,7 +87,7 @@
 
   private start(request: PipelinedRequest): void {
     if (request.isRefused) {
-      this.refuse(request.req, request.res);
+      this.refuse(request);
       return;
     }
     this.openCount++;
@@ -105,20 +105,23 @@
   }
 
   /** Refuses a request at little cost: without a log line of its own. */
-  private refuse(req: IncomingMessage, res: ServerResponse): void {
+  private refuse(request: PipelinedRequest): void {
+    const {req, res} = request;
     const {metrics, names} = this.options;
+    const leavesBody = hasBody(req) && !req.complete;
     metrics.requests.inc({
       service: '',
       status: 503,
       decided_by: Decision.TooManyRequests,
     });
     const id = req.headers[names.requestId];
+    if (leavesBody) request.abandonBody();
     writeFailure(res, {
       status: 503,
       requestId:
         typeof id === 'string' ? {name: names.requestId, value: id} : undefined,
       retryAfterMs: REFUSED_RETRY_AFTER_MS,
-      closesConnection: hasBody(req) && !req.complete,
+      closesConnection: leavesBody,
     });
   }
 }
--- a/packages/instance/test/direct/caller_connections.test.ts
+++ b/packages/instance/test/direct/caller_connections.test.ts
@@ -3,6 +3,8 @@
 import {RealTimerService} from '@primrosestage/common';
 import {planResources} from '@primrosestage/steering';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {BodyBuffers} from '../../src/direct/listen/body_buffers.js';
+import {DiscardedBuffers} from '../../src/direct/discarded_buffers.js';
 import {handleClientErrors} from '../../src/direct/listen/client_errors.js';
 import {CallerConnections} from '../../src/direct/listen/caller_connections.js';
 import type {LimitReport} from '../../src/direct/listen/limit_report.js';
@@ -24,6 +26,8 @@
     const connections = new CallerConnections(server, {
       plan: {...planResources(undefined, Infinity), maxPipelinedRequests: 2},
       responseBuffers: new ResponseBuffers(Infinity),
+      bodyBuffers: new BodyBuffers({maxBytes: Infinity, reservedBytes: 0}),
+      discardedBuffers: new DiscardedBuffers(Infinity, () => {}),
       report: {} as LimitReport,
       timers: new RealTimerService(),
       isIdempotent: ({method}) => method === 'GET',
--- a/packages/instance/test/direct/large_bodies.test.ts
+++ b/packages/instance/test/direct/large_bodies.test.ts
@@ -119,6 +119,14 @@
     expect(received.text).toMatch(/^HTTP\/1\.1 200 /);
   });
 
+  it('serves a single body in chunks of one byte', async () => {
+    const received = sendHead('Transfer-Encoding: chunked');
+    received.socket.write('1\r\nx\r\n'.repeat(200_000));
+    received.socket.write('0\r\n\r\n');
+    await waitFor('it is answered', () => received.text.includes('answer of'));
+    expect(received.text).toMatch(/^HTTP\/1\.1 200 /);
+  });
+
   it('refuses a body in chunks as soon as there is no memory for it', async () => {
     sendLargeHead();
     sendLargeHead();
