Send small changes of the configuration in the datagrams that announce them

Cause, shown: a version spreads by a datagram with its number, after which each instance pulls the whole configuration in an exchange. Class: a change that waits for an answer where the way to the instance is free. Change: the datagram carries the difference to the version before, up to 8,000 characters, with a hash of the result. An instance that has that version takes it over and passes it on at once; all others pull as before. Measured: the test in gossip.test.ts fails on (origins are addresses, that is exchanges) and holds; a property over random configurations. Cost for a request: none. For a change: its difference is made once and the configuration hashed once per instance, instead of an exchange. Ruled out: longer timeouts of exchanges, whose answers would come too late.

--- a/packages/instance/src/direct/control/create_change_handler.ts
+++ b/packages/instance/src/direct/control/create_change_handler.ts
@@ -1,8 +1,10 @@
 import type http from 'node:http';
 import type {EventLogger, TimerService} from '@primrosestage/common';
 import {
+  type ConfigurationDelta,
   type ControlChanges,
   type ControlView,
+  createConfigurationDelta,
   EndpointEffect,
   getEra,
   type RouteConfiguration,
@@ -25,8 +27,11 @@
   timers: TimerService;
   logger: EventLogger;
   metrics: DirectMetrics;
-  /** Broadcasts the changes of the view since a revision to other instances. */
-  broadcast: (since: number) => void;
+  /**
+   * Broadcasts the changes of the view since a revision to other instances, with the change of the
+   * configuration if there is one.
+   */
+  broadcast: (since: number, delta: ConfigurationDelta | undefined) => void;
   /** Broadcasts what this instance holds against the registry's older copy. */
   broadcastCorrections: () => void;
   /** Called after changes with which the grace period of an endpoint has begun. */
@@ -49,6 +54,7 @@
   const {view, timers, logger, metrics} = options;
   return (changes, from) => {
     const since = view.revision;
+    const before = view.configuration;
     const wasComplete = view.isComplete;
     const effects = view.apply(changes, timers.now());
     logEffects(effects, {view, from, now: timers.now()}, logger);
@@ -62,7 +68,11 @@
       options.broadcastCorrections();
     }
     const isIncremental = changes.isFromRegistry === true && !changes.isFull;
-    if (isIncremental && hasEffects(effects)) options.broadcast(since);
+    if (isIncremental && hasEffects(effects)) {
+      const after = effects.configuration;
+      const delta = before && after && createConfigurationDelta(before, after);
+      options.broadcast(since, delta);
+    }
     if (view.isComplete) options.handleComplete();
     const {configuration} = effects;
     if (!configuration) return;
--- a/packages/instance/src/direct/control/gossip.ts
+++ b/packages/instance/src/direct/control/gossip.ts
@@ -1,5 +1,7 @@
 import type {EventLogger, StepError, TimerService} from '@primrosestage/common';
 import {
+  applyConfigurationDelta,
+  type ConfigurationDelta,
   type ControlChanges,
   type ControlView,
   type EndpointLimits,
@@ -44,6 +46,8 @@
 const MAX_LIMITS = 32;
 /** Limit on corrected endpoints per datagram, so that few networks fragment it. */
 const MAX_CORRECTIONS = 4;
+/** Limit on the characters of a change of the configuration in a datagram; larger ones are pulled. */
+const MAX_DELTA_CHARS = 8_000;
 /** Minimum time between two broadcasts of changed rate limits, in milliseconds. */
 const LIMIT_BROADCAST_INTERVAL_MS = 400;
 /** Minimum time between two pulls of members, in milliseconds. */
@@ -83,6 +87,9 @@
   configurationLag: ConfigurationLag;
 }
 
+/** What a datagram carries beside the state of its sender. */
+type GossipContent = Pick<GossipMessage, 'changes' | 'configurationDelta'>;
+
 /**
  * Spreads heartbeats and changes by datagrams of bounded size. Each round sends to a few random
  * instances. Changes of the control state and of this instance's own state are also broadcast at
@@ -120,12 +127,19 @@
   /**
    * Broadcasts changes of this instance's view at once.
    * @param since - Revision up to which the view was complete before.
+   * @param configurationDelta - The change of the configuration, if there is one.
    */
-  broadcastChanges(since: number): void {
+  broadcastChanges(
+    since: number,
+    configurationDelta?: ConfigurationDelta,
+  ): void {
     const {view, timers} = this.options;
     const changes = view.getChangesAfter(since, timers.now());
     const parts = splitChanges({since, ...changes});
-    for (const part of parts) this.broadcastToAllRegions(part);
+    const delta = isSmall(configurationDelta) ? configurationDelta : undefined;
+    for (const [i, part] of parts.entries()) {
+      this.broadcastToAllRegions(part, i === 0 ? delta : undefined);
+    }
   }
 
   /** Broadcasts what this instance holds against the registry's older copy. */
@@ -193,14 +207,18 @@
   }
 
   /** Starts a broadcast tree over each region; in another region, its root is a random instance. */
-  private broadcastToAllRegions(changes?: GossipChanges): void {
+  private broadcastToAllRegions(
+    changes?: GossipChanges,
+    configurationDelta?: ConfigurationDelta,
+  ): void {
     const {members, timers, self, random} = this.options;
     const {region} = self();
-    this.broadcastToRegion(changes);
+    const content = {changes, configurationDelta};
+    this.broadcastToRegion(content);
     const live = members.getLive(timers.now());
     for (const [other, ring] of groupByRegion(live)) {
       if (other === region) continue;
-      const message = this.createMessage(ring.length - 1, changes);
+      const message = this.createMessage(ring.length - 1, content);
       for (const root of pickRandom(ring, 1, random)) {
         this.send(root, message);
       }
@@ -244,7 +262,9 @@
       const silent = members.getOthers().filter(other => !liveSet.has(other));
       for (const other of pickRandom(silent, 1, random)) targets.add(other);
     }
-    for (const target of targets) this.send(target, this.createMessage(0));
+    for (const target of targets) {
+      this.send(target, this.createMessage(0, {}));
+    }
     this.pullFromSeed(live);
   }
 
@@ -305,18 +325,38 @@
 
   private applyMessage(message: GossipMessage): void {
     const {view, exchange, apply} = this.options;
-    const {sender, changes} = message;
+    const {sender, changes, configurationDelta} = message;
     this.options.mergeLimits(message.limits ?? []);
     exchange.mergeMembers([sender, ...message.members], message.heartbeats);
     if (changes && view.isComplete && view.revision >= changes.since) {
       apply(changes, sender.id);
     }
+    if (configurationDelta) this.applyDelta(configurationDelta, sender.id);
     view.advanceRevision(message.changedRevision, message.revision);
     this.options.recordPeerRevision(message.revision);
     const {configurationVersion} = message;
     this.options.configurationLag.recordSeen(configurationVersion, sender.id);
   }
 
+  /** Takes a change of the configuration over if it leads on from the one in force. */
+  private applyDelta(delta: ConfigurationDelta, from: string): void {
+    const {view, apply} = this.options;
+    const configuration =
+      view.configuration && applyConfigurationDelta(view.configuration, delta);
+    if (!configuration) return;
+    const {revision} = view;
+    apply(
+      {
+        revision,
+        isFull: false,
+        endpoints: [],
+        evacuations: [],
+        configuration,
+      },
+      from,
+    );
+  }
+
   /** Says whether the sender has control state that this instance lacks. */
   private isBehind(message: GossipMessage): boolean {
     const {view} = this.options;
@@ -354,28 +394,35 @@
     before: number,
     receivedAt: number,
   ): void {
-    const {reach, changes, sender} = message;
+    const {reach, changes, configurationDelta, sender} = message;
     const {self, timers} = this.options;
     const isRemote = sender.region !== self().region;
     if (isRemote && changes && this.getStateCounter() === before) return;
     if (reach === 0) return;
     const heldMs = timers.now() - receivedAt;
-    this.broadcastToRegion(changes && shortenGrace(changes, heldMs), reach);
+    const content = {
+      changes: changes && shortenGrace(changes, heldMs),
+      configurationDelta,
+    };
+    this.broadcastToRegion(content, reach);
   }
 
   /** Sends a message to the next instances of the broadcast tree over the region's ring. */
-  private broadcastToRegion(changes?: GossipChanges, reach = Infinity): void {
+  private broadcastToRegion(content: GossipContent, reach = Infinity): void {
     const {members, timers, self} = this.options;
     const {id, region} = self();
     const ring = members.getRing(region, timers.now());
     const index = ring.findIndex(other => other.id === id);
     for (const branch of splitBroadcast(Math.min(reach, ring.length - 1))) {
       const target = ring[(index + branch.offset) % ring.length];
-      if (target) this.send(target, this.createMessage(branch.reach, changes));
+      if (target) this.send(target, this.createMessage(branch.reach, content));
     }
   }
 
-  private createMessage(reach: number, changes?: GossipChanges): GossipMessage {
+  private createMessage(
+    reach: number,
+    {changes, configurationDelta}: GossipContent,
+  ): GossipMessage {
     const {limits, timers, exchange} = this.options;
     const now = timers.now();
     return {
@@ -387,6 +434,7 @@
         ? []
         : this.dissemination.getRecentChanges(MAX_ANNOUNCEMENTS, now),
       changes,
+      configurationDelta,
       limits: changes ? [] : limits.selectShared(MAX_LIMITS, now),
       reach,
     };
@@ -412,6 +460,10 @@
   }
 }
 
+function isSmall(delta: ConfigurationDelta | undefined): boolean {
+  return JSON.stringify(delta ?? '').length <= MAX_DELTA_CHARS;
+}
+
 function groupByRegion(
   infos: readonly MemberInfo[],
 ): Map<string, MemberInfo[]> {
--- a/packages/instance/src/direct/control/gossip_message.ts
+++ b/packages/instance/src/direct/control/gossip_message.ts
@@ -5,6 +5,7 @@
 } from '../limits/permit_message.js';
 import {isQuotaMessage, type QuotaMessage} from '../limits/quota_message.js';
 import type {
+  ConfigurationDelta,
   ControlChanges,
   Heartbeats,
   MemberInfo,
@@ -38,6 +39,8 @@
   /** Announcements that changed recently. */
   members: MemberInfo[];
   changes?: GossipChanges;
+  /** The change that led to the sender's configuration, if it is small. */
+  configurationDelta?: ConfigurationDelta;
   /** Rate limits of endpoints, the recently changed ones first; earlier versions send none. */
   limits?: SharedLimit[];
   /** Number of members after the receiver on the region's ring that are reached through it. */
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -227,7 +227,7 @@
     timers,
     logger,
     metrics,
-    broadcast: since => gossip.broadcastChanges(since),
+    broadcast: (since, delta) => gossip.broadcastChanges(since, delta),
     broadcastCorrections: () => gossip.broadcastCorrections(),
     handleLapse: () => viewExpiry.schedule(),
     handleComplete: () => void startServing(),
--- a/packages/instance/test/direct/gossip.test.ts
+++ b/packages/instance/test/direct/gossip.test.ts
@@ -71,6 +71,30 @@
     }
   }, 20_000);
 
+  // Behind a full link, an exchange takes seconds; a datagram needs no answer.
+  it('guards against a change of the configuration that waits for an exchange', async () => {
+    const registry = new MemoryRegistry();
+    putConfiguration(registry, 1, [createRoute()]);
+    putEndpoint(registry, await fleet.startEndpoint('e1'));
+    const all = await startFleet(registry, 6);
+    await waitFor('only one follows', () =>
+      all
+        .slice(1)
+        .every(test => getLines(test, 'no longer following registry').length),
+    );
+    const added = createRoute({name: 'added', prefix: '/added/'});
+    putConfiguration(registry, 2, [createRoute(), added]);
+    const getOrigin = (test: TestInstance) => {
+      const line = getLines(test, 'configuration in force').at(-1);
+      return line?.fields['version'] === 2 ? line.fields['from'] : undefined;
+    };
+    await waitFor('it is in force', () => all.every(getOrigin));
+    const ids = all.map(({settings}) => settings.id);
+    expect([...ids, 'registry']).toEqual(
+      expect.arrayContaining(all.map(getOrigin)),
+    );
+  }, 20_000);
+
   it('lets one instance watch at a system start (guards against one watch per instance)', async () => {
     const registry = new MemoryRegistry();
     putConfiguration(registry, 1, [createRoute()]);
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -34,6 +34,11 @@
   RouteConfiguration,
   RouteTarget,
 } from './route.js';
+export {
+  applyConfigurationDelta,
+  type ConfigurationDelta,
+  createConfigurationDelta,
+} from './configuration_delta.js';
 export {RouteTable} from './route_table.js';
 export {
   getEra,
--- /dev/null
+++ b/packages/steering/test/direct/configuration_delta.test.ts
@@ -0,0 +1,121 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  applyConfigurationDelta,
+  createConfigurationDelta,
+  RequestKind,
+  type RouteConfiguration,
+} from '../../src/direct/index.js';
+
+const LIMITS = {
+  maxHeaderBytes: 1,
+  maxBodyBytes: 1,
+  headerTimeoutMs: 1,
+  idleTimeoutMs: 1,
+};
+const entries = fc.uniqueArray(
+  fc.record({
+    name: fc.constantFrom<string>('a', 'b', 'c', 'd'),
+    value: fc.nat(2),
+  }),
+  {selector: ({name}) => name, maxLength: 4},
+);
+const configurations = fc.record({
+  routes: entries,
+  services: entries,
+  accounts: fc.option(entries, {nil: undefined}),
+});
+
+type Content = typeof configurations extends fc.Arbitrary<infer T> ? T : never;
+
+function createConfiguration(
+  version: number,
+  {routes, services, accounts}: Content,
+): RouteConfiguration {
+  return {
+    version,
+    limits: LIMITS,
+    routes: routes.map(({name, value}) => ({
+      name,
+      host: 'shop.example',
+      prefix: `/${name}/`,
+      kind: RequestKind.Safe,
+      targets: [{service: name, weight: 1}],
+      timeoutMs: value,
+      objectiveMs: 0,
+      priority: 0,
+      attempts: 1,
+      isSticky: false,
+      homeRegions: [],
+    })),
+    services: new Map(
+      services.map(({name, value}) => [
+        name,
+        {
+          name,
+          healthPath: '/',
+          maxConnections: value,
+          coldMs: 0,
+          coldPerSecond: 0,
+        },
+      ]),
+    ),
+    accounts: accounts?.map(({name, value}) => ({
+      name,
+      keys: [`key-${value}`],
+      ratePerSecond: 0,
+      burst: 0,
+      homeRegions: [],
+    })),
+  };
+}
+
+describe('a difference of configurations', () => {
+  it('guards against a configuration that differs from the one that was read', () => {
+    fc.assert(
+      fc.property(configurations, configurations, (first, second) => {
+        const before = createConfiguration(1, first);
+        const after = createConfiguration(4, second);
+        const delta = createConfigurationDelta(before, after);
+        if (!delta) return;
+        const sent = JSON.parse(JSON.stringify(delta)) as typeof delta;
+        expect(applyConfigurationDelta(before, sent)).toEqual(after);
+      }),
+      {seed: 20_261_207, numRuns: 500},
+    );
+  });
+
+  it('guards against a difference that is applied to another configuration', () => {
+    const content = (value: number): Content => ({
+      routes: [{name: 'a', value}],
+      services: [],
+      accounts: undefined,
+    });
+    const before = createConfiguration(1, content(0));
+    const after = createConfiguration(2, {
+      ...content(0),
+      services: [{name: 'b', value: 1}],
+    });
+    const delta = createConfigurationDelta(before, after)!;
+    expect(delta.routes.set).toEqual([]);
+    expect(applyConfigurationDelta(before, delta)).toEqual(after);
+    const later = createConfiguration(3, content(0));
+    expect(applyConfigurationDelta(later, delta)).toBeUndefined();
+    const other = createConfiguration(1, content(1));
+    expect(applyConfigurationDelta(other, delta)).toBeUndefined();
+  });
+
+  it('gives no difference where the order of entries changes', () => {
+    const create = (version: number, names: string[]) =>
+      createConfiguration(version, {
+        routes: names.map(name => ({name, value: 0})),
+        services: [],
+        accounts: undefined,
+      });
+    const delta = createConfigurationDelta(
+      create(1, ['a', 'b']),
+      create(2, ['b', 'a']),
+    );
+    expect(delta).toBeUndefined();
+  });
+});
