Try an address again that cannot be used yet

Cause, found by reading and shown by a test: an instance that starts while one of its addresses cannot be used, since a process that is ending still has it or the network interface is not up yet, gives up at the first try and runs on without ever serving. Readiness is kept beside the callers' listener instead of following from it. Whether the operators saw this is suspected only. Class: a start that is tried once. Cost for a request: none. Ruled out: ending the process, which the platform would start again, but a supervisor that limits restarts would not.

--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -39,6 +39,7 @@
 import {handleClientErrors} from './listen/client_errors.js';
 import {guardConnections} from './listen/connection_guard.js';
 import {LimitReport} from './listen/limit_report.js';
+import {retryWhileTaken} from './listen/retry_while_taken.js';
 import {QUIET_PERIOD_MS, runPlannedStop} from './listen/planned_stop.js';
 import {
   createDirectoryServer,
@@ -127,7 +128,18 @@
   const agent = new EndpointAgent(undefined, plan.maxEndpointConnections);
   let stopSchedule: StopSchedule | undefined;
   let servingSince: number | undefined;
-  const isReady = () => !stopSchedule && servingSince !== undefined;
+  const isReady = () =>
+    !stopSchedule && servingSince !== undefined && callerServer.listening;
+  const disposal = new AbortController();
+  const open = (address: string, openSocket: () => Promise<void>) =>
+    retryWhileTaken(openSocket, {
+      address,
+      timers,
+      logger,
+      signal: disposal.signal,
+    });
+  const startListening = (server: http.Server, address: string) =>
+    open(address, () => listen(server, address));
   const utilizationMeter = new UtilizationMeter();
   const announcer = new Announcer(settings, timers);
   const self = (): MemberInfo =>
@@ -237,7 +249,8 @@
   const startServing = async () => {
     if (hasStartedServing) return;
     hasStartedServing = true;
-    await listen(callerServer, settings.callerAddress);
+    const isOpen = await startListening(callerServer, settings.callerAddress);
+    if (!isOpen) return;
     servingSince = timers.now();
     logger.info('serving', {
       configuration: view.configuration?.version,
@@ -348,11 +361,11 @@
     });
   }
   await Promise.all([
-    listen(readinessServer, settings.readinessAddress),
-    listen(directoryServer, settings.directoryAddress),
-    listen(controlServer, settings.controlAddress),
+    startListening(readinessServer, settings.readinessAddress),
+    startListening(directoryServer, settings.directoryAddress),
+    startListening(controlServer, settings.controlAddress),
     options.metricsAddress !== undefined
-      ? listen(metricsServer, options.metricsAddress)
+      ? startListening(metricsServer, options.metricsAddress)
       : undefined,
   ]);
   const subscriptions = [
@@ -384,7 +397,7 @@
       quotas.reportUse();
     }),
   ];
-  await gossip.start();
+  await open(settings.gossipAddress, () => gossip.start());
   sync.start();
   logger.info('instance started', {
     zone: settings.zone,
@@ -412,6 +425,7 @@
       });
     },
     [Symbol.asyncDispose]: async () => {
+      disposal.abort();
       for (const subscription of subscriptions) {
         await subscription[Symbol.asyncDispose]();
       }
@@ -438,6 +452,9 @@
   const {host, port} = parseAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen({host, port, backlog: 1_024}, resolve);
+    server.listen({host, port, backlog: 1_024}, () => {
+      server.off('error', reject);
+      resolve();
+    });
   });
 }
