Send the latest changes of the configuration with each datagram for 3 s

Change: all datagrams of the next 3 s carry the latest differences as a chain, up to 8,000 characters, so that one from any instance suffices, also after a version was missed. Cost for a request: none; datagrams of 3 s after a change are longer by what the change is. Conclusion: exchanges remain for large changes, and for instances that have missed more than 3 s.

--- a/packages/instance/src/direct/control/gossip.ts
+++ b/packages/instance/src/direct/control/gossip.ts
@@ -10,6 +10,7 @@
   type MemberInfo,
   type MemberTable,
   pickRandom,
+  RecentDeltas,
   type SharedLimit,
   splitBroadcast,
 } from '@primrosestage/steering';
@@ -46,8 +47,6 @@
 const MAX_LIMITS = 32;
 /** Limit on corrected endpoints per datagram, so that few networks fragment it. */
 const MAX_CORRECTIONS = 4;
-/** Limit on the characters of a change of the configuration in a datagram; larger ones are pulled. */
-const MAX_DELTA_CHARS = 8_000;
 /** Minimum time between two broadcasts of changed rate limits, in milliseconds. */
 const LIMIT_BROADCAST_INTERVAL_MS = 400;
 /** Minimum time between two pulls of members, in milliseconds. */
@@ -87,9 +86,6 @@
   configurationLag: ConfigurationLag;
 }
 
-/** What a datagram carries beside the state of its sender. */
-type GossipContent = Pick<GossipMessage, 'changes' | 'configurationDelta'>;
-
 /**
  * Spreads heartbeats and changes by datagrams of bounded size. Each round sends to a few random
  * instances. Changes of the control state and of this instance's own state are also broadcast at
@@ -107,6 +103,7 @@
   private limitsBroadcastAt = -Infinity;
   private limitBroadcastTimer?: Disposable;
 
+  private readonly deltas = new RecentDeltas();
   private readonly election: FollowerElection;
   private readonly dissemination: MemberDissemination;
 
@@ -136,10 +133,8 @@
     const {view, timers} = this.options;
     const changes = view.getChangesAfter(since, timers.now());
     const parts = splitChanges({since, ...changes});
-    const delta = isSmall(configurationDelta) ? configurationDelta : undefined;
-    for (const [i, part] of parts.entries()) {
-      this.broadcastToAllRegions(part, i === 0 ? delta : undefined);
-    }
+    if (configurationDelta) this.deltas.add(configurationDelta, timers.now());
+    for (const part of parts) this.broadcastToAllRegions(part);
   }
 
   /** Broadcasts what this instance holds against the registry's older copy. */
@@ -207,18 +202,14 @@
   }
 
   /** Starts a broadcast tree over each region; in another region, its root is a random instance. */
-  private broadcastToAllRegions(
-    changes?: GossipChanges,
-    configurationDelta?: ConfigurationDelta,
-  ): void {
+  private broadcastToAllRegions(changes?: GossipChanges): void {
     const {members, timers, self, random} = this.options;
     const {region} = self();
-    const content = {changes, configurationDelta};
-    this.broadcastToRegion(content);
+    this.broadcastToRegion(changes);
     const live = members.getLive(timers.now());
     for (const [other, ring] of groupByRegion(live)) {
       if (other === region) continue;
-      const message = this.createMessage(ring.length - 1, content);
+      const message = this.createMessage(ring.length - 1, changes);
       for (const root of pickRandom(ring, 1, random)) {
         this.send(root, message);
       }
@@ -262,9 +253,7 @@
       const silent = members.getOthers().filter(other => !liveSet.has(other));
       for (const other of pickRandom(silent, 1, random)) targets.add(other);
     }
-    for (const target of targets) {
-      this.send(target, this.createMessage(0, {}));
-    }
+    for (const target of targets) this.send(target, this.createMessage(0));
     this.pullFromSeed(live);
   }
 
@@ -325,13 +314,13 @@
 
   private applyMessage(message: GossipMessage): void {
     const {view, exchange, apply} = this.options;
-    const {sender, changes, configurationDelta} = message;
+    const {sender, changes, configurationDeltas} = message;
     this.options.mergeLimits(message.limits ?? []);
     exchange.mergeMembers([sender, ...message.members], message.heartbeats);
     if (changes && view.isComplete && view.revision >= changes.since) {
       apply(changes, sender.id);
     }
-    if (configurationDelta) this.applyDelta(configurationDelta, sender.id);
+    for (const delta of configurationDeltas) this.applyDelta(delta, sender.id);
     view.advanceRevision(message.changedRevision, message.revision);
     this.options.recordPeerRevision(message.revision);
     const {configurationVersion} = message;
@@ -340,10 +329,11 @@
 
   /** Takes a change of the configuration over if it leads on from the one in force. */
   private applyDelta(delta: ConfigurationDelta, from: string): void {
-    const {view, apply} = this.options;
+    const {view, timers, apply} = this.options;
     const configuration =
       view.configuration && applyConfigurationDelta(view.configuration, delta);
     if (!configuration) return;
+    this.deltas.add(delta, timers.now());
     const {revision} = view;
     apply(
       {
@@ -394,35 +384,28 @@
     before: number,
     receivedAt: number,
   ): void {
-    const {reach, changes, configurationDelta, sender} = message;
+    const {reach, changes, sender} = message;
     const {self, timers} = this.options;
     const isRemote = sender.region !== self().region;
     if (isRemote && changes && this.getStateCounter() === before) return;
     if (reach === 0) return;
     const heldMs = timers.now() - receivedAt;
-    const content = {
-      changes: changes && shortenGrace(changes, heldMs),
-      configurationDelta,
-    };
-    this.broadcastToRegion(content, reach);
+    this.broadcastToRegion(changes && shortenGrace(changes, heldMs), reach);
   }
 
   /** Sends a message to the next instances of the broadcast tree over the region's ring. */
-  private broadcastToRegion(content: GossipContent, reach = Infinity): void {
+  private broadcastToRegion(changes?: GossipChanges, reach = Infinity): void {
     const {members, timers, self} = this.options;
     const {id, region} = self();
     const ring = members.getRing(region, timers.now());
     const index = ring.findIndex(other => other.id === id);
     for (const branch of splitBroadcast(Math.min(reach, ring.length - 1))) {
       const target = ring[(index + branch.offset) % ring.length];
-      if (target) this.send(target, this.createMessage(branch.reach, content));
+      if (target) this.send(target, this.createMessage(branch.reach, changes));
     }
   }
 
-  private createMessage(
-    reach: number,
-    {changes, configurationDelta}: GossipContent,
-  ): GossipMessage {
+  private createMessage(reach: number, changes?: GossipChanges): GossipMessage {
     const {limits, timers, exchange} = this.options;
     const now = timers.now();
     return {
@@ -434,7 +417,7 @@
         ? []
         : this.dissemination.getRecentChanges(MAX_ANNOUNCEMENTS, now),
       changes,
-      configurationDelta,
+      configurationDeltas: this.deltas.get(now),
       limits: changes ? [] : limits.selectShared(MAX_LIMITS, now),
       reach,
     };
@@ -460,10 +443,6 @@
   }
 }
 
-function isSmall(delta: ConfigurationDelta | undefined): boolean {
-  return JSON.stringify(delta ?? '').length <= MAX_DELTA_CHARS;
-}
-
 function groupByRegion(
   infos: readonly MemberInfo[],
 ): Map<string, MemberInfo[]> {
--- a/packages/instance/src/direct/control/gossip_message.ts
+++ b/packages/instance/src/direct/control/gossip_message.ts
@@ -39,8 +39,8 @@
   /** Announcements that changed recently. */
   members: MemberInfo[];
   changes?: GossipChanges;
-  /** The change that led to the sender's configuration, if it is small. */
-  configurationDelta?: ConfigurationDelta;
+  /** The latest changes that led to the sender's configuration, earliest first. */
+  configurationDeltas: ConfigurationDelta[];
   /** Rate limits of endpoints, the recently changed ones first; earlier versions send none. */
   limits?: SharedLimit[];
   /** Number of members after the receiver on the region's ring that are reached through it. */
@@ -78,13 +78,14 @@
 
 function isGossipMessage(message: object): message is GossipMessage {
   const gossip = message as Partial<GossipMessage>;
-  const {sender, heartbeats, members, limits} = gossip;
+  const {sender, heartbeats, members, limits, configurationDeltas} = gossip;
   return (
     typeof sender?.id === 'string' &&
     typeof sender.gossipAddress === 'string' &&
     typeof heartbeats === 'object' &&
     heartbeats !== null &&
     Array.isArray(members) &&
+    Array.isArray(configurationDeltas) &&
     (limits === undefined ||
       (Array.isArray(limits) && limits.every(isSharedLimit))) &&
     [gossip.digest, gossip.revision, gossip.changedRevision].every(
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -39,6 +39,7 @@
   type ConfigurationDelta,
   createConfigurationDelta,
 } from './configuration_delta.js';
+export {RecentDeltas} from './recent_deltas.js';
 export {RouteTable} from './route_table.js';
 export {
   getEra,
--- a/packages/steering/test/direct/configuration_delta.test.ts
+++ b/packages/steering/test/direct/configuration_delta.test.ts
@@ -3,6 +3,7 @@
 import {
   applyConfigurationDelta,
   createConfigurationDelta,
+  RecentDeltas,
   RequestKind,
   type RouteConfiguration,
 } from '../../src/direct/index.js';
@@ -118,4 +119,33 @@
     );
     expect(delta).toBeUndefined();
   });
+
+  it('are kept as a chain for some time, which lets an instance follow that has missed some', () => {
+    const create = (version: number) =>
+      createConfiguration(version, {
+        routes: [{name: 'a', value: version}],
+        services: [],
+        accounts: undefined,
+      });
+    const deltas = new RecentDeltas();
+    const add = (since: number, version: number, now: number) => {
+      const delta = createConfigurationDelta(create(since), create(version));
+      deltas.add(delta!, now);
+    };
+    add(1, 2, 0);
+    add(2, 5, 1_000);
+    const followed = deltas
+      .get(1_000)
+      .reduce(
+        (before, delta) => applyConfigurationDelta(before, delta) ?? before,
+        create(1),
+      );
+    expect(followed).toEqual(create(5));
+    expect(deltas.get(3_500).map(({since}) => since)).toEqual([2]);
+    add(7, 9, 3_600);
+    expect(deltas.get(3_600).map(({since}) => since)).toEqual([7]);
+    for (let since = 9; since < 200; since++) add(since, since + 1, 3_600);
+    expect(JSON.stringify(deltas.get(3_600)).length).toBeLessThan(8_400);
+    expect(deltas.get(9_000)).toEqual([]);
+  });
 });
