Open the listeners beside the callers' one in one place

Cause: run_direct.ts listed them three times: to create, to guard and to open. Change: auxiliary_listeners.ts guards and opens a list of them. Measured: control.test.ts, taken_addresses.test.ts and http_servers.test.ts hold. Conclusion: no change of behaviour.

--- a/packages/instance/src/direct/control/control_sync.ts
+++ b/packages/instance/src/direct/control/control_sync.ts
@@ -19,7 +19,7 @@
 import type {ControlSource} from './control_source.js';
 import {decodeItems} from './decode_items.js';
 import type {DirectMetrics} from '../direct_metrics.js';
-import {Registration} from './registration.js';
+import {PEER_DISCOVERY_DELAY_MS, Registration} from './registration.js';
 import {StalledWatchDetector} from './stalled_watch_detector.js';
 
 /** First and longest backoff after a failed call, in milliseconds. */
@@ -41,8 +41,6 @@
 const ROLE_CHECK_INTERVAL_MS = 100;
 /** Time for which another instance must follow before this one stops, in milliseconds. */
 const STOP_FOLLOWING_AFTER_MS = 1_000;
-/** Time given to a started instance to discover others through its seeds, in milliseconds. */
-const PEER_DISCOVERY_DELAY_MS = 700;
 /** Duration from which a watch counts as one that the registry has accepted, in milliseconds. */
 const ACCEPTED_WATCH_MS = 1_000;
 /**
--- a/packages/instance/src/direct/control/registration.ts
+++ b/packages/instance/src/direct/control/registration.ts
@@ -15,7 +15,7 @@
 /** Time between two writes of a registration, in milliseconds. */
 const INTERVAL_MS = 240_000;
 /** Time given to a started instance to discover others through its seeds, in milliseconds. */
-const PEER_DISCOVERY_DELAY_MS = 700;
+export const PEER_DISCOVERY_DELAY_MS = 700;
 /** Longest delay of a registration that no other instance depends on, in milliseconds. */
 const SPREAD_MS = 3_000;
 /** Delay of a registration that replaces the one of an earlier process, in milliseconds. */
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -17,6 +17,10 @@
 import type {StartSpan} from '../telemetry/hop_span.js';
 import {Announcer} from './control/announcer.js';
 import {BodyBuffers} from './listen/body_buffers.js';
+import {
+  type AuxiliaryListener,
+  openAuxiliaryListeners,
+} from './listen/auxiliary_listeners.js';
 import {BodySegments} from './listen/body_segments.js';
 import {createGarbageCollector, DiscardedBuffers} from './discarded_buffers.js';
 import type {ControlSource} from './control/control_source.js';
@@ -45,7 +49,6 @@
   createDirectoryServer,
   createMetricsServer,
   createReadinessServer,
-  leaveBodies,
 } from './listen/http_servers.js';
 import {UtilizationMeter} from './control/utilization_meter.js';
 import {ViewExpiry} from './control/view_expiry.js';
@@ -68,8 +71,6 @@
  * milliseconds.
  */
 const PEER_DISCOVERY_TIMEOUT_MS = 30_000;
-/** Idle timeout of connections to all servers other than the callers' one, in milliseconds. */
-const AUXILIARY_IDLE_TIMEOUT_MS = 5_000;
 
 /** Configures an instance. */
 export interface DirectOptions {
@@ -310,13 +311,6 @@
     recordPeerRevision: revision => sync.recordPeerRevision(revision),
     configurationLag,
   });
-  const readinessServer = createReadinessServer(isReady);
-  const directoryServer = createDirectoryServer({
-    ...options,
-    settings,
-    members,
-    metrics,
-  });
   const controlServer = http.createServer(
     logLateExchanges(
       createRpcHandler(
@@ -325,49 +319,44 @@
       {timers, logger},
     ),
   );
-  const metricsServer = createMetricsServer(options.registry, logger);
   const tracker = new ConnectionTracker(callerServer, {
     timers,
     closeIdleMs: QUIET_PERIOD_MS,
   });
-  const auxiliaryServers = {
-    readiness: {
-      server: readinessServer,
+  const auxiliaryListeners: AuxiliaryListener[] = [
+    {
+      name: 'readiness',
+      server: createReadinessServer(isReady),
+      address: settings.readinessAddress,
       maxConnections: plan.maxAuxiliaryConnections,
+      hasBodies: false,
     },
-    directory: {
-      server: directoryServer,
+    {
+      name: 'directory',
+      server: createDirectoryServer({...options, settings, members, metrics}),
+      address: settings.directoryAddress,
       maxConnections: plan.maxDirectoryConnections,
+      hasBodies: false,
     },
-    control: {
+    {
+      name: 'control',
       server: controlServer,
+      address: settings.controlAddress,
       maxConnections: plan.maxControlConnections,
+      hasBodies: true,
     },
-    metrics: {
-      server: metricsServer,
+    {
+      name: 'metrics',
+      server: createMetricsServer(options.registry, logger),
+      address: options.metricsAddress,
       maxConnections: plan.maxAuxiliaryConnections,
+      hasBodies: false,
     },
-  };
-  for (const server of [readinessServer, directoryServer, metricsServer]) {
-    leaveBodies(server);
-  }
-  for (const [listener, guarded] of Object.entries(auxiliaryServers)) {
-    const {server, maxConnections} = guarded;
-    server.keepAliveTimeout = AUXILIARY_IDLE_TIMEOUT_MS;
-    guardConnections(server, {
-      listener,
-      maxConnections,
-      report: limitReport,
-    });
-  }
-  await Promise.all([
-    startListening(readinessServer, settings.readinessAddress),
-    startListening(directoryServer, settings.directoryAddress),
-    startListening(controlServer, settings.controlAddress),
-    options.metricsAddress !== undefined
-      ? startListening(metricsServer, options.metricsAddress)
-      : undefined,
-  ]);
+  ];
+  await openAuxiliaryListeners(auxiliaryListeners, {
+    report: limitReport,
+    startListening,
+  });
   const subscriptions = [
     new EventLoopMonitor({
       timers,
@@ -439,7 +428,7 @@
       agent.destroy();
       for (const server of [
         callerServer,
-        ...Object.values(auxiliaryServers).map(({server}) => server),
+        ...auxiliaryListeners.map(({server}) => server),
       ]) {
         server.closeAllConnections();
         if (server.listening) server.close();
