Make differences of configurations independent of the order of entries

Change: the hash of a configuration does not regard the order of its entries. It has a meaning only between routes with the same host and prefix, where no difference is made. Cost for a request: none.

--- a/packages/steering/src/direct/configuration_delta.ts
+++ b/packages/steering/src/direct/configuration_delta.ts
@@ -38,8 +38,8 @@
  * Describes how a configuration differs from an earlier one.
  * @param before - The earlier configuration.
  * @param after - The later configuration.
- * @returns The difference, or undefined if the later one cannot be told from it exactly, as where the
- *     order of entries changes or names occur twice.
+ * @returns The difference, or undefined if the later one cannot be told from it, as where names, or
+ *     prefixes of a host, occur twice. The order of entries has no meaning otherwise and may differ.
  */
 export function createConfigurationDelta(
   before: RouteConfiguration,
@@ -58,7 +58,9 @@
     limits: after.limits,
     digest: digestConfiguration(after),
   };
-  return applyConfigurationDelta(before, delta) ? delta : undefined;
+  const isExact =
+    !hasTwins(after.routes) && applyConfigurationDelta(before, delta);
+  return isExact ? delta : undefined;
 }
 
 /**
@@ -84,6 +86,13 @@
   return digestConfiguration(after) === delta.digest ? after : undefined;
 }
 
+/** Says whether routes share their host and prefix, so that their order decides between them. */
+function hasTwins(routes: readonly Route[]): boolean {
+  const places = routes.map(({host, prefix}) => `${host} ${prefix}`);
+  return new Set(places).size < routes.length;
+}
+
+/** Hashes a configuration without regard to the order of its entries. */
 function digestConfiguration({
   version,
   routes,
@@ -91,10 +100,20 @@
   accounts,
   limits,
 }: RouteConfiguration): number {
-  const parts = [version, routes, [...services.values()], accounts, limits];
+  const parts = [
+    version,
+    sortByName(routes),
+    sortByName([...services.values()]),
+    accounts && sortByName(accounts),
+    limits,
+  ];
   return hash32(JSON.stringify(parts));
 }
 
+function sortByName<T extends Named>(entries: readonly T[]): T[] {
+  return [...entries].sort((a, b) => (a.name < b.name ? -1 : 1));
+}
+
 function diffLists<T extends Named>(
   before: readonly T[],
   after: readonly T[],
