Remove what the memory of bodies does not use

Cause: a hook for freeing memory and the size of a reservation were left from a try and had no user; a name was unclear. Measured: body_buffers, large_bodies and configuration_delta tests hold. Conclusion: no change of behaviour.

--- a/packages/instance/src/direct/listen/body_buffers.ts
+++ b/packages/instance/src/direct/listen/body_buffers.ts
@@ -13,8 +13,6 @@
 export interface BodyReservation extends Disposable {
   /** Largest body for which there is memory if no other request has one, in bytes. */
   readonly maxBytes: number;
-  /** The reserved size, in bytes. */
-  readonly bytes: number;
   /**
    * Raises the reserved size.
    * @param bytes - The new size of the body, in bytes.
@@ -29,8 +27,6 @@
  * Node.js applies to them.
  */
 export class BodyBuffers {
-  /** Called when a body does not fit, so that memory can be freed. */
-  handlePressure?: () => void;
   /** Called with the size of a buffer that has been given up. */
   handleReleased?: (bytes: number) => void;
   private bytes = 0;
@@ -62,12 +58,8 @@
     const {maxBytes, reservedBytes} = this.limits;
     return {
       maxBytes: Math.max(maxBytes - reservedBytes, MAX_SMALL_BODY_BYTES),
-      get bytes() {
-        return own;
-      },
       growTo: bytes => {
         if (bytes <= own) return true;
-        if (!this.hasRoom(bytes, own)) this.handlePressure?.();
         if (isDisposed || !this.hasRoom(bytes, own)) return false;
         this.bytes += bytes - own;
         own = bytes;
--- a/packages/steering/src/direct/configuration_delta.ts
+++ b/packages/steering/src/direct/configuration_delta.ts
@@ -59,7 +59,8 @@
     digest: digestConfiguration(after),
   };
   const isExact =
-    !hasTwins(after.routes) && applyConfigurationDelta(before, delta);
+    !hasDuplicatePrefixes(after.routes) &&
+    applyConfigurationDelta(before, delta);
   return isExact ? delta : undefined;
 }
 
@@ -87,7 +88,7 @@
 }
 
 /** Says whether routes share their host and prefix, so that their order decides between them. */
-function hasTwins(routes: readonly Route[]): boolean {
+function hasDuplicatePrefixes(routes: readonly Route[]): boolean {
   const places = routes.map(({host, prefix}) => `${host} ${prefix}`);
   return new Set(places).size < routes.length;
 }
