--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -75,7 +75,12 @@
     );
     const request = this.sent.find(({answer}) => !answer);
     if (request) request.hasHead = true;
-    const length = Number(headers['content-length'] ?? 0);
+    // An answer without a length is whole only when its end has come, which these cases don't need.
+    if (headers['content-length'] === undefined) {
+      this.#buffer = this.#buffer.subarray(0, end + 4);
+      return false;
+    }
+    const length = Number(headers['content-length']);
     if (this.#buffer.length < end + 4 + length) return false;
     this.#buffer = this.#buffer.subarray(end + 4 + length);
     const answer = {
--- a/review/lib-3/endpoint.mjs
+++ b/review/lib-3/endpoint.mjs
@@ -123,9 +123,16 @@
     res.on('close', () => finish('was cut off at work'));
   }
 
-  #answer({req, res, requestId, body, breakAfter}) {
+  #answer({req, res, requestId, body, breakAfter, endless}) {
     if (res.destroyed) return;
     const {id, slots} = this.options;
+    if (endless) {
+      this.options.record(`endpoint ${id} answers without end`, {
+        request: requestId,
+      });
+      writeWithoutEnd(req.socket, requestId, endless);
+      return;
+    }
     res.writeHead(200, {
       'primrosestage-request-id': requestId,
       'primrosestage-server-stamp': `stamp.${id}.${requestId}`,
@@ -144,3 +151,19 @@
     res.write(body.subarray(0, breakAfter), () => req.socket.destroy());
   }
 }
+
+/** Writes the head of an answer, and then the same bytes until the caller closes the connection. */
+function writeWithoutEnd(socket, requestId, bytes) {
+  const head = [
+    'HTTP/1.1 200 OK',
+    `Primrosestage-Request-Id: ${requestId}`,
+    `Primrosestage-Server-Stamp: stamp.${requestId}`,
+    'Transfer-Encoding: chunked',
+  ];
+  const pump = () => {
+    while (!socket.destroyed && socket.write(bytes));
+  };
+  socket.on('drain', pump);
+  socket.write(`${head.join('\r\n')}\r\n\r\n`);
+  pump();
+}
