--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -17,6 +17,7 @@
   #startedAt = performance.now();
   #lines = [];
   #cleanUps = [];
+  #isFinishing = false;
 
   /** @param {string} folder - The folder of the case. */
   constructor(folder) {
@@ -52,6 +53,15 @@
       this.record('the case took too long', {});
       void this.#finish(Outcome.NotRun);
     }, MAX_RUN_MS);
+    const giveUp = reason => {
+      this.record('the case could not run', {reason: String(reason)});
+      void this.#finish(Outcome.NotRun);
+    };
+    process.once('uncaughtException', err => giveUp(err?.stack));
+    process.once('unhandledRejection', err => giveUp(err?.stack));
+    for (const signal of ['SIGINT', 'SIGTERM']) {
+      process.once(signal, () => giveUp(signal));
+    }
     try {
       this.record('start', {trouble: this.isTroubled});
       const breaks = await play();
@@ -68,6 +78,8 @@
   }
 
   async #finish(outcome) {
+    if (this.#isFinishing) return;
+    this.#isFinishing = true;
     for (const stop of this.#cleanUps.reverse()) {
       try {
         await stop();
