--- a/review/lib-3/instance.mjs
+++ b/review/lib-3/instance.mjs
@@ -21,7 +21,8 @@
   /**
    * Starts the program.
    * @param {object} options - `name`, `host` (a loopback address of its own), `zone`, `zones` (region of
-   *   each zone), `bounds`, `store` (address), `folder` for its settings and log, and `record`.
+   *   each zone), `bounds`, `store` (address), `folder` for its settings and log, and `record`;
+   *   `memoryMb` and `maxFds` of its machine.
    */
   static async start(options) {
     const instance = new Instance();
@@ -120,6 +121,7 @@
 
 function formatSettings(options, ports) {
   const {name, host, zone, zones, bounds, store, seeds = []} = options;
+  const {memoryMb = 610, maxFds = 8_200} = options;
   const quote = JSON.stringify;
   const table = fields =>
     Object.entries(fields).map(([key, value]) => `${key} = ${quote(value)}`);
@@ -150,8 +152,8 @@
     ...table({
       'cpu-share': 0.54,
       cores: 2,
-      'memory-mb': 610,
-      'max-fds': 8200,
+      'memory-mb': memoryMb,
+      'max-fds': maxFds,
       'link-mbps': 2000,
       'disk-mb': 0,
     }),
