--- a/packages/control/src/store/http_store.ts
+++ b/packages/control/src/store/http_store.ts
@@ -1,8 +1,9 @@
-import http from 'node:http';
+import type http from 'node:http';
 import {
   type ConnectFunction,
   createAgent,
   getErrorMessage,
+  startHttpRequest,
   type TimerService,
 } from '@primrosestage/common';
 import PQueue from 'p-queue';
@@ -163,7 +164,7 @@
       options.body === undefined ? undefined : JSON.stringify(options.body);
     return new Promise((resolve, reject) => {
       let isConnected = false;
-      const req = http.request({
+      const req = startHttpRequest({
         host,
         port,
         method: options.method,
--- a/packages/instance/src/direct/listen/http_servers.ts
+++ b/packages/instance/src/direct/listen/http_servers.ts
@@ -1,5 +1,9 @@
-import http from 'node:http';
-import type {EventLogger, TimerService} from '@primrosestage/common';
+import type http from 'node:http';
+import {
+  createHttpServer,
+  type EventLogger,
+  type TimerService,
+} from '@primrosestage/common';
 import type {MemberTable} from '@primrosestage/steering';
 import type {Registry} from 'prom-client';
 import {chooseInstances} from './choose_instances.js';
@@ -48,7 +52,7 @@
   options: DirectoryServerOptions,
 ): http.Server {
   const {settings, members, paths, timers, metrics} = options;
-  return http.createServer((req, res) => {
+  return createHttpServer({}, (req, res) => {
     const url = parseUrl(req.url ?? '/');
     if (url?.pathname !== paths.directory) {
       res.writeHead(404, {'content-length': '0'}).end();
@@ -80,7 +84,7 @@
  * @param isReady - Returns whether they may.
  */
 export function createReadinessServer(isReady: () => boolean): http.Server {
-  return http.createServer((_req, res) => {
+  return createHttpServer({}, (_req, res) => {
     res.writeHead(isReady() ? 200 : 503, {'content-length': '0'});
     res.end();
   });
@@ -95,7 +99,7 @@
   registry: Registry,
   logger: EventLogger,
 ): http.Server {
-  return http.createServer((_req, res) => {
+  return createHttpServer({}, (_req, res) => {
     registry.metrics().then(
       text => {
         res.writeHead(200, {'content-type': registry.contentType}).end(text);
--- a/packages/instance/src/direct/listen/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {HeaderName, Step} from '@primrosestage/common';
+import {hasAllFields, HeaderName, Step} from '@primrosestage/common';
 import {
   type AccountLookup,
   AccountStatus,
@@ -126,7 +126,8 @@
       this.finish(503, Decision.NoConfiguration);
       return;
     }
-    if (getHeaderBytes(this.req) > configuration.limits.maxHeaderBytes) {
+    const {maxHeaderBytes} = configuration.limits;
+    if (!hasAllFields(this.req) || getHeaderBytes(this.req) > maxHeaderBytes) {
       this.finish(431, Decision.TooLarge);
       return;
     }
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -1,6 +1,10 @@
-import http from 'node:http';
+import type http from 'node:http';
 import v8 from 'node:v8';
-import type {EventLogger, TimerService} from '@primrosestage/common';
+import {
+  createHttpServer,
+  type EventLogger,
+  type TimerService,
+} from '@primrosestage/common';
 import {
   ControlView,
   createStopSchedule,
@@ -59,8 +63,6 @@
 import {RequestStartQueue} from './listen/request_start_queue.js';
 import type {ServicePaths, WireNames} from './wire_names.js';
 
-/** Largest header that the server accepts, in bytes; the configuration may set a lower limit. */
-const MAX_HEADER_BYTES = 64 * 1024;
 const SWEEP_INTERVAL_MS = 250;
 /** Interval of the log lines about the use of rate limits, in milliseconds. */
 const LIMIT_REPORT_INTERVAL_MS = 5_000;
@@ -189,10 +191,7 @@
     {permits, notices},
     timers,
   );
-  const callerServer = http.createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    requestTimeout: 0,
-  });
+  const callerServer = createHttpServer({requestTimeout: 0});
   guardConnections(callerServer, {
     listener: CALLER_LISTENER,
     maxConnections: plan.maxCallerConnections,
@@ -311,7 +310,8 @@
     recordPeerRevision: revision => sync.recordPeerRevision(revision),
     configurationLag,
   });
-  const controlServer = http.createServer(
+  const controlServer = createHttpServer(
+    {},
     logLateExchanges(
       createRpcHandler(
         createPeerRouter(message => peerExchange.receive(message)),
--- a/packages/instance/src/direct/send/endpoint_agent.ts
+++ b/packages/instance/src/direct/send/endpoint_agent.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {GuardedAgent} from '@primrosestage/common';
+import {GuardedAgent, startHttpRequest} from '@primrosestage/common';
 import {CarriedIds, MAX_CARRIED_IDS} from '@primrosestage/steering';
 
 /** Longest time for which an idle connection to an endpoint stays open, in milliseconds. */
@@ -63,7 +63,7 @@
    */
   request(request: PooledRequest, requestId: string): http.ClientRequest {
     this.closeCarriers(this.getName(request), requestId);
-    return http.request({...request, agent: this});
+    return startHttpRequest({...request, agent: this});
   }
 
   /**
--- a/packages/instance/src/exchange/peer_connection_pool.ts
+++ b/packages/instance/src/exchange/peer_connection_pool.ts
@@ -1,8 +1,9 @@
-import http from 'node:http';
+import type http from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
   type ConnectFunction,
   createAgent,
+  startHttpRequest,
   type Step,
   type TimerService,
 } from '@primrosestage/common';
@@ -106,7 +107,7 @@
     } else if (length > 0 || !BODILESS_METHODS.has(request.method)) {
       headers['content-length'] = String(length);
     }
-    const req = http.request({
+    const req = startHttpRequest({
       host,
       port,
       method: request.method,
--- a/packages/instance/src/http/listen.ts
+++ b/packages/instance/src/http/listen.ts
@@ -1,5 +1,10 @@
-import http from 'node:http';
-import {RealTimerService, Step, StepError} from '@primrosestage/common';
+import type http from 'node:http';
+import {
+  createHttpServer,
+  RealTimerService,
+  Step,
+  StepError,
+} from '@primrosestage/common';
 import {ConnectionTracker} from './connection_tracker.js';
 import {parseAddress} from './parse_address.js';
 import {rejectInvalidRequest} from './reject_invalid_request.js';
@@ -49,7 +54,7 @@
  */
 export async function listen(options: ListenOptions): Promise<Listener> {
   const {host, port} = parseAddress(options.address);
-  const server = http.createServer(
+  const server = createHttpServer(
     {maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 30_000},
     options.handle,
   );
--- a/packages/instance/src/rpc/create_peer_client.ts
+++ b/packages/instance/src/rpc/create_peer_client.ts
@@ -1,5 +1,6 @@
-import http from 'node:http';
-import {Step, StepError} from '@primrosestage/common';
+import type http from 'node:http';
+import {urlToHttpOptions} from 'node:url';
+import {startHttpRequest, Step, StepError} from '@primrosestage/common';
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import type {AnyRouter} from '@trpc/server';
 
@@ -76,29 +77,27 @@
         ),
       options.timeoutMs,
     );
-    const req = http.request(
-      url,
-      {
-        method: init.method ?? 'GET',
-        headers: init.headers as http.OutgoingHttpHeaders,
-        agent: options.agent,
-        signal: init.signal ?? undefined,
-      },
-      res => {
-        const chunks: Buffer[] = [];
-        res.on('data', (chunk: Buffer) => chunks.push(chunk));
-        res.on('error', fail);
-        res.on('end', () => {
-          clearTimeout(deadline);
-          resolve(
-            new Response(Buffer.concat(chunks), {
-              status: res.statusCode ?? 500,
-              headers: {'content-type': 'application/json'},
-            }),
-          );
-        });
-      },
-    );
+    const req = startHttpRequest({
+      ...urlToHttpOptions(new URL(url)),
+      method: init.method ?? 'GET',
+      headers: init.headers as http.OutgoingHttpHeaders,
+      agent: options.agent,
+      signal: init.signal ?? undefined,
+    });
+    req.on('response', res => {
+      const chunks: Buffer[] = [];
+      res.on('data', (chunk: Buffer) => chunks.push(chunk));
+      res.on('error', fail);
+      res.on('end', () => {
+        clearTimeout(deadline);
+        resolve(
+          new Response(Buffer.concat(chunks), {
+            status: res.statusCode ?? 500,
+            headers: {'content-type': 'application/json'},
+          }),
+        );
+      });
+    });
     req.on('error', fail);
     req.end(init.body as string | undefined);
   });
--- a/packages/instance/test/direct/endpoint_stub.ts
+++ b/packages/instance/test/direct/endpoint_stub.ts
@@ -73,6 +73,8 @@
     private readonly names: WireNames = NAMES,
   ) {
     this.server = http.createServer((req, res) => this.receive(req, res));
+    // It gets all header fields of a request.
+    this.server.maxHeadersCount = 0;
     this.server.on('connection', socket => {
       this.sockets.add(socket);
       socket.on('error', () => {});
