--- a/packages/instance/src/direct/listen/auxiliary_listeners.ts
+++ b/packages/instance/src/direct/listen/auxiliary_listeners.ts
@@ -1,4 +1,6 @@
 import type http from 'node:http';
+import type {TimerService} from '@primrosestage/common';
+import {useLingeringClose} from '../../http/lingering_close.js';
 import {guardConnections} from './connection_guard.js';
 import {leaveBodies} from './http_servers.js';
 import type {LimitReport} from './limit_report.js';
@@ -21,6 +23,7 @@
 /** Configures the opening of listeners. */
 export interface OpenListenersOptions {
   report: LimitReport;
+  timers: TimerService;
   /** Starts listening, and waits until the address can be used. */
   startListening: (server: http.Server, address: string) => Promise<boolean>;
 }
@@ -32,12 +35,13 @@
  */
 export async function openAuxiliaryListeners(
   listeners: readonly AuxiliaryListener[],
-  {report, startListening}: OpenListenersOptions,
+  {report, timers, startListening}: OpenListenersOptions,
 ): Promise<void> {
   const opened = listeners.map(async listener => {
     const {name, server, address, maxConnections, hasBodies} = listener;
     server.keepAliveTimeout = IDLE_TIMEOUT_MS;
     if (!hasBodies) leaveBodies(server);
+    useLingeringClose(server, timers);
     guardConnections(server, {listener: name, maxConnections, report});
     if (address !== undefined) await startListening(server, address);
   });
--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {TimerService} from '@primrosestage/common';
 import type {ConnectionLoad} from '@primrosestage/steering';
+import {endAndAwaitClose} from '../../http/lingering_close.js';
 import type {BodyBuffers} from './body_buffers.js';
 import type {BodySchedule} from './body_schedule.js';
 import type {DiscardedBuffers} from '../discarded_buffers.js';
@@ -9,11 +10,14 @@
 import {PipelinedRequest} from './pipelined_request.js';
 
 /**
- * Time for which a connection stays open behind a response whose caller may still be sending, in
- * milliseconds. The kernel resets a connection that is closed with unread bytes, and the reset could
- * overtake the response.
+ * Shortest time for which a connection that is closed waits for its caller to close it too, in
+ * milliseconds.
  */
-const LINGER_MS = 500;
+const MIN_LINGER_MS = 500;
+/** Longest such time, however late the deadlines of the caller's requests are, in milliseconds. */
+const MAX_LINGER_MS = 30_000;
+/** Time that a caller without a deadline has for reading the end of a response, in milliseconds. */
+const DEFAULT_READ_MS = 10_000;
 
 /** What a connection needs of all connections of callers. */
 export interface ConnectionContext {
@@ -21,6 +25,8 @@
   maxPipelined: number;
   /** Returns whether a request may run more than once. */
   isIdempotent(req: IncomingMessage): boolean;
+  /** Returns how long the caller of a request waits, in milliseconds; undefined if it does not say. */
+  readDeadlineMs(req: IncomingMessage): number | undefined;
   timers: TimerService;
   bodyBuffers: BodyBuffers;
   discardedBuffers: DiscardedBuffers;
@@ -46,6 +52,9 @@
   private readonly reader: PacedReader;
   private isEnding = false;
   private isDraining = false;
+  private isClosingInSteps = false;
+  /** Monotonic time until which the caller may still be reading responses, in milliseconds. */
+  private awaitedUntil = -Infinity;
   private sentBytes = 0;
 
   /**
@@ -65,6 +74,8 @@
       handlePending: bytes => context.bodyBuffers.addPending(bytes),
       schedule: context.bodySchedule,
     });
+    // Node.js closes a connection behind its last response in this way.
+    socket.destroySoon = () => this.closeInSteps();
     socket.once('close', () => this.settleAll());
   }
 
@@ -106,6 +117,8 @@
     request.isRefused = !context.hasRoom(this);
     if (!request.isRefused) this.admittedRequests++;
     this.open.push(request);
+    // Node.js closes a connection at this event, before the response emits `close`.
+    res.prependOnceListener('finish', () => this.recordAwaited(request));
     res.once('close', () => this.settle(request));
     context.handleOpened(this, request);
     this.startWaiting();
@@ -115,6 +128,7 @@
   stopReading(): void {
     this.isEnding = true;
     this.reader.update();
+    this.context.handleReading(this);
   }
 
   /** Reads no further request, and closes the connection behind the responses to those it has. */
@@ -127,20 +141,29 @@
   }
 
   /**
-   * Reads no more of a body that is not wanted, and closes the connection some time behind the
-   * response to its request, which must be the last one.
+   * Reads no more of a body that is not wanted. The response to its request, which must be the last
+   * one, has to close the connection.
    */
   abandonBody(): void {
-    const {socket} = this;
     this.stopReading();
     this.reader.abandon();
-    // Node.js closes a connection behind its last response in this way.
-    socket.destroySoon = () => {
-      socket.end();
-      const {timers} = this.context;
-      const timer = timers.after(LINGER_MS, () => socket.destroy());
-      socket.once('close', () => timer[Symbol.dispose]());
-    };
+  }
+
+  /**
+   * Closes the connection without taking from the caller what it has not read yet: waits until the
+   * caller closes it too, or has had the time for it. Requests that arrive meanwhile are dropped.
+   */
+  closeInSteps(): void {
+    if (this.isClosingInSteps) return;
+    this.isClosingInSteps = true;
+    this.stopReading();
+    this.reader.discardRest();
+    const {timers} = this.context;
+    const awaitedMs = this.awaitedUntil - timers.now();
+    endAndAwaitClose(this.socket, {
+      timers,
+      timeoutMs: Math.min(MAX_LINGER_MS, Math.max(MIN_LINGER_MS, awaitedMs)),
+    });
   }
 
   /** Resets the connection; its requests no longer count. */
@@ -216,10 +239,22 @@
     request.settle();
     this.context.handleSettled(this, request);
     if (this.socket.destroyed) return;
-    if (this.isDraining && this.open.length === 0) this.socket.end();
+    if (this.isDraining && this.open.length === 0) this.closeInSteps();
     this.startWaiting();
   }
 
+  /** Records until when the caller may be reading a response that has just been sent. */
+  private recordAwaited({req, arrivedAt}: PipelinedRequest): void {
+    // The rest of a body that is not wanted may fill the buffers of the connection.
+    if (!req.complete) return;
+    const deadlineMs = this.context.readDeadlineMs(req);
+    const until =
+      deadlineMs === undefined
+        ? this.context.timers.now() + DEFAULT_READ_MS
+        : arrivedAt + deadlineMs;
+    this.awaitedUntil = Math.max(this.awaitedUntil, until);
+  }
+
   private settleAll(): void {
     for (const request of [...this.open]) this.settle(request);
     this.context.handleReading(this);
--- a/packages/instance/src/direct/listen/caller_connections.ts
+++ b/packages/instance/src/direct/listen/caller_connections.ts
@@ -31,6 +31,8 @@
   timers: TimerService;
   /** Returns whether a request may run more than once. */
   isIdempotent: (req: IncomingMessage) => boolean;
+  /** Returns how long the caller of a request waits, in milliseconds; undefined if it does not say. */
+  readDeadlineMs: (req: IncomingMessage) => number | undefined;
   /** Starts a request whose turn has come. */
   start: (request: PipelinedRequest) => void;
 }
@@ -59,7 +61,7 @@
     private readonly options: CallerConnectionsOptions,
   ) {
     const {plan, timers, responseBuffers, isIdempotent, start} = options;
-    const {bodyBuffers, discardedBuffers} = options;
+    const {bodyBuffers, discardedBuffers, readDeadlineMs} = options;
     this.context = {
       timers,
       bodyBuffers,
@@ -67,6 +69,7 @@
       bodySchedule: new BodySchedule(timers),
       maxPipelined: plan.maxPipelinedRequests,
       isIdempotent,
+      readDeadlineMs,
       start,
       hasRoom: connection => this.hasRoom(connection),
       handleOpened: (connection, request) =>
@@ -81,6 +84,7 @@
       const connection = new CallerConnection(socket, this.context);
       this.connections.set(socket, connection);
     });
+    server.on('timeout', (socket: Socket) => this.closeInSteps(socket));
   }
 
   /** The number of connections that are not read because of their pipelined requests. */
@@ -108,6 +112,14 @@
     return found?.mayRun === true;
   }
 
+  /**
+   * Closes a connection without taking from its caller what it has not read yet.
+   * @param connection - The connection.
+   */
+  closeInSteps(connection: Duplex): void {
+    this.connections.get(connection)?.closeInSteps();
+  }
+
   /**
    * Returns whether a connection is not read at present, since no further request is wanted.
    * @param connection - The connection.
--- a/packages/instance/src/direct/listen/client_errors.ts
+++ b/packages/instance/src/direct/listen/client_errors.ts
@@ -11,6 +11,8 @@
   isHeld(connection: Duplex): boolean;
   /** Stops reading from a connection; returns whether a request on it may run. */
   stopReading(connection: Duplex): boolean;
+  /** Closes a connection whose caller may still be sending or reading. */
+  closeInSteps(connection: Duplex): void;
 }
 
 /**
@@ -30,6 +32,9 @@
     if (code === HEAD_TIMEOUT_CODE && connections.isHeld(connection)) return;
     logger.info('caller connection failed', {reason: code});
     const mayRun = connections.stopReading(connection);
-    rejectInvalidRequest(err, connection, mayRun);
+    rejectInvalidRequest(err, connection, {
+      hasOpenRequest: mayRun,
+      close: () => connections.closeInSteps(connection),
+    });
   });
 }
--- a/packages/instance/src/direct/listen/paced_reader.ts
+++ b/packages/instance/src/direct/listen/paced_reader.ts
@@ -1,4 +1,5 @@
 import type {Socket} from 'node:net';
+import {MAX_DROPPED_BYTES} from '../../http/lingering_close.js';
 import type {BodySchedule} from './body_schedule.js';
 
 /**
@@ -47,6 +48,8 @@
   private isParsing = false;
   private isDiscarding = false;
   private isAbandoned = false;
+  /** Bytes that may still be read and dropped. */
+  private droppableBytes = Infinity;
   private bodyPartBytes = PARSE_BODY_BYTES;
   /** Whether this reader has paused the connection; Node.js does so too, for its own reasons. */
   private hasPaused = false;
@@ -98,6 +101,19 @@
     this.resume();
   }
 
+  /**
+   * Drops what has not been parsed and what arrives until the caller closes the connection. A caller
+   * that goes on sending is not read to its end.
+   */
+  discardRest(): void {
+    this.isAbandoned = false;
+    this.isDiscarding = true;
+    this.droppableBytes = MAX_DROPPED_BYTES;
+    this.dropPending();
+    this.hasPaused = false;
+    this.socket.resume();
+  }
+
   /** Drops what has not been parsed and reads nothing more, not even the end of the connection. */
   abandon(): void {
     this.isAbandoned = true;
@@ -124,6 +140,10 @@
 
   private receive(chunk: Buffer): void {
     this.options.handleRead(chunk.length);
+    if (this.isDiscarding) {
+      this.droppableBytes -= chunk.length;
+      if (this.droppableBytes < 0) this.abandon();
+    }
     if (this.isDiscarding || this.isAbandoned) return;
     this.setPending(
       this.pending ? Buffer.concat([this.pending, chunk]) : chunk,
--- a/packages/instance/src/direct/listen/request_handler.ts
+++ b/packages/instance/src/direct/listen/request_handler.ts
@@ -4,6 +4,7 @@
 import {writeFailure} from '../answer/failure_response.js';
 import {Decision} from '../decision.js';
 import {CallerConnections} from './caller_connections.js';
+import {readDeadlineMs} from './caller_request.js';
 import type {RequestExchangeOptions} from './exchange_options.js';
 import type {LimitReport} from './limit_report.js';
 import type {PipelinedRequest} from './pipelined_request.js';
@@ -37,6 +38,7 @@
     this.connections = new CallerConnections(server, {
       ...options,
       isIdempotent: req => this.isIdempotent(req),
+      readDeadlineMs: req => readDeadlineMs(req, options.names),
       start: request => this.start(request),
     });
     server.on('request', (req, res) => this.connections.receive(req, res));
@@ -56,6 +58,14 @@
     return this.connections.stopReading(connection);
   }
 
+  /**
+   * Closes a connection without taking from its caller what it has not read yet.
+   * @param connection - The connection of a caller.
+   */
+  closeInSteps(connection: Duplex): void {
+    this.connections.closeInSteps(connection);
+  }
+
   /**
    * Returns whether a connection is not read at present.
    * @param connection - The connection of a caller.
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -322,6 +322,7 @@
   const tracker = new ConnectionTracker(callerServer, {
     timers,
     closeIdleMs: QUIET_PERIOD_MS,
+    close: connection => handler.closeInSteps(connection),
   });
   const auxiliaryListeners: AuxiliaryListener[] = [
     {
@@ -355,6 +356,7 @@
   ];
   await openAuxiliaryListeners(auxiliaryListeners, {
     report: limitReport,
+    timers,
     startListening,
   });
   const subscriptions = [
--- a/packages/instance/src/http/connection_tracker.ts
+++ b/packages/instance/src/http/connection_tracker.ts
@@ -22,6 +22,8 @@
   closeIdleMs: number;
   /** Timeout in the `keep-alive` header of answers, in seconds; no header if undefined. */
   keepAliveSeconds?: number;
+  /** Closes an idle connection, whose caller may still be reading its last response. */
+  close: (connection: Duplex) => void;
 }
 
 interface ConnectionUse {
@@ -104,8 +106,7 @@
   }
 
   /**
-   * Closes each connection once it has been idle long enough. Connections are destroyed, not ended:
-   * a request that arrives after the end would still be handled, but its answer could not be sent.
+   * Closes each connection once it has been idle long enough.
    * @param timeoutMs - Maximum wait in milliseconds.
    * @param isDone - Returns whether no other work is open; true by default.
    */
@@ -121,7 +122,8 @@
   private closeIdleNow(): boolean {
     const idleBefore = this.options.timers.now() - this.options.closeIdleMs;
     for (const [socket, {openRequests, lastUsedAt: usedAt}] of this.open) {
-      if (openRequests === 0 && usedAt <= idleBefore) socket.destroy();
+      if (openRequests === 0 && usedAt <= idleBefore)
+        this.options.close(socket);
     }
     return this.open.size === 0;
   }
--- a/packages/instance/src/http/listen.ts
+++ b/packages/instance/src/http/listen.ts
@@ -7,6 +7,7 @@
 } from '@primrosestage/common';
 import {ConnectionTracker} from './connection_tracker.js';
 import {parseAddress} from './parse_address.js';
+import {useLingeringClose} from './lingering_close.js';
 import {rejectInvalidRequest} from './reject_invalid_request.js';
 
 /** Maximum size of the request headers that a listener accepts. */
@@ -69,13 +70,19 @@
     );
     server.listen(port, host, resolve);
   });
+  const timers = new RealTimerService();
+  const close = useLingeringClose(server, timers);
   const tracker = new ConnectionTracker(server, {
-    timers: new RealTimerService(),
+    timers,
     closeIdleMs: CLOSE_IDLE_MS,
     keepAliveSeconds: KEEP_ALIVE_SECONDS,
+    close,
   });
   server.on('clientError', (err, connection) =>
-    rejectInvalidRequest(err, connection, tracker.isInUse(connection)),
+    rejectInvalidRequest(err, connection, {
+      hasOpenRequest: tracker.isInUse(connection),
+      close: () => close(connection),
+    }),
   );
   return {
     server,
--- a/packages/instance/src/http/reject_invalid_request.ts
+++ b/packages/instance/src/http/reject_invalid_request.ts
@@ -9,18 +9,26 @@
 };
 const MALFORMED_STATUS = 400;
 
+/** What is known of a connection whose bytes are no request. */
+export interface InvalidRequestOptions {
+  /** Whether a request on the connection awaits its response. */
+  hasOpenRequest: boolean;
+  /** Closes the connection behind what has been written. */
+  close: () => void;
+}
+
 /**
  * Responds to bytes of a caller that are no request, and closes the connection. The caller would
  * take the status for the response to a request that is open on the connection and that may run, so
  * that none is sent where there is one.
  * @param err - Why the bytes are no request.
  * @param connection - The connection.
- * @param hasOpenRequest - Whether a request on the connection awaits its response.
+ * @param options - Its open requests, and how it is closed.
  */
 export function rejectInvalidRequest(
   {code = ''}: NodeJS.ErrnoException,
   connection: Duplex,
-  hasOpenRequest: boolean,
+  {hasOpenRequest, close}: InvalidRequestOptions,
 ): void {
   const status =
     STATUS_BY_CODE[code] ??
@@ -29,8 +37,8 @@
     connection.destroy();
     return;
   }
-  connection.end(
+  connection.write(
     `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    () => connection.destroy(),
   );
+  close();
 }
--- a/packages/instance/test/direct/caller_connections.test.ts
+++ b/packages/instance/test/direct/caller_connections.test.ts
@@ -27,6 +27,7 @@
       plan: {...planResources(undefined, Infinity), maxPipelinedRequests: 2},
       responseBuffers: new ResponseBuffers(Infinity),
       bodyBuffers: new BodyBuffers({maxBytes: Infinity, reservedBytes: 0}),
+      readDeadlineMs: () => undefined,
       discardedBuffers: new DiscardedBuffers(Infinity, () => {}),
       report: {} as LimitReport,
       timers: new RealTimerService(),
--- a/packages/instance/test/direct/fleet.ts
+++ b/packages/instance/test/direct/fleet.ts
@@ -97,7 +97,7 @@
   version: number,
   routes: Route[],
   service: Partial<DirectService> = {},
-  limits: {maxBodyBytes?: number} = {},
+  limits: {maxBodyBytes?: number; idleTimeoutMs?: number} = {},
   accounts?: readonly ClientAccount[],
 ): void {
   registry.set('configuration', {
