Limit the memory of header fields

Cause: a field takes 100 to 250 bytes of the heap beside its characters, and limits on requests assumed 30 KiB for each. Handing over all fields makes it worse: a head of 16 KiB can take 1 MB, and so can trailers.

Change: HeadMeter counts fields and bytes of heads and trailers together, also of unfinished ones, beyond 16 KiB for each request. What does not fit in maxHeadBytes gets 503 with Retry-After at once, and its fields are given up. Heads of responses count for maxResponseBytes.

Ruled out: counting bytes only, or only heads that are whole.

Conclusion: heads, trailers and bodies have their own limits.

--- a/packages/instance/src/direct/listen/body_buffers.ts
+++ b/packages/instance/src/direct/listen/body_buffers.ts
@@ -13,6 +13,8 @@
 export interface BodyReservation extends Disposable {
   /** Largest body for which there is memory if no other request has one, in bytes. */
   readonly maxBytes: number;
+  /** The reserved size in bytes. */
+  readonly bytes: number;
   /**
    * Raises the reserved size.
    * @param bytes - The new size of the body, in bytes.
@@ -58,6 +60,9 @@
     const {maxBytes, reservedBytes} = this.limits;
     return {
       maxBytes: Math.max(maxBytes - reservedBytes, MAX_SMALL_BODY_BYTES),
+      get bytes() {
+        return own;
+      },
       growTo: bytes => {
         if (bytes <= own) return true;
         if (isDisposed || !this.hasRoom(bytes, own)) return false;
--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -6,6 +6,7 @@
 import type {BodyBuffers} from './body_buffers.js';
 import type {BodySchedule} from './body_schedule.js';
 import type {DiscardedBuffers} from '../discarded_buffers.js';
+import {HeadMeter} from './head_meter.js';
 import {PacedReader} from './paced_reader.js';
 import {PipelinedRequest} from './pipelined_request.js';
 
@@ -29,6 +30,10 @@
   readDeadlineMs(req: IncomingMessage): number | undefined;
   timers: TimerService;
   bodyBuffers: BodyBuffers;
+  /** Memory for the heads of requests. */
+  headBuffers: BodyBuffers;
+  /** Gives up the header fields of a request that is refused. */
+  releaseFields(req: IncomingMessage): void;
   discardedBuffers: DiscardedBuffers;
   bodySchedule: BodySchedule;
   /** Starts a request. */
@@ -41,6 +46,8 @@
   /** Called when reading has stopped or goes on. */
   handleReading(connection: CallerConnection): void;
   handleHeld(connection: CallerConnection): void;
+  /** Called when there is no memory for the head of a request that is being received. */
+  handleHeadRefused(connection: CallerConnection): void;
 }
 
 /** The connection of a caller with its requests in progress, which may be pipelined. */
@@ -50,6 +57,11 @@
   admittedRequests = 0;
   private readonly open: PipelinedRequest[] = [];
   private readonly reader: PacedReader;
+  private readonly headMeter: HeadMeter;
+  /** Whether a request has been taken since the last part of a head. */
+  private hasReceived = false;
+  /** Bytes of the last request's body when a part of it was parsed last. */
+  private lastBodyBytes = 0;
   private isEnding = false;
   private isDraining = false;
   private isClosingInSteps = false;
@@ -66,17 +78,23 @@
     readonly socket: Socket,
     private readonly context: ConnectionContext,
   ) {
+    this.headMeter = new HeadMeter(context.headBuffers);
     this.reader = new PacedReader(socket, {
       mayRead: () => this.mayRead(),
       isReceivingBody: () => this.isReceivingBody,
       handleChange: () => context.handleReading(this),
       handleRead: bytes => context.discardedBuffers.add(bytes),
+      isReceivingChunks: () => this.isReceivingChunks,
+      handleParsed: part => this.handleParsed(part),
       handlePending: bytes => context.bodyBuffers.addPending(bytes),
       schedule: context.bodySchedule,
     });
     // Node.js closes a connection behind its last response in this way.
     socket.destroySoon = () => this.closeInSteps();
-    socket.once('close', () => this.settleAll());
+    socket.once('close', () => {
+      this.headMeter[Symbol.dispose]();
+      this.settleAll();
+    });
   }
 
   /** The number of requests that await the end of their response. */
@@ -114,8 +132,12 @@
     }
     const {context} = this;
     const request = new PipelinedRequest(req, res, context.timers.now(), this);
-    request.isRefused = !context.hasRoom(this);
-    if (!request.isRefused) this.admittedRequests++;
+    this.hasReceived = true;
+    this.lastBodyBytes = 0;
+    request.headMemory = this.headMeter.finish(req);
+    request.isRefused = !request.headMemory || !context.hasRoom(this);
+    if (request.isRefused) context.releaseFields(req);
+    else this.admittedRequests++;
     this.open.push(request);
     // Node.js closes a connection at this event, before the response emits `close`.
     res.prependOnceListener('finish', () => this.recordAwaited(request));
@@ -173,6 +195,17 @@
     this.settleAll();
   }
 
+  /**
+   * Refuses the request whose body is being received.
+   * @returns Whether there is one.
+   */
+  refuseBody(): boolean {
+    const last = this.open.at(-1);
+    if (!last?.handleBodyRefused || last.req.complete) return false;
+    last.handleBodyRefused();
+    return true;
+  }
+
   isLast(request: PipelinedRequest): boolean {
     return this.open.at(-1) === request;
   }
@@ -231,12 +264,42 @@
     this.reader.update();
   }
 
+  private get isReceivingChunks(): boolean {
+    const req = this.open.at(-1)?.req;
+    if (!req || req.complete) return false;
+    return req.headers['transfer-encoding'] !== undefined;
+  }
+
+  /** Counts a part that belongs to a head or to trailers. */
+  private handleParsed(part: Buffer): void {
+    if (this.isEnding) return;
+    const hasReceived = this.hasReceived;
+    this.hasReceived = false;
+    if (hasReceived || (this.isReceivingBody && !this.mayBeTrailers())) {
+      this.headMeter.reset();
+      return;
+    }
+    if (!this.headMeter.add(part)) this.context.handleHeadRefused(this);
+  }
+
+  /** Returns whether what has been received of a body since the last call is none of its data. */
+  private mayBeTrailers(): boolean {
+    const request = this.open.at(-1);
+    if (!request || !this.isReceivingChunks) return false;
+    const bodyBytes = request.receivedBodyBytes;
+    const isUnchanged = bodyBytes === this.lastBodyBytes;
+    this.lastBodyBytes = bodyBytes;
+    return isUnchanged;
+  }
+
   private settle(request: PipelinedRequest): void {
     const index = this.open.indexOf(request);
     if (index < 0) return;
     this.open.splice(index, 1);
     if (!request.isRefused) this.admittedRequests--;
     request.settle();
+    // The parser holds a request until its body has arrived whole.
+    if (!request.req.complete) this.context.releaseFields(request.req);
     this.context.handleSettled(this, request);
     if (this.socket.destroyed) return;
     if (this.isDraining && this.open.length === 0) this.closeInSteps();
--- a/packages/instance/src/direct/listen/caller_connections.ts
+++ b/packages/instance/src/direct/listen/caller_connections.ts
@@ -12,6 +12,7 @@
 import type {ResponseBuffers} from '../send/response_buffers.js';
 import {CallerConnection, type ConnectionContext} from './caller_connection.js';
 import type {BodyBuffers} from './body_buffers.js';
+import {writeStatus} from '../../http/write_status.js';
 import {BodySchedule} from './body_schedule.js';
 import type {DiscardedBuffers} from '../discarded_buffers.js';
 import type {LimitReport} from './limit_report.js';
@@ -20,11 +21,18 @@
 /** Name of the callers' listener in metrics and log lines. */
 export const CALLER_LISTENER = 'callers';
 
+/** Time after which a caller whose request was refused for a limit may retry, in milliseconds. */
+export const REFUSED_RETRY_AFTER_MS = 300;
+
 /** Configures the connections of callers. */
 export interface CallerConnectionsOptions {
   plan: ResourcePlan;
   responseBuffers: ResponseBuffers;
   bodyBuffers: BodyBuffers;
+  /** Memory for the heads of requests. */
+  headBuffers: BodyBuffers;
+  /** Gives up the header fields of a request that is refused. */
+  releaseFields: (req: IncomingMessage) => void;
   /** Buffers that have been read and are garbage once they are parsed. */
   discardedBuffers: DiscardedBuffers;
   report: LimitReport;
@@ -61,10 +69,13 @@
     private readonly options: CallerConnectionsOptions,
   ) {
     const {plan, timers, responseBuffers, isIdempotent, start} = options;
-    const {bodyBuffers, discardedBuffers, readDeadlineMs} = options;
+    const {bodyBuffers, headBuffers, discardedBuffers} = options;
+    const {readDeadlineMs, releaseFields} = options;
     this.context = {
       timers,
       bodyBuffers,
+      headBuffers,
+      releaseFields,
       discardedBuffers,
       bodySchedule: new BodySchedule(timers),
       maxPipelined: plan.maxPipelinedRequests,
@@ -78,6 +89,7 @@
         this.handleSettled(connection, request),
       handleReading: connection => this.handleReading(connection),
       handleHeld: connection => this.holding.add(connection),
+      handleHeadRefused: connection => this.refuseHead(connection),
     };
     responseBuffers.handlePressure = () => this.relievePressure();
     server.on('connection', (socket: Socket) => {
@@ -186,6 +198,18 @@
     if (selected) this.drain(selected);
   }
 
+  /** Refuses a request whose head or trailers have not arrived whole. */
+  private refuseHead(connection: CallerConnection): void {
+    this.options.report.countRefused();
+    if (connection.refuseBody()) return;
+    if (connection.requests > 0) {
+      connection.drain();
+      return;
+    }
+    writeStatus(connection.socket, 503, REFUSED_RETRY_AFTER_MS);
+    connection.closeInSteps();
+  }
+
   private relievePressure(): void {
     const {responseBuffers, timers} = this.options;
     const unread = selectUnread(
--- a/packages/instance/src/direct/listen/caller_request.ts
+++ b/packages/instance/src/direct/listen/caller_request.ts
@@ -58,3 +58,16 @@
   const value = req.headers[names.accountKey];
   return Array.isArray(value) ? value.join() : value;
 }
+
+/**
+ * Gives up the header fields of a request that is refused, so that they do not stay in memory while
+ * its connection is open. What the refusal depends on is kept.
+ * @param req - The request.
+ * @param names - Header names.
+ */
+export function releaseFields(req: IncomingMessage, names: WireNames): void {
+  const {headers} = req;
+  const kept = ['host', 'content-length', 'transfer-encoding', names.requestId];
+  req.headers = Object.fromEntries(kept.map(name => [name, headers[name]]));
+  req.rawHeaders.length = 0;
+}
--- a/packages/instance/src/direct/listen/paced_reader.ts
+++ b/packages/instance/src/direct/listen/paced_reader.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {MAX_DROPPED_BYTES} from '../../http/lingering_close.js';
+import {countLines} from './count_lines.js';
 import type {BodySchedule} from './body_schedule.js';
 
 /**
@@ -14,6 +15,11 @@
 const PARSE_BODY_BYTES = 64 * 1024;
 /** Fewest bytes of a body that are parsed at once, however much time they take. */
 const MIN_PARSE_BODY_BYTES = 1024;
+/**
+ * Bytes of a body in chunks for each line above which its parts are as short as possible: it may be
+ * trailers, of which each part is counted after it has been parsed.
+ */
+const DENSE_LINE_BYTES = 64;
 /** Time of parsing a part of a body above which the next part is shorter, in milliseconds. */
 const SLOW_PART_MS = 2;
 /**
@@ -32,6 +38,10 @@
   handleChange: () => void;
   /** Called with the number of bytes that have been read. */
   handleRead: (bytes: number) => void;
+  /** Returns whether that body is sent in chunks. */
+  isReceivingChunks: () => boolean;
+  /** Called with each part that has been parsed; it may end with the begin of the next head. */
+  handleParsed: (part: Buffer) => void;
   /** Called with the change of the number of bytes that wait to be parsed. */
   handlePending: (bytes: number) => void;
   /** The time for parsing the bodies of all connections. */
@@ -199,7 +209,7 @@
 
   /** Parses a part of a body; a part is shorter the more time its bytes take. */
   private parseBodyPart(): void {
-    const bytes = this.bodyPartBytes;
+    const bytes = this.getBodyPartBytes();
     const ms = this.options.schedule.measure(() => this.parsePart(bytes));
     this.bodyPartBytes =
       ms > SLOW_PART_MS
@@ -207,6 +217,14 @@
         : Math.min(PARSE_BODY_BYTES, bytes * 2);
   }
 
+  private getBodyPartBytes(): number {
+    const {bodyPartBytes, pending} = this;
+    if (!pending || !this.options.isReceivingChunks()) return bodyPartBytes;
+    const part = pending.subarray(0, bodyPartBytes);
+    const isDense = countLines(part) * DENSE_LINE_BYTES > part.length;
+    return isDense ? MIN_PARSE_BODY_BYTES : bodyPartBytes;
+  }
+
   private parsePart(bytes: number): void {
     const {pending, socket} = this;
     if (!pending) return;
@@ -215,5 +233,8 @@
     );
     const part = pending.subarray(0, bytes);
     for (const parser of this.parsers) parser.call(socket, part);
+    if (!this.isDiscarding && !this.isAbandoned) {
+      this.options.handleParsed(part);
+    }
   }
 }
--- a/packages/instance/src/direct/listen/request_exchange.ts
+++ b/packages/instance/src/direct/listen/request_exchange.ts
@@ -154,6 +154,9 @@
       this.requestId;
     const {maxBodyBytes} = configuration.limits;
     const reservation = this.options.bodyBuffers.open();
+    this.request.bodyMemory = reservation;
+    this.request.handleBodyRefused = () =>
+      this.finish(503, Decision.NoBodyMemory);
     const timeout = timers.after(
       Math.max(0, timeoutAt - timers.now()) + RESPONSE_GRACE_MS,
       () => this.handleTimeout(),
--- a/packages/instance/src/direct/listen/request_handler.ts
+++ b/packages/instance/src/direct/listen/request_handler.ts
@@ -1,23 +1,26 @@
 import type {IncomingMessage, Server} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {isIdempotent, type ResourcePlan} from '@primrosestage/steering';
+import type {BodyBuffers} from './body_buffers.js';
 import {writeFailure} from '../answer/failure_response.js';
 import {Decision} from '../decision.js';
-import {CallerConnections} from './caller_connections.js';
-import {readDeadlineMs} from './caller_request.js';
+import {
+  CallerConnections,
+  REFUSED_RETRY_AFTER_MS,
+} from './caller_connections.js';
+import {readDeadlineMs, releaseFields} from './caller_request.js';
 import type {RequestExchangeOptions} from './exchange_options.js';
 import type {LimitReport} from './limit_report.js';
 import type {PipelinedRequest} from './pipelined_request.js';
 import {hasBody} from './read_body.js';
 import {RequestExchange} from './request_exchange.js';
 
-/** Time after which a caller whose request was refused for a limit may retry, in milliseconds. */
-const REFUSED_RETRY_AFTER_MS = 300;
-
 /** Configures the handling of callers' requests. */
 export interface RequestHandlerOptions extends RequestExchangeOptions {
   plan: ResourcePlan;
   report: LimitReport;
+  /** Memory for the heads of requests. */
+  headBuffers: BodyBuffers;
 }
 
 /** Handles the HTTP requests of callers and counts those in progress. */
@@ -38,6 +41,7 @@
     this.connections = new CallerConnections(server, {
       ...options,
       isIdempotent: req => this.isIdempotent(req),
+      releaseFields: req => releaseFields(req, options.names),
       readDeadlineMs: req => readDeadlineMs(req, options.names),
       start: request => this.start(request),
     });
@@ -82,9 +86,11 @@
   /** Observes the callers' reading and updates the metrics of what is held. */
   sweep(): void {
     this.connections.sweep();
-    const {metrics, bodyBuffers, bodySegments, responseBuffers} = this.options;
+    const {metrics, bodyBuffers, bodySegments} = this.options;
+    const {headBuffers, responseBuffers} = this.options;
     bodySegments.trim();
     metrics.heldBytes.set({kind: 'bodies'}, bodyBuffers.usedBytes);
+    metrics.heldBytes.set({kind: 'heads'}, headBuffers.usedBytes);
     metrics.heldBytes.set({kind: 'responses'}, responseBuffers.usedBytes);
     metrics.pausedConnections.set(this.connections.pausedConnections);
   }
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -218,6 +218,10 @@
     agent,
     quotas,
     bodyBuffers,
+    headBuffers: new BodyBuffers({
+      maxBytes: plan.maxHeadBytes,
+      reservedBytes: 0,
+    }),
     bodySegments: new BodySegments(),
     discardedBuffers,
     responseBuffers: new ResponseBuffers(plan.maxResponseBytes),
--- a/packages/instance/src/direct/send/send_attempt.ts
+++ b/packages/instance/src/direct/send/send_attempt.ts
@@ -8,6 +8,7 @@
   type EndpointResponse,
 } from './attempt.js';
 import type {DiscardedBuffers} from '../discarded_buffers.js';
+import {getReceivedHeadMemory} from '../head_memory.js';
 import {
   type ConnectionUse,
   type EndpointAgent,
@@ -224,6 +225,7 @@
   private receiveBody(res: IncomingMessage): void {
     const chunks: Buffer[] = [];
     const {reservation} = this;
+    reservation.add(getReceivedHeadMemory(res.rawHeaders));
     let size = 0;
     const onData = (chunk: Buffer) => {
       if (this.isDone) return;
--- a/packages/instance/src/http/reject_invalid_request.ts
+++ b/packages/instance/src/http/reject_invalid_request.ts
@@ -1,5 +1,5 @@
-import {STATUS_CODES} from 'node:http';
 import type {Duplex} from 'node:stream';
+import {writeStatus} from './write_status.js';
 
 /** Statuses by the codes of the errors that Node.js reports for the bytes of a caller. */
 const STATUS_BY_CODE: Readonly<Record<string, number>> = {
@@ -37,8 +37,6 @@
     connection.destroy();
     return;
   }
-  connection.write(
-    `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-  );
+  writeStatus(connection, status);
   close();
 }
--- a/packages/instance/test/direct/caller_connections.test.ts
+++ b/packages/instance/test/direct/caller_connections.test.ts
@@ -27,6 +27,8 @@
       plan: {...planResources(undefined, Infinity), maxPipelinedRequests: 2},
       responseBuffers: new ResponseBuffers(Infinity),
       bodyBuffers: new BodyBuffers({maxBytes: Infinity, reservedBytes: 0}),
+      headBuffers: new BodyBuffers({maxBytes: Infinity, reservedBytes: 0}),
+      releaseFields: () => {},
       readDeadlineMs: () => undefined,
       discardedBuffers: new DiscardedBuffers(Infinity, () => {}),
       report: {} as LimitReport,
--- a/packages/instance/test/direct/many_header_fields.test.ts
+++ b/packages/instance/test/direct/many_header_fields.test.ts
@@ -89,6 +89,16 @@
     },
   );
 
+  // Short lines of a body in chunks look like trailers, whose memory is limited.
+  it('guards against refusing a body in chunks because of its short lines', async () => {
+    const lines = '0\r\n'.repeat(20_000);
+    const size = lines.length.toString(16);
+    const framing = `transfer-encoding: chunked\r\n\r\n${size}\r\n${lines}\r\n0\r\n\r\n`;
+    const received = await sendOrder('order', '', framing);
+    expect(received).toContain('HTTP/1.1 200 ');
+    expect(stub.bodies[0]?.length).toBe(lines.length);
+  });
+
   it('rejects a request with more header fields than are handed over', async () => {
     const fields = 'a:\r\n'.repeat(17_000);
     const received = await sendOrder('order', fields, FRAMINGS[0]![1]);
--- a/packages/steering/src/direct/plan_resources.ts
+++ b/packages/steering/src/direct/plan_resources.ts
@@ -21,8 +21,11 @@
 const PAUSED_MEMORY_PART = 0.04;
 const RESPONSE_MEMORY_PART = 0.08;
 const UNCOLLECTED_MEMORY_PART = 0.03;
+const HEAD_MEMORY_PART = 0.05;
 /** Part of the heap that connections, and requests in progress, may fill each. */
 const HEAP_PART = 0.25;
+/** Part of the heap that the header fields of requests may fill beyond what each may use. */
+const HEAD_HEAP_PART = 0.1;
 /** Memory of a connection with most of a header of 16 KiB, measured (docs/CAPACITY.md). */
 const CALLER_CONNECTION_BYTES = 33 * 1024;
 /** Memory of an idle connection, measured; the rest of the above lies outside the heap. */
@@ -65,6 +68,8 @@
   maxBodyBytes: number;
   /** Part of `maxBodyBytes` that only small bodies may use. */
   reservedBodyBytes: number;
+  /** Most bytes of the heads of requests beyond what each of them may use. */
+  maxHeadBytes: number;
   /** Bytes of buffers read from connections and given up at which garbage is collected. */
   maxUncollectedBytes: number;
   /** Most bytes of responses that are held. */
@@ -95,6 +100,7 @@
       maxPipelinedRequests: Infinity,
       maxPausedConnections: Infinity,
       ...DEFAULT_BODY_LIMITS,
+      maxHeadBytes: Infinity,
       maxUncollectedBytes: Infinity,
       maxResponseBytes: Infinity,
     };
@@ -128,6 +134,10 @@
     ),
     maxBodyBytes: Math.floor(FULL_BODY_BYTES * bodyFraction),
     reservedBodyBytes: Math.floor(FULL_RESERVED_BODY_BYTES * bodyFraction),
+    maxHeadBytes: limit(
+      memoryBytes * HEAD_MEMORY_PART,
+      heapBytes * HEAD_HEAP_PART,
+    ),
     maxUncollectedBytes: Math.floor(memoryBytes * UNCOLLECTED_MEMORY_PART),
     maxResponseBytes: Math.floor(memoryBytes * RESPONSE_MEMORY_PART),
   };
