Move the counting of heads and the wait for a close into places of their own

Cause: the connection of a caller had grown by the counting of heads and trailers and by the bounds of its wait. Memory of trailers stayed counted on an idle connection until its next request.

Change: HeadMeter.count decides what a part belongs to, and releases trailers at the end of their body; getLingerMs (steering) bounds the wait.

Conclusion: no other change of behaviour.

--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {TimerService} from '@primrosestage/common';
-import type {ConnectionLoad} from '@primrosestage/steering';
+import {type ConnectionLoad, getLingerMs} from '@primrosestage/steering';
 import {endAndAwaitClose} from '../../http/lingering_close.js';
 import type {BodyBuffers} from './body_buffers.js';
 import type {BodySchedule} from './body_schedule.js';
@@ -10,13 +10,6 @@
 import {PacedReader} from './paced_reader.js';
 import {PipelinedRequest} from './pipelined_request.js';
 
-/**
- * Shortest time for which a connection that is closed waits for its caller to close it too, in
- * milliseconds.
- */
-const MIN_LINGER_MS = 500;
-/** Longest such time, however late the deadlines of the caller's requests are, in milliseconds. */
-const MAX_LINGER_MS = 30_000;
 /** Time that a caller without a deadline has for reading the end of a response, in milliseconds. */
 const DEFAULT_READ_MS = 10_000;
 
@@ -58,10 +51,6 @@
   private readonly open: PipelinedRequest[] = [];
   private readonly reader: PacedReader;
   private readonly headMeter: HeadMeter;
-  /** Whether a request has been taken since the last part of a head. */
-  private hasReceived = false;
-  /** Bytes of the last request's body when a part of it was parsed last. */
-  private lastBodyBytes = 0;
   private isEnding = false;
   private isDraining = false;
   private isClosingInSteps = false;
@@ -132,8 +121,6 @@
     }
     const {context} = this;
     const request = new PipelinedRequest(req, res, context.timers.now(), this);
-    this.hasReceived = true;
-    this.lastBodyBytes = 0;
     request.headMemory = this.headMeter.finish(req);
     request.isRefused = !request.headMemory || !context.hasRoom(this);
     if (request.isRefused) context.releaseFields(req);
@@ -181,11 +168,8 @@
     this.stopReading();
     this.reader.discardRest();
     const {timers} = this.context;
-    const awaitedMs = this.awaitedUntil - timers.now();
-    endAndAwaitClose(this.socket, {
-      timers,
-      timeoutMs: Math.min(MAX_LINGER_MS, Math.max(MIN_LINGER_MS, awaitedMs)),
-    });
+    const timeoutMs = getLingerMs(this.awaitedUntil - timers.now());
+    endAndAwaitClose(this.socket, {timers, timeoutMs});
   }
 
   /** Resets the connection; its requests no longer count. */
@@ -270,26 +254,14 @@
     return req.headers['transfer-encoding'] !== undefined;
   }
 
-  /** Counts a part that belongs to a head or to trailers. */
+  /** Counts a part that may belong to a head or to trailers, which only a body in chunks has. */
   private handleParsed(part: Buffer): void {
     if (this.isEnding) return;
-    const hasReceived = this.hasReceived;
-    this.hasReceived = false;
-    if (hasReceived || (this.isReceivingBody && !this.mayBeTrailers())) {
-      this.headMeter.reset();
-      return;
-    }
-    if (!this.headMeter.add(part)) this.context.handleHeadRefused(this);
-  }
-
-  /** Returns whether what has been received of a body since the last call is none of its data. */
-  private mayBeTrailers(): boolean {
-    const request = this.open.at(-1);
-    if (!request || !this.isReceivingChunks) return false;
-    const bodyBytes = request.receivedBodyBytes;
-    const isUnchanged = bodyBytes === this.lastBodyBytes;
-    this.lastBodyBytes = bodyBytes;
-    return isUnchanged;
+    const {isReceivingChunks} = this;
+    if (this.isReceivingBody && !isReceivingChunks) return;
+    const last = isReceivingChunks ? this.open.at(-1) : undefined;
+    if (this.headMeter.count(part, last?.receivedBodyBytes)) return;
+    this.context.handleHeadRefused(this);
   }
 
   private settle(request: PipelinedRequest): void {
--- a/packages/instance/src/direct/listen/head_meter.ts
+++ b/packages/instance/src/direct/listen/head_meter.ts
@@ -10,6 +10,10 @@
 export class HeadMeter implements Disposable {
   private receivedBytes = 0;
   private receivedLines = 0;
+  /** Whether a head has arrived whole since the last part. */
+  private hasFinished = false;
+  /** Data of the body in chunks that had been received with the last part, in bytes, if any. */
+  private bodyBytes?: number;
   private reservation: BodyReservation;
 
   /**
@@ -21,24 +25,23 @@
   }
 
   /**
-   * Counts a part of a head, or of trailers, that has not arrived whole.
+   * Counts a part that has been parsed, unless a head has ended in it. A part of a body in chunks
+   * counts as one of its trailers if it has added no data.
    * @param part - The part.
-   * @returns Whether there is memory for what has arrived.
+   * @param bodyBytes - Data of the body in chunks that is being received so far, in bytes; undefined
+   * if a head is.
+   * @returns Whether there is memory for what has arrived of the head or trailers.
    */
-  add(part: Buffer): boolean {
-    this.receivedBytes += part.length;
-    if (this.receivedBytes <= SMALL_HEAD_BYTES) return true;
-    this.receivedLines += countLines(part);
-    return this.reservation.growTo(
-      getHeadMemory(this.receivedLines, this.receivedBytes),
-    );
-  }
-
-  /** Releases what was counted of a head or of trailers. */
-  reset(): void {
-    if (this.receivedBytes === 0) return;
-    this.reservation[Symbol.dispose]();
-    this.begin();
+  count(part: Buffer, bodyBytes?: number): boolean {
+    const hasBodyEnded =
+      this.bodyBytes !== undefined && bodyBytes === undefined;
+    const hasData = bodyBytes !== undefined && bodyBytes !== this.bodyBytes;
+    const isCounted = !this.hasFinished && !hasBodyEnded && !hasData;
+    this.hasFinished = false;
+    this.bodyBytes = bodyBytes;
+    if (isCounted) return this.add(part);
+    this.reset();
+    return true;
   }
 
   /**
@@ -48,6 +51,8 @@
    */
   finish({rawHeaders}: IncomingMessage): BodyReservation | undefined {
     const {reservation} = this;
+    this.hasFinished = true;
+    this.bodyBytes = undefined;
     this.begin();
     if (reservation.growTo(getReceivedHeadMemory(rawHeaders))) {
       return reservation;
@@ -60,6 +65,22 @@
     this.reservation[Symbol.dispose]();
   }
 
+  private add(part: Buffer): boolean {
+    this.receivedBytes += part.length;
+    if (this.receivedBytes <= SMALL_HEAD_BYTES) return true;
+    this.receivedLines += countLines(part);
+    return this.reservation.growTo(
+      getHeadMemory(this.receivedLines, this.receivedBytes),
+    );
+  }
+
+  /** Releases what was counted of a head or of trailers. */
+  private reset(): void {
+    if (this.receivedBytes === 0) return;
+    this.reservation[Symbol.dispose]();
+    this.begin();
+  }
+
   private begin(): void {
     this.receivedBytes = 0;
     this.receivedLines = 0;
--- a/packages/instance/test/direct/head_meter.test.ts
+++ b/packages/instance/test/direct/head_meter.test.ts
@@ -16,7 +16,7 @@
   it('counts no memory for an ordinary head', () => {
     const buffers = createBuffers();
     using meter = new HeadMeter(buffers);
-    expect(meter.add(Buffer.from('a: b\r\n'.repeat(30)))).toBe(true);
+    expect(meter.count(Buffer.from('a: b\r\n'.repeat(30)))).toBe(true);
     expect(meter.finish(createHead(30))).toBeDefined();
     expect(buffers.usedBytes).toBe(0);
   });
@@ -32,12 +32,26 @@
     expect(meter.finish(createHead(300))).toBeDefined();
   });
 
+  it('counts parts of a body in chunks that add no data, until data follows', () => {
+    const buffers = createBuffers();
+    using meter = new HeadMeter(buffers);
+    const part = Buffer.from('a:\r\n'.repeat(128));
+    meter.finish(createHead(5));
+    meter.count(part, 0);
+    for (let i = 0; i < 3; i++) meter.count(part, 10);
+    expect(buffers.usedBytes).toBe(0);
+    for (let i = 0; i < 3; i++) meter.count(part, 10);
+    expect(buffers.usedBytes).toBeGreaterThan(50_000);
+    meter.count(part, 20);
+    expect(buffers.usedBytes).toBe(0);
+  });
+
   it('refuses a head that does not end, and releases what was counted of it', () => {
     const buffers = createBuffers();
     const meter = new HeadMeter(buffers);
     const part = Buffer.from('a:\r\n'.repeat(128));
     let parts = 0;
-    while (meter.add(part)) parts++;
+    while (meter.count(part)) parts++;
     expect(parts).toBeGreaterThan(2);
     expect(buffers.usedBytes).toBeLessThanOrEqual(MAX_BYTES);
     meter[Symbol.dispose]();
--- a/packages/steering/src/direct/index.ts
+++ b/packages/steering/src/direct/index.ts
@@ -84,6 +84,7 @@
 export {chooseCoordinator} from './choose_coordinator.js';
 export {getConnectionQuota} from './connection_quota.js';
 export {WeightedSplitter} from './weighted_splitter.js';
+export {getLingerMs} from './linger_time.js';
 export {combineToFraction, hash32} from './hash_fraction.js';
 export {EndpointLoad, type LoadReport} from './endpoint_load.js';
 export {rankEndpoints, type RankedEndpoint} from './rank_endpoints.js';
