Reserve memory for heads only where it is counted

Cause: every request opened an account for its head, although few heads are counted, and a listener for the end of its response.

Change: HeadMeter opens an account for heads above what each request may use; deadlines are noted when a response settles or its connection is closed.

The 23 tests of heads and of closing hold.

--- a/packages/instance/src/direct/head_memory.ts
+++ b/packages/instance/src/direct/head_memory.ts
@@ -23,6 +23,7 @@
  * @returns Bytes.
  */
 export function getReceivedHeadMemory(rawHeaders: readonly string[]): number {
-  const characters = rawHeaders.reduce((sum, {length}) => sum + length, 0);
+  let characters = 0;
+  for (const {length} of rawHeaders) characters += length;
   return getHeadMemory(rawHeaders.length / 2, characters);
 }
--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -126,8 +126,6 @@
     if (request.isRefused) context.releaseFields(req);
     else this.admittedRequests++;
     this.open.push(request);
-    // Node.js closes a connection at this event, before the response emits `close`.
-    res.prependOnceListener('finish', () => this.recordAwaited(request));
     res.once('close', () => this.settle(request));
     context.handleOpened(this, request);
     this.startWaiting();
@@ -167,6 +165,8 @@
     this.isClosingInSteps = true;
     this.stopReading();
     this.reader.discardRest();
+    // A response that closes its connection has not settled yet.
+    for (const request of this.open) this.recordAwaited(request);
     const {timers} = this.context;
     const timeoutMs = getLingerMs(this.awaitedUntil - timers.now());
     endAndAwaitClose(this.socket, {timers, timeoutMs});
@@ -274,6 +274,7 @@
     if (!request.req.complete) this.context.releaseFields(request.req);
     this.context.handleSettled(this, request);
     if (this.socket.destroyed) return;
+    this.recordAwaited(request);
     if (this.isDraining && this.open.length === 0) this.closeInSteps();
     this.startWaiting();
   }
--- a/packages/instance/src/direct/listen/head_meter.ts
+++ b/packages/instance/src/direct/listen/head_meter.ts
@@ -6,6 +6,9 @@
 /** Size of a head below which its memory is not counted, however many fields it has, in bytes. */
 const SMALL_HEAD_BYTES = 1024;
 
+/** Memory of a head that every request may use. */
+const NOT_COUNTED: Disposable = {[Symbol.dispose]: () => {}};
+
 /** Counts the memory of one head after the other on a connection, and of the trailers of bodies. */
 export class HeadMeter implements Disposable {
   private receivedBytes = 0;
@@ -14,15 +17,14 @@
   private hasFinished = false;
   /** Data of the body in chunks that had been received with the last part, in bytes, if any. */
   private bodyBytes?: number;
-  private reservation: BodyReservation;
+  /** Memory of what is being received; undefined while none is counted. */
+  private reservation?: BodyReservation;
 
   /**
    * Creates the meter of a connection.
    * @param buffers - Memory for the heads of all connections.
    */
-  constructor(private readonly buffers: BodyBuffers) {
-    this.reservation = buffers.open();
-  }
+  constructor(private readonly buffers: BodyBuffers) {}
 
   /**
    * Counts a part that has been parsed, unless a head has ended in it. A part of a body in chunks
@@ -49,41 +51,36 @@
    * @param req - The request.
    * @returns Its memory, which the caller disposes of; undefined if there is none for it.
    */
-  finish({rawHeaders}: IncomingMessage): BodyReservation | undefined {
-    const {reservation} = this;
+  finish({rawHeaders}: IncomingMessage): Disposable | undefined {
     this.hasFinished = true;
     this.bodyBytes = undefined;
-    this.begin();
-    if (reservation.growTo(getReceivedHeadMemory(rawHeaders))) {
-      return reservation;
-    }
-    reservation[Symbol.dispose]();
+    // What has been counted of it is counted anew, and the fields are known only now.
+    this.reset();
+    const bytes = getReceivedHeadMemory(rawHeaders);
+    if (bytes === 0) return NOT_COUNTED;
+    const reservation = this.buffers.open();
+    if (reservation.growTo(bytes)) return reservation;
     return undefined;
   }
 
   [Symbol.dispose](): void {
-    this.reservation[Symbol.dispose]();
+    this.reset();
   }
 
   private add(part: Buffer): boolean {
     this.receivedBytes += part.length;
     if (this.receivedBytes <= SMALL_HEAD_BYTES) return true;
     this.receivedLines += countLines(part);
-    return this.reservation.growTo(
-      getHeadMemory(this.receivedLines, this.receivedBytes),
-    );
+    const bytes = getHeadMemory(this.receivedLines, this.receivedBytes);
+    this.reservation ??= this.buffers.open();
+    return this.reservation.growTo(bytes);
   }
 
   /** Releases what was counted of a head or of trailers. */
   private reset(): void {
-    if (this.receivedBytes === 0) return;
-    this.reservation[Symbol.dispose]();
-    this.begin();
-  }
-
-  private begin(): void {
     this.receivedBytes = 0;
     this.receivedLines = 0;
-    this.reservation = this.buffers.open();
+    this.reservation?.[Symbol.dispose]();
+    this.reservation = undefined;
   }
 }
--- a/packages/instance/src/direct/listen/pipelined_request.ts
+++ b/packages/instance/src/direct/listen/pipelined_request.ts
@@ -9,7 +9,7 @@
   /** Whether it is refused, since too many requests are in progress. */
   isRefused = false;
   /** Memory of its header fields; undefined if there was none, so that it is refused. */
-  headMemory?: BodyReservation;
+  headMemory?: Disposable;
   /** Memory of its body, once that is being received. */
   bodyMemory?: BodyReservation;
   /** Called when the rest of its body cannot be received for lack of memory. */
