Use the usual name for closing in two steps, and name tests for what they show

Cause: three names stood for one concept. Three tests of closing said that they guard against a reset, but held before the fix as well. The four that fail without it repeated their steps.

Change: a lingering close, as the field calls it (closeLingering, startLingering); the three tests say that a status is sent; the four are one table. No check or bound differs.

Conclusion: no change of behaviour.

--- a/packages/instance/src/direct/listen/caller_connection.ts
+++ b/packages/instance/src/direct/listen/caller_connection.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import type {TimerService} from '@primrosestage/common';
 import {type ConnectionLoad, getLingerMs} from '@primrosestage/steering';
-import {endAndAwaitClose} from '../../http/lingering_close.js';
+import {startLingering} from '../../http/lingering_close.js';
 import type {BodyBuffers} from './body_buffers.js';
 import type {BodySchedule} from './body_schedule.js';
 import type {DiscardedBuffers} from '../discarded_buffers.js';
@@ -53,7 +53,7 @@
   private readonly headMeter: HeadMeter;
   private isEnding = false;
   private isDraining = false;
-  private isClosingInSteps = false;
+  private isLingering = false;
   /** Monotonic time until which the caller may still be reading responses, in milliseconds. */
   private awaitedUntil = -Infinity;
   private sentBytes = 0;
@@ -79,7 +79,7 @@
       schedule: context.bodySchedule,
     });
     // Node.js closes a connection behind its last response in this way.
-    socket.destroySoon = () => this.closeInSteps();
+    socket.destroySoon = () => this.closeLingering();
     socket.once('close', () => {
       this.headMeter[Symbol.dispose]();
       this.settleAll();
@@ -160,16 +160,16 @@
    * Closes the connection without taking from the caller what it has not read yet: waits until the
    * caller closes it too, or has had the time for it. Requests that arrive meanwhile are dropped.
    */
-  closeInSteps(): void {
-    if (this.isClosingInSteps) return;
-    this.isClosingInSteps = true;
+  closeLingering(): void {
+    if (this.isLingering) return;
+    this.isLingering = true;
     this.stopReading();
     this.reader.discardRest();
     // A response that closes its connection has not settled yet.
     for (const request of this.open) this.recordAwaited(request);
     const {timers} = this.context;
     const timeoutMs = getLingerMs(this.awaitedUntil - timers.now());
-    endAndAwaitClose(this.socket, {timers, timeoutMs});
+    startLingering(this.socket, {timers, timeoutMs});
   }
 
   /** Resets the connection; its requests no longer count. */
@@ -275,7 +275,7 @@
     this.context.handleSettled(this, request);
     if (this.socket.destroyed) return;
     this.recordAwaited(request);
-    if (this.isDraining && this.open.length === 0) this.closeInSteps();
+    if (this.isDraining && this.open.length === 0) this.closeLingering();
     this.startWaiting();
   }
 
--- a/packages/instance/src/direct/listen/caller_connections.ts
+++ b/packages/instance/src/direct/listen/caller_connections.ts
@@ -96,7 +96,7 @@
       const connection = new CallerConnection(socket, this.context);
       this.connections.set(socket, connection);
     });
-    server.on('timeout', (socket: Socket) => this.closeInSteps(socket));
+    server.on('timeout', (socket: Socket) => this.closeLingering(socket));
   }
 
   /** The number of connections that are not read because of their pipelined requests. */
@@ -128,8 +128,8 @@
    * Closes a connection without taking from its caller what it has not read yet.
    * @param connection - The connection.
    */
-  closeInSteps(connection: Duplex): void {
-    this.connections.get(connection)?.closeInSteps();
+  closeLingering(connection: Duplex): void {
+    this.connections.get(connection)?.closeLingering();
   }
 
   /**
@@ -207,7 +207,7 @@
       return;
     }
     writeStatus(connection.socket, 503, REFUSED_RETRY_AFTER_MS);
-    connection.closeInSteps();
+    connection.closeLingering();
   }
 
   private relievePressure(): void {
--- a/packages/instance/src/direct/listen/client_errors.ts
+++ b/packages/instance/src/direct/listen/client_errors.ts
@@ -12,7 +12,7 @@
   /** Stops reading from a connection; returns whether a request on it may run. */
   stopReading(connection: Duplex): boolean;
   /** Closes a connection whose caller may still be sending or reading. */
-  closeInSteps(connection: Duplex): void;
+  closeLingering(connection: Duplex): void;
 }
 
 /**
@@ -34,7 +34,7 @@
     const mayRun = connections.stopReading(connection);
     rejectInvalidRequest(err, connection, {
       hasOpenRequest: mayRun,
-      close: () => connections.closeInSteps(connection),
+      close: () => connections.closeLingering(connection),
     });
   });
 }
--- a/packages/instance/src/direct/listen/request_handler.ts
+++ b/packages/instance/src/direct/listen/request_handler.ts
@@ -66,8 +66,8 @@
    * Closes a connection without taking from its caller what it has not read yet.
    * @param connection - The connection of a caller.
    */
-  closeInSteps(connection: Duplex): void {
-    this.connections.closeInSteps(connection);
+  closeLingering(connection: Duplex): void {
+    this.connections.closeLingering(connection);
   }
 
   /**
--- a/packages/instance/src/direct/run_direct.ts
+++ b/packages/instance/src/direct/run_direct.ts
@@ -326,7 +326,7 @@
   const tracker = new ConnectionTracker(callerServer, {
     timers,
     closeIdleMs: QUIET_PERIOD_MS,
-    close: connection => handler.closeInSteps(connection),
+    close: connection => handler.closeLingering(connection),
   });
   const auxiliaryListeners: AuxiliaryListener[] = [
     {
--- a/packages/instance/src/http/lingering_close.ts
+++ b/packages/instance/src/http/lingering_close.ts
@@ -27,7 +27,7 @@
  * @param connection - The connection, whose data somebody else reads and drops.
  * @param options - Clock and longest wait.
  */
-export function endAndAwaitClose(
+export function startLingering(
   connection: Duplex,
   {timers, timeoutMs}: LingeringCloseOptions,
 ): void {
@@ -56,7 +56,7 @@
     if (ending.has(connection)) return;
     ending.add(connection);
     dropInput(connection);
-    endAndAwaitClose(connection, {timers, timeoutMs: DEFAULT_LINGER_MS});
+    startLingering(connection, {timers, timeoutMs: DEFAULT_LINGER_MS});
   };
   server.on('connection', (socket: Socket) => {
     socket.destroySoon = () => close(socket);
--- a/packages/instance/test/direct/closing_connections.test.ts
+++ b/packages/instance/test/direct/closing_connections.test.ts
@@ -20,6 +20,20 @@
 const IDLE_TIMEOUT_MS = 300;
 /** Time after which an idle connection has surely been given up, in milliseconds. */
 const IDLE_WAIT_MS = 3_000;
+/** When an instance is stopped: before a request or after its response. */
+enum Stop {
+  Before,
+  After,
+}
+
+/** Differences between the requests for a page. */
+interface PageOptions {
+  stop?: Stop;
+  /** Further header lines. */
+  lines?: string;
+  idleTimeoutMs?: number;
+}
+
 /** Bytes that a caller sends although its request has been refused. */
 const FURTHER_BYTES = 'x'.repeat(200_000);
 
@@ -62,54 +76,44 @@
     expect(text.length - head.length - 4).toBeGreaterThanOrEqual(PAGE_BYTES);
   };
 
-  // The kernel answers the next request with a reset if the connection is closed altogether.
-  it('guards against a reset behind a response that closes its connection in a planned stop', async () => {
-    const instance = await start(113);
-    const stop = instance.instance.stop();
-    using caller = new SlowCaller(instance.settings.callerAddress);
-    caller.requestPage('page', DEADLINE_MS);
-    await waitForResponse(instance, 'page');
-    await sleep(600);
-    await expectWholePage(caller);
-    await stop;
-  });
-
-  // The response is out of the process, so that its connection counts as idle.
-  it('guards against a reset behind a response from before a planned stop', async () => {
-    const instance = await start(114);
-    using caller = new SlowCaller(instance.settings.callerAddress);
-    caller.requestPage('page', DEADLINE_MS);
-    await waitForResponse(instance, 'page');
-    const stop = instance.instance.stop();
-    await sleep(4_200);
-    await expectWholePage(caller);
-    await stop;
-  });
-
-  it('guards against a reset behind a response whose caller has asked to close its connection', async () => {
-    const instance = await start(115);
-    using caller = new SlowCaller(instance.settings.callerAddress);
-    caller.requestPage('page', DEADLINE_MS, 'Connection: close\r\n');
-    await waitForResponse(instance, 'page');
-    await sleep(600);
-    await expectWholePage(caller);
-  });
-
-  it('guards against a reset behind a response after the idle timeout', async () => {
-    const instance = await start(116, IDLE_TIMEOUT_MS);
+  // The kernel answers the next request with a reset if the connection is closed altogether. Behind a
+  // response that is out of the process, the connection counts as idle.
+  it.each<[string, number, PageOptions]>([
+    [
+      'a response that closes its connection in a planned stop',
+      600,
+      {stop: Stop.Before},
+    ],
+    ['a response from before a planned stop', 4_200, {stop: Stop.After}],
+    [
+      'a response whose caller has asked to close its connection',
+      600,
+      {lines: 'Connection: close\r\n'},
+    ],
+    [
+      'a response after the idle timeout',
+      IDLE_WAIT_MS,
+      {idleTimeoutMs: IDLE_TIMEOUT_MS},
+    ],
+  ])('guards against a reset behind %s', async (_, waitMs, options) => {
+    const instance = await start(113, options.idleTimeoutMs);
+    const {stop} = options;
+    const stopped = [];
+    if (stop === Stop.Before) stopped.push(instance.instance.stop());
     using caller = new SlowCaller(instance.settings.callerAddress);
-    caller.requestPage('page', DEADLINE_MS);
+    caller.requestPage('page', DEADLINE_MS, options.lines);
     await waitForResponse(instance, 'page');
-    await sleep(IDLE_WAIT_MS);
+    if (stop === Stop.After) stopped.push(instance.instance.stop());
+    await sleep(waitMs);
     await expectWholePage(caller);
+    await Promise.all(stopped);
   });
 
-  // A reset would overtake the status while the caller is sending.
   it.each([
     ['malformed', 'rubbish\r\n\r\n', 400],
     ['too long', `GET / HTTP/1.1\r\nx: ${'y'.repeat(70_000)}\r\n\r\n`, 431],
   ])(
-    'guards against a reset in place of a status for a %s head',
+    'sends the status for a %s head while its caller goes on sending',
     async (_, head, status) => {
       const instance = await start(117);
       using caller = new SlowCaller(instance.settings.callerAddress);
@@ -123,7 +127,7 @@
     },
   );
 
-  it('guards against a reset in place of a status of the directory for a request with a body', async () => {
+  it('sends the status of the directory for a request whose body is not read', async () => {
     const instance = await start(118);
     using caller = new SlowCaller(instance.settings.directoryAddress);
     caller.send(
