Close other listeners' connections at once where the caller asks for it

Cause: every look-up at the directory asks for the end of its connection, and the instance waited for the caller to close it as well.

Change: a listener other than the callers' one closes such a connection at once: its caller sends nothing behind the request (RFC 9112, section 9.6), so that no reset can follow. The callers' connections wait as before.

--- a/packages/instance/src/http/lingering_close.ts
+++ b/packages/instance/src/http/lingering_close.ts
@@ -12,6 +12,8 @@
  */
 export const MAX_DROPPED_BYTES = 256 * 1024;
 
+const CLOSE_OPTION = /(?:^|,)\s*close\s*(?:,|$)/i;
+
 /** Configures the closing of a connection. */
 export interface LingeringCloseOptions {
   timers: TimerService;
@@ -58,13 +60,28 @@
     dropInput(connection);
     startLingering(connection, {timers, timeoutMs: DEFAULT_LINGER_MS});
   };
+  const requests = new WeakMap<Duplex, http.IncomingMessage>();
+  server.on('request', req => requests.set(req.socket, req));
   server.on('connection', (socket: Socket) => {
-    socket.destroySoon = () => close(socket);
+    const closeAtOnce = socket.destroySoon.bind(socket);
+    socket.destroySoon = () => {
+      const last = requests.get(socket);
+      if (last && isLastRequest(last)) closeAtOnce();
+      else close(socket);
+    };
   });
   server.on('timeout', close);
   return close;
 }
 
+/**
+ * Returns whether a caller sends nothing behind a request that has arrived: it has asked for the end
+ * of the connection.
+ */
+function isLastRequest({complete, headers}: http.IncomingMessage): boolean {
+  return complete && CLOSE_OPTION.test(headers.connection ?? '');
+}
+
 /** Takes the place of the parser as the reader of a connection. */
 function dropInput(connection: Duplex): void {
   let droppedBytes = 0;
