--- a/packages/instance/src/http/lingering_close.ts
+++ b/packages/instance/src/http/lingering_close.ts
@@ -12,6 +12,7 @@
  */
 export const MAX_DROPPED_BYTES = 256 * 1024;
 
+/** Matches a `connection` header that asks for the end of the connection. */
 const CLOSE_OPTION = /(?:^|,)\s*close\s*(?:,|$)/i;
 
 /** Configures the closing of a connection. */
